--- /dev/null
+++ b/packages/backend/src/index.ts
@@ -0,0 +1,12 @@
+/** Backend servers: model engines and plain services, and their adapters. */
+export * from './chat_request.js';
+export * from './backend_failure.js';
+export * from './backend_error.js';
+export * from './backend_headers.js';
+export * from './backend_call.js';
+export * from './engine_load.js';
+export * from './engine_client.js';
+export * from './http_engine_client.js';
+export * from './service_client.js';
+export * from './http_service_client.js';
+export * from './to_backend_error.js';
--- /dev/null
+++ b/packages/backend/src/to_backend_error.ts
@@ -0,0 +1,41 @@
+import {
+  HttpFailure,
+  RequestPhase,
+  type HttpError,
+  type OpenReply,
+} from '@greengagecross/http';
+import {BackendError} from './backend_error.js';
+import {BackendFailure} from './backend_failure.js';
+import {BackendHeader} from './backend_headers.js';
+
+const MS_PER_SECOND = 1000;
+
+/** Turns a failed HTTP exchange into what it says about the request. */
+export function toBackendError(
+  backendId: string,
+  error: HttpError,
+): BackendError {
+  if (error.phase === RequestPhase.NOT_SENT) {
+    return new BackendError(BackendFailure.NOT_SENT, backendId, error);
+  }
+  const failure =
+    error.failure === HttpFailure.SILENT
+      ? BackendFailure.SILENT
+      : BackendFailure.CUT;
+  return new BackendError(failure, backendId, error);
+}
+
+/** Reads a reply's own word that the request did not run, if it says so. */
+export function findRefusal(
+  backendId: string,
+  reply: Pick<OpenReply, 'headers'>,
+): BackendError | undefined {
+  if (reply.headers[BackendHeader.NOT_RUN] !== 'true') return undefined;
+  const failure =
+    reply.headers[BackendHeader.LEAVING] === 'true'
+      ? BackendFailure.LEAVING
+      : BackendFailure.REFUSED;
+  const seconds = Number(reply.headers['retry-after'] ?? 0);
+  const retryAfterMs = Number.isFinite(seconds) ? seconds * MS_PER_SECOND : 0;
+  return new BackendError(failure, backendId, undefined, retryAfterMs);
+}
--- /dev/null
+++ b/packages/client/src/client_context.ts
@@ -0,0 +1,44 @@
+import {HttpClient} from '@greengagecross/http';
+import {
+  ConfigurationStore,
+  HttpHostDirectory,
+  HttpObjectStore,
+  HttpTableService,
+  PlatformCaller,
+  type HostDirectory,
+} from '@greengagecross/platform';
+import {readClientSettings, readInputFile} from './client_settings.js';
+import {DaemonCaller} from './daemon_caller.js';
+
+const PLATFORM_TIMEOUT_MS = 3000;
+
+/** What every command works with, made from the settings file. */
+export class ClientContext {
+  readonly operator: string;
+  readonly store: ConfigurationStore;
+  readonly hosts: HostDirectory;
+  readonly daemons: DaemonCaller;
+  private readonly client = new HttpClient();
+
+  constructor(settingsFile: string) {
+    const settings = readClientSettings(settingsFile);
+    const key = readInputFile(settings.keyFile).split('\n')[0] ?? '';
+    const caller = new PlatformCaller(
+      this.client,
+      settings.platform,
+      PLATFORM_TIMEOUT_MS,
+    );
+    this.operator = settings.operator;
+    this.store = new ConfigurationStore(
+      new HttpTableService(caller),
+      new HttpObjectStore(caller),
+    );
+    this.hosts = new HttpHostDirectory(caller);
+    this.daemons = new DaemonCaller(this.client, key.trim());
+  }
+
+  /** Closes the connections. */
+  close(): void {
+    this.client.close();
+  }
+}
--- /dev/null
+++ b/packages/client/src/daemon_caller.ts
@@ -0,0 +1,51 @@
+import {Effect} from 'effect';
+import {formatAddress, toError, type Address} from '@greengagecross/common';
+import type {HttpClient} from '@greengagecross/http';
+import {ClientError} from './client_error.js';
+import {ExitCode} from './exit_code.js';
+
+const DAEMON_TIMEOUT_MS = 2000;
+
+/** Sends operators' calls to daemons' control listeners. */
+export class DaemonCaller {
+  constructor(
+    private readonly client: HttpClient,
+    private readonly key: string,
+  ) {}
+
+  /** Sends one call and parses its JSON reply. */
+  send(
+    address: Address,
+    method: string,
+    path: string,
+  ): Effect.Effect<unknown, ClientError> {
+    const target = formatAddress(address);
+    const fail = (message: string, cause?: Error): ClientError =>
+      new ClientError(
+        ExitCode.FAILED,
+        `the daemon at ${target} ${message}`,
+        'Check that it runs and that your operator key is one of its keys.',
+        cause,
+      );
+    return this.client
+      .send({
+        address,
+        method,
+        path,
+        headers: {authorization: `Bearer ${this.key}`},
+        connectTimeoutMs: DAEMON_TIMEOUT_MS,
+        silenceMs: DAEMON_TIMEOUT_MS,
+      })
+      .pipe(
+        Effect.mapError(error => fail('does not answer', error)),
+        Effect.flatMap(reply =>
+          reply.status < 300
+            ? Effect.try({
+                try: () => JSON.parse(reply.body.toString()) as unknown,
+                catch: thrown => fail('answers nonsense', toError(thrown)),
+              })
+            : Effect.fail(fail(`answers with status ${reply.status}`)),
+        ),
+      );
+  }
+}
--- /dev/null
+++ b/packages/common/src/ids/secret.ts
@@ -0,0 +1,21 @@
+import {createHash, timingSafeEqual} from 'node:crypto';
+
+/** Verifies a secret against those now valid, in constant time. */
+export function verifySecret(given: string, valid: readonly string[]): boolean {
+  const digest = hashSecret(given);
+  let isMatch = false;
+  for (const secret of valid) {
+    isMatch = timingSafeEqual(digest, hashSecret(secret)) || isMatch;
+  }
+  return isMatch;
+}
+
+/** Takes the key out of an `Authorization: Bearer` header. */
+export function parseBearer(header: string | undefined): string | undefined {
+  if (header === undefined || !header.startsWith('Bearer ')) return undefined;
+  return header.slice('Bearer '.length);
+}
+
+function hashSecret(secret: string): Buffer {
+  return createHash('sha256').update(secret).digest();
+}
--- /dev/null
+++ b/packages/common/src/logging/logger.ts
@@ -0,0 +1,44 @@
+import debug from 'debug';
+
+const ROOT = 'greengagecross';
+const JSON_FORM = process.env['GREENGAGECROSS_LOG'] === 'json';
+
+if (process.env['DEBUG'] === undefined) debug.enable(`${ROOT}:*`);
+
+/** Fields added to a log line; never customer text or secrets. */
+export type LogFields = Readonly<
+  Record<string, string | number | boolean | undefined>
+>;
+
+/**
+ * Writes short sentences under one part's fixed prefix, to standard error.
+ *
+ * Set GREENGAGECROSS_LOG=json for one JSON object a line, and DEBUG to choose
+ * prefixes, as in `DEBUG=greengagecross:members`.
+ */
+export class Logger {
+  private readonly writer: debug.Debugger;
+
+  constructor(private readonly part: string) {
+    this.writer = debug(`${ROOT}:${part}`);
+    if (JSON_FORM) this.writer.log = writeRaw;
+  }
+
+  /** Logs one sentence with optional fields. */
+  log(sentence: string, fields: LogFields = {}): void {
+    if (!this.writer.enabled) return;
+    if (JSON_FORM) {
+      const at = new Date().toISOString();
+      writeRaw(JSON.stringify({at, part: this.part, sentence, ...fields}));
+      return;
+    }
+    const pairs = Object.entries(fields)
+      .filter(([, value]) => value !== undefined)
+      .map(([name, value]) => `${name}=${value}`);
+    this.writer('%s', [sentence, ...pairs].join(' '));
+  }
+}
+
+function writeRaw(line: string): void {
+  process.stderr.write(`${line}\n`);
+}
--- /dev/null
+++ b/packages/common/src/protocol/outcome_event.ts
@@ -0,0 +1,10 @@
+import type {Outcome} from './outcome.js';
+import type {RefusalReason} from './refusal_reason.js';
+
+/** The data of the event that closes a stream. */
+export interface OutcomeEvent {
+  readonly outcome: Outcome;
+  readonly requestId: string;
+  readonly reason?: RefusalReason;
+  readonly ticket?: string;
+}
--- /dev/null
+++ b/packages/common/src/protocol/refusal_reason.ts
@@ -0,0 +1,22 @@
+/** Why a request was refused or cut short, as told in the reason header. */
+export enum RefusalReason {
+  BAD_REQUEST = 'bad-request',
+  UNAUTHORIZED = 'unauthorized',
+  FORBIDDEN = 'forbidden',
+  UNKNOWN_MODEL = 'unknown-model',
+  UNKNOWN_SERVICE = 'unknown-service',
+  TOO_LARGE = 'too-large',
+  CUSTOMER_LIMIT = 'customer-limit',
+  OVERLOADED = 'overloaded',
+  NO_BACKEND = 'no-backend',
+  NO_CONFIGURATION = 'no-configuration',
+  STOPPING = 'stopping',
+  DEADLINE = 'deadline',
+  KEY_REQUIRED = 'idempotency-key-required',
+  KEY_IN_USE = 'idempotency-key-in-use',
+  KEY_REUSED = 'idempotency-key-reused',
+  KEY_EXPIRED = 'idempotency-key-expired',
+  PLATFORM_DOWN = 'platform-down',
+  BACKEND_FAILED = 'backend-failed',
+  BACKEND_SILENT = 'backend-silent',
+}
--- /dev/null
+++ b/packages/common/src/schema/decode.ts
@@ -0,0 +1,94 @@
+import {Cause, Exit, Option, Schema, SchemaIssue} from 'effect';
+import {ValidationError} from './validation_error.js';
+import type {Problem} from './problem.js';
+
+const MAX_FOUND_CHARACTERS = 60;
+const SECRET_PATH = /key|secret|salt|hash/i;
+const formatIssues = SchemaIssue.makeFormatterStandardSchemaV1();
+
+/** What becomes of properties that the schema does not name. */
+export enum ExcessProperties {
+  REFUSED = 'error',
+  IGNORED = 'ignore',
+}
+
+type Path = ReadonlyArray<PropertyKey | {readonly key: PropertyKey}>;
+
+/**
+ * Decodes a document from outside, reporting all wrong values at once.
+ *
+ * @param subject names the document in messages, such as its file.
+ * @throws ValidationError listing each path, what was expected and found.
+ */
+export function decodeDocument<S extends Schema.ConstraintDecoder<unknown>>(
+  schema: S,
+  value: unknown,
+  subject: string,
+  excess = ExcessProperties.REFUSED,
+): S['Type'] {
+  const exit = Schema.decodeUnknownExit(schema)(value, {
+    errors: 'all',
+    onExcessProperty: excess,
+  });
+  if (Exit.isSuccess(exit)) return exit.value;
+  const error = Option.getOrUndefined(Cause.findErrorOption(exit.cause));
+  if (error === undefined) throw Cause.squash(exit.cause);
+  const {issues} = formatIssues(error.issue);
+  const problems = issues.map(issue =>
+    toProblem(value, issue.path ?? [], issue.message),
+  );
+  throw new ValidationError(subject, problems);
+}
+
+/**
+ * Decodes JSON text from outside.
+ *
+ * @throws ValidationError for broken JSON as for wrong values.
+ */
+export function decodeJson<S extends Schema.ConstraintDecoder<unknown>>(
+  schema: S,
+  text: string,
+  subject: string,
+  excess = ExcessProperties.REFUSED,
+): S['Type'] {
+  return decodeDocument(schema, parseJson(text, subject), subject, excess);
+}
+
+/** Parses JSON text; throws ValidationError where it is broken. */
+export function parseJson(text: string, subject: string): unknown {
+  try {
+    return JSON.parse(text) as unknown;
+  } catch (thrown) {
+    const found = thrown instanceof Error ? thrown.message : 'unreadable text';
+    const problem = {path: '(document)', expected: 'JSON', found};
+    throw new ValidationError(subject, [problem]);
+  }
+}
+
+function toProblem(document: unknown, path: Path, message: string): Problem {
+  const keys = path.map(part => (typeof part === 'object' ? part.key : part));
+  const name = formatPath(keys);
+  return {
+    path: name,
+    expected: message.replace(/^Expected /, ''),
+    found: SECRET_PATH.test(name) ? '(hidden)' : describeAt(document, keys),
+  };
+}
+
+function formatPath(keys: readonly PropertyKey[]): string {
+  if (keys.length === 0) return '(document)';
+  return keys
+    .map(key => (typeof key === 'number' ? `[${key}]` : `.${String(key)}`))
+    .join('')
+    .replace(/^\./, '');
+}
+
+function describeAt(document: unknown, keys: readonly PropertyKey[]): string {
+  let value = document;
+  for (const key of keys) {
+    if (typeof value !== 'object' || value === null) return 'nothing';
+    value = (value as Record<PropertyKey, unknown>)[key];
+  }
+  if (value === undefined) return 'nothing';
+  return JSON.stringify(value).slice(0, MAX_FOUND_CHARACTERS);
+}
--- /dev/null
+++ b/packages/common/src/schema/validation_error.ts
@@ -0,0 +1,17 @@
+import {LayerError} from '../errors/layer_error.js';
+import {formatProblem, type Problem} from './problem.js';
+
+/** A document from outside that does not match its schema; lists every problem. */
+export class ValidationError extends LayerError {
+  constructor(
+    readonly subject: string,
+    readonly problems: readonly Problem[],
+  ) {
+    super(
+      'ValidationError',
+      `${subject} has ${problems.length} problem(s):\n` +
+        problems.map(problem => `  ${formatProblem(problem)}`).join('\n'),
+      {subject, problems: problems.length},
+    );
+  }
+}
--- /dev/null
+++ b/packages/common/src/settings/tuning.ts
@@ -0,0 +1,36 @@
+import {Schema} from 'effect';
+
+const DurationMsSchema = Schema.Int.check(
+  Schema.isBetween({minimum: 1, maximum: 3_600_000}),
+);
+
+/** Optional durations of a daemon, in milliseconds. */
+export const TuningSchema = Schema.Struct({
+  heartbeatMs: Schema.optionalKey(DurationMsSchema),
+  configurationPollMs: Schema.optionalKey(DurationMsSchema),
+  hostListPollMs: Schema.optionalKey(DurationMsSchema),
+  platformTimeoutMs: Schema.optionalKey(DurationMsSchema),
+  peerTimeoutMs: Schema.optionalKey(DurationMsSchema),
+  backendConnectTimeoutMs: Schema.optionalKey(DurationMsSchema),
+  backendSilenceMs: Schema.optionalKey(DurationMsSchema),
+  callerSilenceMs: Schema.optionalKey(DurationMsSchema),
+  directoryKeepMs: Schema.optionalKey(DurationMsSchema),
+  stopGraceMs: Schema.optionalKey(DurationMsSchema),
+});
+
+/** Every duration with its value, in milliseconds. */
+export type Tuning = Required<typeof TuningSchema.Type>;
+
+/** What holds where the settings say nothing. */
+export const DEFAULT_TUNING: Tuning = {
+  heartbeatMs: 500,
+  configurationPollMs: 1000,
+  hostListPollMs: 1000,
+  platformTimeoutMs: 1000,
+  peerTimeoutMs: 400,
+  backendConnectTimeoutMs: 1000,
+  backendSilenceMs: 10_000,
+  callerSilenceMs: 30_000,
+  directoryKeepMs: 5000,
+  stopGraceMs: 60_000,
+};
--- /dev/null
+++ b/packages/common/src/ticket/ticket_codec.ts
@@ -0,0 +1,59 @@
+import {createHmac, timingSafeEqual} from 'node:crypto';
+import {decodeJson} from '../schema/decode.js';
+import {TicketSchema, type Ticket} from './ticket.js';
+
+const MAX_TICKET_CHARACTERS = 2048;
+
+/**
+ * Signs tickets and reads them back.
+ *
+ * A ticket that is forged, altered, too long or of another customer or chat
+ * reads as no ticket: the chat is then placed as if it were new.
+ */
+export class TicketCodec {
+  /** @param keys the first signs; all of them verify, so that keys rotate. */
+  constructor(private readonly keys: readonly string[]) {}
+
+  /** Encodes a ticket as opaque text for a header. */
+  encode(ticket: Ticket): string {
+    const body = Buffer.from(JSON.stringify(ticket)).toString('base64url');
+    const signature = signBody(body, this.keys[0] ?? '');
+    return `${body}.${signature.toString('base64url')}`;
+  }
+
+  /** Decodes a ticket of this customer and chat, or gives undefined. */
+  decode(text: string, customer: string, chat: string): Ticket | undefined {
+    if (text.length > MAX_TICKET_CHARACTERS) return undefined;
+    const [body, signature, ...rest] = text.split('.');
+    if (body === undefined || signature === undefined) return undefined;
+    if (rest.length > 0) return undefined;
+    if (!this.isSigned(body, signature)) return undefined;
+    const ticket = parseBody(body);
+    if (ticket === undefined) return undefined;
+    if (ticket.customer !== customer || ticket.chat !== chat) return undefined;
+    return ticket;
+  }
+
+  private isSigned(body: string, signature: string): boolean {
+    const given = Buffer.from(signature, 'base64url');
+    return this.keys.some(key => {
+      const expected = signBody(body, key);
+      return (
+        given.length === expected.length && timingSafeEqual(given, expected)
+      );
+    });
+  }
+}
+
+function signBody(body: string, key: string): Buffer {
+  return createHmac('sha256', key).update(body).digest();
+}
+
+function parseBody(body: string): Ticket | undefined {
+  try {
+    const text = Buffer.from(body, 'base64url').toString();
+    return decodeJson(TicketSchema, text, 'ticket');
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/callers/answer_refusal.ts
@@ -0,0 +1,42 @@
+import {HeaderName, type Outcome} from '@greengagecross/common';
+import type {HttpExchange, OutgoingHeaders} from '@greengagecross/http';
+import type {Refusal} from './refusal.js';
+
+const MS_PER_SECOND = 1000;
+
+/** Builds the headers that say how a request ended. */
+export function buildOutcomeHeaders(
+  outcome: Outcome,
+  requestId: string,
+): Record<string, string> {
+  return {
+    [HeaderName.OUTCOME]: outcome,
+    [HeaderName.REQUEST_ID]: requestId,
+  };
+}
+
+/** Answers a request that ends before any part of an answer was sent. */
+export function answerRefusal(
+  exchange: HttpExchange,
+  requestId: string,
+  refusal: Refusal,
+): void {
+  const {outcome, reason, retryAfterMs} = refusal;
+  const headers: OutgoingHeaders = {
+    ...buildOutcomeHeaders(outcome, requestId),
+    [HeaderName.REASON]: reason,
+    ...buildRetryAfter(retryAfterMs),
+  };
+  // An unread body would be taken for the next request.
+  if (!exchange.request.complete) {
+    exchange.response.setHeader('connection', 'close');
+  }
+  const error = {message: refusal.message, type: reason, outcome, requestId};
+  exchange.sendJson(refusal.status, {error}, headers);
+}
+
+function buildRetryAfter(retryAfterMs: number | undefined): OutgoingHeaders {
+  if (retryAfterMs === undefined) return {};
+  const seconds = Math.max(1, Math.ceil(retryAfterMs / MS_PER_SECOND));
+  return {[HeaderName.RETRY_AFTER]: String(seconds)};
+}
--- /dev/null
+++ b/packages/daemon/src/callers/answer_service.ts
@@ -0,0 +1,23 @@
+import {Outcome} from '@greengagecross/common';
+import type {HttpReply} from '@greengagecross/http';
+import {buildOutcomeHeaders} from './answer_refusal.js';
+import type {ServiceJob} from './service_job.js';
+
+/** The part of a worker's reply that a caller gets. */
+export type ServiceAnswer = Pick<HttpReply, 'status' | 'body'> & {
+  readonly contentType: string;
+};
+
+/** Takes the caller's part out of a worker's reply. */
+export function toServiceAnswer(reply: HttpReply): ServiceAnswer {
+  const {status, body} = reply;
+  return {status, body, contentType: reply.headers['content-type'] ?? ''};
+}
+
+/** Sends a worker's whole answer to its caller. */
+export function answerService(job: ServiceJob, answer: ServiceAnswer): void {
+  const {status, body, contentType} = answer;
+  const headers = buildOutcomeHeaders(Outcome.COMPLETE, job.requestId);
+  if (contentType !== '') headers['content-type'] = contentType;
+  job.exchange.send(status, headers, body);
+}
--- /dev/null
+++ b/packages/daemon/src/callers/caller_router.ts
@@ -0,0 +1,75 @@
+import {Clock, Effect} from 'effect';
+import {makeRequestId, Outcome, RefusalReason} from '@greengagecross/common';
+import type {HttpExchange} from '@greengagecross/http';
+import type {DaemonMetrics} from '../metrics/daemon_metrics.js';
+import {answerRefusal} from './answer_refusal.js';
+import type {ChatHandler} from './chat_handler.js';
+import type {DirectoryHandler} from './directory_handler.js';
+import {makeNotRun, type Refusal} from './refusal.js';
+import {SERVICE_PREFIX, type ServiceHandler} from './service_handler.js';
+
+/** Sends each caller's request to its handler and its refusal to the caller. */
+export class CallerRouter {
+  constructor(
+    private readonly directory: DirectoryHandler,
+    private readonly chats: ChatHandler,
+    private readonly services: ServiceHandler,
+    private readonly metrics: DaemonMetrics,
+  ) {}
+
+  /** Answers one request on the callers' listener. */
+  handle(exchange: HttpExchange): Effect.Effect<void> {
+    return Effect.gen({self: this}, function* () {
+      const requestId = makeRequestId();
+      const startMs = yield* Clock.currentTimeMillis;
+      const kind = findKind(exchange);
+      let outcome = Outcome.COMPLETE;
+      let reason = '';
+      yield* this.dispatch(kind, exchange, requestId).pipe(
+        Effect.catch(refusal =>
+          Effect.sync(() => {
+            outcome = refusal.outcome;
+            reason = refusal.reason;
+            answerRefusal(exchange, requestId, refusal);
+          }),
+        ),
+      );
+      const endMs = yield* Clock.currentTimeMillis;
+      this.metrics.recordRequest(kind, outcome, reason, endMs - startMs);
+    });
+  }
+
+  private dispatch(
+    kind: RequestKind,
+    exchange: HttpExchange,
+    requestId: string,
+  ): Effect.Effect<void, Refusal> {
+    switch (kind) {
+      case RequestKind.DIRECTORY:
+        return this.directory.handle(exchange);
+      case RequestKind.CHAT:
+        return this.chats.handle(exchange, requestId);
+      case RequestKind.SERVICE:
+        return this.services.handle(exchange, requestId);
+      case RequestKind.OTHER:
+        return Effect.fail(
+          makeNotRun(RefusalReason.BAD_REQUEST, 404, 'no such path'),
+        );
+    }
+  }
+}
+
+/** What a path asks for. */
+enum RequestKind {
+  DIRECTORY = 'directory',
+  CHAT = 'chat',
+  SERVICE = 'service',
+  OTHER = 'other',
+}
+
+function findKind(exchange: HttpExchange): RequestKind {
+  if (exchange.path.startsWith(SERVICE_PREFIX)) return RequestKind.SERVICE;
+  if (exchange.path === '/v1/directory') return RequestKind.DIRECTORY;
+  if (exchange.path !== '/v1/chat/completions') return RequestKind.OTHER;
+  return exchange.method === 'POST' ? RequestKind.CHAT : RequestKind.OTHER;
+}
--- /dev/null
+++ b/packages/daemon/src/callers/chat_attempt.ts
@@ -0,0 +1,160 @@
+import {Effect} from 'effect';
+import {
+  BackendError,
+  BackendFailure,
+  BackendHeader,
+  type BackendCall,
+  type EngineClient,
+} from '@greengagecross/backend';
+import {
+  HeaderName,
+  Outcome,
+  type BackendServer,
+  type Customer,
+  type Service,
+  type Ticket,
+  type TicketCodec,
+} from '@greengagecross/common';
+import {
+  readBody,
+  type HttpExchange,
+  type OpenReply,
+} from '@greengagecross/http';
+import type {ChatStream} from '../relay/chat_stream.js';
+import {buildOutcomeHeaders} from './answer_refusal.js';
+
+const MAX_REPLY_BYTES = 16 * 1024 * 1024;
+const MAX_RESUMES = 3;
+
+/** A chat request that was checked and may be dispatched. */
+export interface ChatJob {
+  readonly exchange: HttpExchange;
+  readonly requestId: string;
+  readonly customer: Customer;
+  readonly service: Service;
+  readonly chat: string;
+  readonly ticket: Ticket | undefined;
+  readonly body: Buffer;
+  /** Present when the caller asked for a stream. */
+  readonly stream: ChatStream | undefined;
+}
+
+/** Runs one attempt of a chat request on one engine. */
+export class ChatAttempt {
+  constructor(
+    private readonly engines: EngineClient,
+    private readonly tickets: TicketCodec,
+  ) {}
+
+  /** Succeeds once the caller has the whole answer. */
+  run(
+    job: ChatJob,
+    server: BackendServer,
+    attemptId: string,
+  ): Effect.Effect<void, BackendError> {
+    const call: BackendCall = {
+      server,
+      attemptId,
+      customer: job.customer.id,
+      chat: job.chat,
+      priority: job.service.priority,
+      deadlineMs: job.service.deadlineMs,
+    };
+    return Effect.gen({self: this}, function* () {
+      const reply = yield* this.engines.open(call, job.body);
+      yield* checkOwn(reply, call);
+      if (reply.status >= 500) {
+        reply.stream.resume();
+        yield* Effect.fail(new BackendError(BackendFailure.BROKEN, server.id));
+      }
+      if (job.stream === undefined || reply.status !== 200) {
+        yield* this.relayWhole(job, call, reply);
+        return;
+      }
+      yield* this.relayStream(job, job.stream, call, reply);
+    }).pipe(
+      Effect.onInterrupt(() => Effect.forkDetach(this.engines.cancel(call))),
+    );
+  }
+
+  private relayWhole(
+    job: ChatJob,
+    call: BackendCall,
+    reply: OpenReply,
+  ): Effect.Effect<void, BackendError> {
+    return readBody(reply.stream, MAX_REPLY_BYTES, call.server.id).pipe(
+      Effect.mapError(
+        error => new BackendError(BackendFailure.CUT, call.server.id, error),
+      ),
+      Effect.map(body => {
+        const headers = {
+          ...buildOutcomeHeaders(Outcome.COMPLETE, job.requestId),
+          [HeaderName.TICKET]: this.makeTicket(job, call, reply),
+          'content-type': reply.headers['content-type'] ?? 'application/json',
+        };
+        job.exchange.send(reply.status, headers, body);
+      }),
+    );
+  }
+
+  private relayStream(
+    job: ChatJob,
+    stream: ChatStream,
+    call: BackendCall,
+    first: OpenReply,
+  ): Effect.Effect<void, BackendError> {
+    const {id} = call.server;
+    const resume = (
+      failed: BackendError,
+      left: number,
+    ): Effect.Effect<void, BackendError> => {
+      const isCut = failed.failure === BackendFailure.CUT;
+      if (!isCut || left === 0) return Effect.fail(failed);
+      return this.engines.resume(call, stream.getLastIndex()).pipe(
+        Effect.mapError(() => failed),
+        Effect.flatMap(reply =>
+          reply.status === 200
+            ? stream.relay(reply.stream, id)
+            : Effect.fail(failed),
+        ),
+        Effect.catch(error => resume(error, left - 1)),
+      );
+    };
+    return stream.relay(first.stream, id).pipe(
+      Effect.catch(error => resume(error, MAX_RESUMES)),
+      Effect.map(() => {
+        const {requestId} = job;
+        const ticket = this.makeTicket(job, call, first);
+        const event = {outcome: Outcome.COMPLETE, requestId, ticket};
+        stream.finish(event, true);
+      }),
+    );
+  }
+
+  private makeTicket(
+    job: ChatJob,
+    call: BackendCall,
+    reply: OpenReply,
+  ): string {
+    const tokens = Number(reply.headers[BackendHeader.PROMPT_TOKENS] ?? 0);
+    return this.tickets.encode({
+      customer: job.customer.id,
+      chat: job.chat,
+      service: job.service.name,
+      engine: call.server.id,
+      contextTokens: Number.isSafeInteger(tokens) ? tokens : 0,
+      warmAtMs: Date.now(),
+    });
+  }
+}
+
+/** Refuses a reply that belongs to another request. */
+function checkOwn(
+  reply: OpenReply,
+  call: BackendCall,
+): Effect.Effect<void, BackendError> {
+  const echoed = reply.headers[BackendHeader.REQUEST_ID];
+  if (echoed === call.attemptId) return Effect.void;
+  reply.stream.destroy();
+  return Effect.fail(new BackendError(BackendFailure.BROKEN, call.server.id));
+}
--- /dev/null
+++ b/packages/daemon/src/callers/chat_handler.ts
@@ -0,0 +1,158 @@
+import {Effect} from 'effect';
+import {parseChatRequest, type ChatRequest} from '@greengagecross/backend';
+import {
+  HeaderName,
+  Outcome,
+  RefusalReason,
+  ServiceKind,
+  toError,
+  type Service,
+  type Ticket,
+  type TicketCodec,
+} from '@greengagecross/common';
+import type {CustomerLimit} from '@greengagecross/decisions';
+import type {HttpExchange} from '@greengagecross/http';
+import type {MemberService} from '../members/member_service.js';
+import {ChatStream} from '../relay/chat_stream.js';
+import {buildOutcomeHeaders} from './answer_refusal.js';
+import type {Authenticator} from './authenticator.js';
+import type {Caller} from './caller.js';
+import type {ChatJob} from './chat_attempt.js';
+import type {ChatDispatcher} from './chat_dispatcher.js';
+import {readRequest} from './read_request.js';
+import {makeNotRun, type Refusal} from './refusal.js';
+
+const LIMIT_RETRY_MS = 1000;
+
+/** Answers chat completions, streamed or whole. */
+export class ChatHandler {
+  constructor(
+    private readonly authenticator: Authenticator,
+    private readonly dispatcher: ChatDispatcher,
+    private readonly tickets: TicketCodec,
+    private readonly limit: CustomerLimit,
+    private readonly members: MemberService,
+  ) {}
+
+  /** Answers POST /v1/chat/completions. */
+  handle(
+    exchange: HttpExchange,
+    requestId: string,
+  ): Effect.Effect<void, Refusal> {
+    return Effect.gen({self: this}, function* () {
+      const caller = yield* this.authenticator.verify(exchange);
+      const body = yield* readRequest(exchange);
+      const request = yield* parseRequest(body);
+      const service = yield* findService(caller, request.model);
+      const chat = exchange.getHeader(HeaderName.CHAT) ?? requestId;
+      const job = this.makeJob(exchange, requestId, caller, service, chat, {
+        body,
+        isStream: request.stream === true,
+      });
+      yield* this.runWithinLimit(job);
+    });
+  }
+
+  private makeJob(
+    exchange: HttpExchange,
+    requestId: string,
+    caller: Caller,
+    service: Service,
+    chat: string,
+    request: {readonly body: Buffer; readonly isStream: boolean},
+  ): ChatJob {
+    const headers = buildOutcomeHeaders(Outcome.COMPLETE, requestId);
+    // A stream tells its outcome in its closing event.
+    delete headers[HeaderName.OUTCOME];
+    const {customer} = caller;
+    return {
+      exchange,
+      requestId,
+      customer,
+      service,
+      chat,
+      ticket: this.decodeTicket(exchange, customer.id, chat),
+      body: request.body,
+      stream: request.isStream
+        ? new ChatStream(exchange.response, headers)
+        : undefined,
+    };
+  }
+
+  private decodeTicket(
+    exchange: HttpExchange,
+    customer: string,
+    chat: string,
+  ): Ticket | undefined {
+    const text = exchange.getHeader(HeaderName.TICKET);
+    if (text === undefined) return undefined;
+    return this.tickets.decode(text, customer, chat);
+  }
+
+  private runWithinLimit(job: ChatJob): Effect.Effect<void, Refusal> {
+    const {id, maxInFlight} = job.customer;
+    const daemons = this.members.countLive();
+    return Effect.acquireUseRelease(
+      Effect.sync(() => this.limit.acquire(id, maxInFlight, daemons)),
+      isAdmitted =>
+        isAdmitted
+          ? this.dispatchAndFinish(job)
+          : Effect.fail(makeLimitRefusal()),
+      isAdmitted =>
+        Effect.sync(() => {
+          if (isAdmitted) this.limit.release(id);
+        }),
+    );
+  }
+
+  /** A stream that has begun can only tell its refusal in its last event. */
+  private dispatchAndFinish(job: ChatJob): Effect.Effect<void, Refusal> {
+    return this.dispatcher.dispatch(job).pipe(
+      Effect.catch(refusal => {
+        if (job.stream?.isStarted() !== true) return Effect.fail(refusal);
+        const {outcome, reason} = refusal;
+        const event = {outcome, reason, requestId: job.requestId};
+        return Effect.sync(() => job.stream?.finish(event, false));
+      }),
+    );
+  }
+}
+
+function parseRequest(body: Buffer): Effect.Effect<ChatRequest, Refusal> {
+  return Effect.try({
+    try: () => parseChatRequest(body.toString()),
+    catch: thrown =>
+      makeNotRun(RefusalReason.BAD_REQUEST, 400, toError(thrown).message),
+  });
+}
+
+function findService(
+  caller: Caller,
+  model: string,
+): Effect.Effect<Service, Refusal> {
+  const service = caller.view.findService(model);
+  if (service?.kind !== ServiceKind.ENGINE) {
+    return Effect.fail(
+      makeNotRun(RefusalReason.UNKNOWN_MODEL, 404, 'no such model'),
+    );
+  }
+  if (!caller.customer.services.includes(service.name)) {
+    return Effect.fail(
+      makeNotRun(
+        RefusalReason.FORBIDDEN,
+        403,
+        'this customer may not use the model',
+      ),
+    );
+  }
+  return Effect.succeed(service);
+}
+
+function makeLimitRefusal(): Refusal {
+  return makeNotRun(
+    RefusalReason.CUSTOMER_LIMIT,
+    429,
+    'the customer is at its limit',
+    LIMIT_RETRY_MS,
+  );
+}
--- /dev/null
+++ b/packages/daemon/src/callers/directory_handler.ts
@@ -0,0 +1,46 @@
+import {Effect} from 'effect';
+import {
+  formatAddress,
+  HeaderName,
+  ServiceKind,
+  type TicketCodec,
+} from '@greengagecross/common';
+import type {HttpExchange} from '@greengagecross/http';
+import type {PlacementService} from '../placement/placement_service.js';
+import type {Authenticator} from './authenticator.js';
+import {makeChatKey} from './chat_key.js';
+import type {Refusal} from './refusal.js';
+
+/** Answers which daemons a caller should use, from what this one knows. */
+export class DirectoryHandler {
+  constructor(
+    private readonly authenticator: Authenticator,
+    private readonly placement: PlacementService,
+    private readonly tickets: TicketCodec,
+    private readonly keepMs: number,
+  ) {}
+
+  /** Answers GET /v1/directory?chat=…&service=…. */
+  handle(exchange: HttpExchange): Effect.Effect<void, Refusal> {
+    return Effect.gen({self: this}, function* () {
+      const {customer, view} = yield* this.authenticator.verify(exchange);
+      const chat = exchange.query.get('chat') ?? '';
+      const named = view.findService(exchange.query.get('service') ?? '');
+      const service = named?.kind === ServiceKind.ENGINE ? named : undefined;
+      const text = exchange.getHeader(HeaderName.TICKET);
+      const ticket =
+        text === undefined
+          ? undefined
+          : this.tickets.decode(text, customer.id, chat);
+      const daemons = yield* this.placement.listDaemons(
+        service,
+        makeChatKey(customer.id, chat),
+        ticket,
+      );
+      exchange.sendJson(200, {
+        addresses: daemons.map(member => formatAddress(member.callerAddress)),
+        keepMs: this.keepMs,
+      });
+    });
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/callers/read_request.ts
@@ -0,0 +1,29 @@
+import {Effect} from 'effect';
+import {RefusalReason} from '@greengagecross/common';
+import {HttpFailure, type HttpExchange} from '@greengagecross/http';
+import {makeNotRun, type Refusal} from './refusal.js';
+
+const MAX_REQUEST_BYTES = 8 * 1024 * 1024;
+
+/** Reads a caller's whole request before anything is dispatched. */
+export function readRequest(
+  exchange: HttpExchange,
+): Effect.Effect<Buffer, Refusal> {
+  return exchange
+    .readBody(MAX_REQUEST_BYTES)
+    .pipe(
+      Effect.mapError(error =>
+        error.failure === HttpFailure.TOO_LARGE
+          ? makeNotRun(
+              RefusalReason.TOO_LARGE,
+              413,
+              `a request may have at most ${MAX_REQUEST_BYTES} bytes`,
+            )
+          : makeNotRun(
+              RefusalReason.BAD_REQUEST,
+              400,
+              'the request was cut short',
+            ),
+      ),
+    );
+}
--- /dev/null
+++ b/packages/daemon/src/claims/claim_record.ts
@@ -0,0 +1,29 @@
+import {Schema} from 'effect';
+
+/** How far the work under an idempotency key has come. */
+export enum ClaimState {
+  /** A daemon holds the claim and may have dispatched. */
+  CLAIMED = 'claimed',
+  /** The answer is recorded. */
+  DONE = 'done',
+  /** The work may have run; nobody knows its answer. */
+  UNKNOWN = 'unknown',
+}
+
+/** One row of the table service for each idempotency key. */
+export const ClaimRecordSchema = Schema.Struct({
+  /** Attempt that holds the claim. */
+  token: Schema.NonEmptyString,
+  /** SHA-256 of method, path and body. */
+  requestDigest: Schema.NonEmptyString,
+  state: Schema.Enum(ClaimState),
+  claimedAtMs: Schema.Int,
+  /** Status of the recorded answer; 0 before there is one. */
+  status: Schema.Int,
+  contentType: Schema.String,
+  /** Body of the recorded answer, in base64. */
+  body: Schema.String,
+});
+
+/** Decoded form of {@link ClaimRecordSchema}. */
+export type ClaimRecord = typeof ClaimRecordSchema.Type;
--- /dev/null
+++ b/packages/daemon/src/control/control_router.ts
@@ -0,0 +1,76 @@
+import {Effect} from 'effect';
+import {parseBearer, verifySecret} from '@greengagecross/common';
+import type {HttpExchange} from '@greengagecross/http';
+import {PEER_PATH, type PeerServer} from '@greengagecross/peers';
+import type {DaemonMetrics} from '../metrics/daemon_metrics.js';
+import type {StateDump} from './state_dump.js';
+
+const METRICS_TYPE = 'text/plain; version=0.0.4';
+
+/** What operators may ask a daemon to do. */
+export interface DaemonOrders {
+  /** Starts a graceful stop. */
+  readonly drain: () => void;
+  readonly isReady: () => boolean;
+}
+
+/** Answers peers, operators and probes on the control listener. */
+export class ControlRouter {
+  /** @param operatorKeys the fleet's operator keys; each is valid. */
+  constructor(
+    private readonly peers: PeerServer,
+    private readonly metrics: DaemonMetrics,
+    private readonly dump: StateDump,
+    private readonly operatorKeys: readonly string[],
+    private readonly orders: DaemonOrders,
+  ) {}
+
+  /** Answers one request on the control listener. */
+  handle(exchange: HttpExchange): Effect.Effect<void> {
+    switch (exchange.path) {
+      case PEER_PATH:
+        return this.peers.handle(exchange);
+      case '/healthz':
+        return Effect.sync(() => exchange.sendJson(200, {alive: true}));
+      case '/readyz':
+        return Effect.sync(() => this.answerReady(exchange));
+      case '/metrics':
+        return Effect.map(
+          Effect.promise(() => this.metrics.export()),
+          text => exchange.send(200, {'content-type': METRICS_TYPE}, text),
+        );
+      default:
+        return this.handleOperator(exchange);
+    }
+  }
+
+  private answerReady(exchange: HttpExchange): void {
+    const ready = this.orders.isReady();
+    exchange.sendJson(ready ? 200 : 503, {ready});
+  }
+
+  private handleOperator(exchange: HttpExchange): Effect.Effect<void> {
+    const key = parseBearer(exchange.getHeader('authorization')) ?? '';
+    if (!verifySecret(key, this.operatorKeys)) {
+      return Effect.sync(() =>
+        exchange.sendJson(401, {error: 'an operator key is needed'}),
+      );
+    }
+    const call = `${exchange.method} ${exchange.path}`;
+    switch (call) {
+      case 'GET /v1/dump':
+        return Effect.map(this.dump.read(), state =>
+          exchange.sendJson(200, state),
+        );
+      case 'POST /v1/drain':
+        return Effect.sync(() => {
+          this.orders.drain();
+          exchange.sendJson(202, {draining: true});
+        });
+      default:
+        return Effect.sync(() =>
+          exchange.sendJson(404, {error: 'no such path'}),
+        );
+    }
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/control/state_dump.ts
@@ -0,0 +1,56 @@
+import {Clock, Effect} from 'effect';
+import type {EngineCount, Member} from '@greengagecross/common';
+import type {EngineLedger} from '@greengagecross/decisions';
+import type {ConfigurationFollower} from '../configuration/configuration_follower.js';
+import type {HostFollower} from '../hosts/host_follower.js';
+import type {MemberService} from '../members/member_service.js';
+
+/** A daemon's state, without customers' text or secrets. */
+export interface DaemonState {
+  readonly self: Member;
+  readonly atMs: number;
+  readonly uptimeMs: number;
+  readonly configuration: {
+    readonly revision: number;
+    readonly digest: string;
+    readonly customers: number;
+    readonly isCurrent: boolean;
+  };
+  readonly hostListIsCurrent: boolean;
+  readonly live: readonly Member[];
+  readonly ownedEngines: readonly EngineCount[];
+  readonly memoryBytes: number;
+}
+
+/** Reads a daemon's whole state for operators. */
+export class StateDump {
+  constructor(
+    private readonly members: MemberService,
+    private readonly configuration: ConfigurationFollower,
+    private readonly hosts: HostFollower,
+    private readonly ledger: EngineLedger,
+    private readonly startedAtMs: number,
+  ) {}
+
+  /** Reads the state as it is now. */
+  read(): Effect.Effect<DaemonState> {
+    return Effect.map(Clock.currentTimeMillis, nowMs => {
+      const view = this.configuration.getView();
+      return {
+        self: this.members.getSelf(),
+        atMs: nowMs,
+        uptimeMs: nowMs - this.startedAtMs,
+        configuration: {
+          revision: view?.revision ?? 0,
+          digest: view?.digest ?? '',
+          customers: view?.countCustomers() ?? 0,
+          isCurrent: this.configuration.isCurrent(),
+        },
+        hostListIsCurrent: this.hosts.isCurrent(),
+        live: this.members.listLive(nowMs),
+        ownedEngines: this.ledger.listCounts(),
+        memoryBytes: process.memoryUsage().rss,
+      };
+    });
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/metrics/daemon_metrics.ts
@@ -0,0 +1,80 @@
+import {Counter, Gauge, Histogram, Registry} from 'prom-client';
+import type {Outcome} from '@greengagecross/common';
+
+const SECONDS_BUCKETS = [0.005, 0.02, 0.05, 0.1, 0.3, 1, 1.3, 3, 10, 30, 100];
+
+/** Values that are read when metrics are asked for. */
+export interface GaugeReaders {
+  readonly countLiveMembers: () => number;
+  readonly getRevision: () => number;
+  readonly countControlBytes: () => number;
+  readonly countInFlight: () => number;
+}
+
+/** Metrics of one daemon; names begin with `greengagecross_`. */
+export class DaemonMetrics {
+  private readonly registry = new Registry();
+  private readonly requests = new Counter({
+    name: 'greengagecross_requests_total',
+    help: 'Requests by the outcome that callers were told.',
+    labelNames: ['kind', 'outcome', 'reason'],
+    registers: [this.registry],
+  });
+  private readonly seconds = new Histogram({
+    name: 'greengagecross_request_seconds',
+    help: 'Time from a request to the end of its answer.',
+    labelNames: ['kind'],
+    buckets: SECONDS_BUCKETS,
+    registers: [this.registry],
+  });
+
+  constructor(readers: GaugeReaders) {
+    this.addGauge(
+      'greengagecross_members_live',
+      'Daemons that this one takes for live, itself included.',
+      readers.countLiveMembers,
+    );
+    this.addGauge(
+      'greengagecross_configuration_revision',
+      'Revision of the configuration in force; 0 before the first.',
+      readers.getRevision,
+    );
+    this.addGauge(
+      'greengagecross_control_bytes',
+      'Bytes on control sockets since the start, headers included.',
+      readers.countControlBytes,
+    );
+    this.addGauge(
+      'greengagecross_requests_in_flight',
+      'Caller requests now being served.',
+      readers.countInFlight,
+    );
+  }
+
+  /** Records the end of one request. */
+  recordRequest(
+    kind: string,
+    outcome: Outcome,
+    reason: string,
+    durationMs: number,
+  ): void {
+    this.requests.inc({kind, outcome, reason});
+    this.seconds.observe({kind}, durationMs / 1000);
+  }
+
+  /** Exports every metric as text. */
+  export(): Promise<string> {
+    return this.registry.metrics();
+  }
+
+  private addGauge(name: string, help: string, read: () => number): void {
+    new Gauge({
+      name,
+      help,
+      registers: [this.registry],
+      collect() {
+        this.set(read());
+      },
+    });
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/wiring/daemon_parts.ts
@@ -0,0 +1,126 @@
+import {HttpEngineClient, HttpServiceClient} from '@greengagecross/backend';
+import {
+  DEFAULT_TUNING,
+  TicketCodec,
+  type DaemonSettings,
+  type FleetKeys,
+  type Tuning,
+} from '@greengagecross/common';
+import {
+  EngineLedger,
+  HomePlacement,
+  MemberTable,
+} from '@greengagecross/decisions';
+import {HttpClient} from '@greengagecross/http';
+import {PeerClient} from '@greengagecross/peers';
+import {
+  ConfigurationStore,
+  HttpHostDirectory,
+  HttpObjectStore,
+  HttpTableService,
+  PlatformCaller,
+  type TableService,
+} from '@greengagecross/platform';
+import {ConfigurationFollower} from '../configuration/configuration_follower.js';
+import {HostFollower} from '../hosts/host_follower.js';
+import {MemberService} from '../members/member_service.js';
+import {PlacementService} from '../placement/placement_service.js';
+import {SlotBroker} from '../placement/slot_broker.js';
+
+const SUSPECT_HEARTBEATS = 4;
+const FORGET_AFTER_MS = 60_000;
+
+/** The long-lived parts of one daemon, each made once and passed on. */
+export class DaemonParts {
+  readonly tuning: Tuning;
+  readonly controlClient = new HttpClient();
+  readonly backendClient = new HttpClient();
+  readonly ledger = new EngineLedger();
+  readonly tickets: TicketCodec;
+  readonly table: TableService;
+  readonly configuration: ConfigurationFollower;
+  readonly hosts: HostFollower;
+  readonly members: MemberService;
+  readonly broker: SlotBroker;
+  readonly placement: PlacementService;
+  readonly engines: HttpEngineClient;
+  readonly workers: HttpServiceClient;
+
+  constructor(
+    readonly settings: DaemonSettings,
+    readonly keys: FleetKeys,
+    readonly startedAtMs: number,
+  ) {
+    this.tuning = {...DEFAULT_TUNING, ...settings.tuning};
+    this.tickets = new TicketCodec(keys.ticket);
+    const platform = this.makePlatformCaller();
+    this.table = new HttpTableService(platform);
+    this.configuration = new ConfigurationFollower(
+      new ConfigurationStore(this.table, new HttpObjectStore(platform)),
+      this.tuning.configurationPollMs,
+    );
+    this.hosts = new HostFollower(
+      new HttpHostDirectory(platform),
+      this.tuning.hostListPollMs,
+    );
+    const peers = new PeerClient(
+      this.controlClient,
+      keys.peer[0] ?? '',
+      this.tuning.peerTimeoutMs,
+    );
+    this.members = this.makeMembers(peers);
+    this.broker = new SlotBroker(
+      settings.id,
+      this.members,
+      this.ledger,
+      peers,
+      this.configuration,
+    );
+    this.placement = new PlacementService(
+      new HomePlacement(),
+      this.broker,
+      this.hosts,
+      this.members,
+    );
+    const timeouts = {
+      connectTimeoutMs: this.tuning.backendConnectTimeoutMs,
+      silenceMs: this.tuning.backendSilenceMs,
+    };
+    this.engines = new HttpEngineClient(this.backendClient, timeouts);
+    this.workers = new HttpServiceClient(this.backendClient, timeouts);
+  }
+
+  /** Closes every outgoing connection. */
+  close(): void {
+    this.controlClient.close();
+    this.backendClient.close();
+  }
+
+  private makePlatformCaller(): PlatformCaller {
+    return new PlatformCaller(
+      this.controlClient,
+      this.settings.platform,
+      this.tuning.platformTimeoutMs,
+    );
+  }
+
+  private makeMembers(peers: PeerClient): MemberService {
+    const {heartbeatMs} = this.tuning;
+    const table = new MemberTable(this.settings.id, {
+      suspectAfterMs: heartbeatMs * SUSPECT_HEARTBEATS,
+      forgetAfterMs: FORGET_AFTER_MS,
+    });
+    return new MemberService(
+      this.settings,
+      this.startedAtMs,
+      table,
+      this.hosts,
+      peers,
+      heartbeatMs,
+      () => ({
+        configurationRevision: this.configuration.getView()?.revision ?? 0,
+        engines: this.ledger.listCounts(),
+      }),
+    );
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/wiring/make_caller_router.ts
@@ -0,0 +1,43 @@
+import {CustomerLimit, RetryBudget} from '@greengagecross/decisions';
+import {Authenticator} from '../callers/authenticator.js';
+import {CallerRouter} from '../callers/caller_router.js';
+import {ChatAttempt} from '../callers/chat_attempt.js';
+import {ChatDispatcher} from '../callers/chat_dispatcher.js';
+import {ChatHandler} from '../callers/chat_handler.js';
+import {DirectoryHandler} from '../callers/directory_handler.js';
+import {OnceDispatcher} from '../callers/once_dispatcher.js';
+import {RepeatableDispatcher} from '../callers/repeatable_dispatcher.js';
+import {ServiceHandler} from '../callers/service_handler.js';
+import {ClaimBook} from '../claims/claim_book.js';
+import type {DaemonMetrics} from '../metrics/daemon_metrics.js';
+import type {DaemonParts} from './daemon_parts.js';
+
+/** Wires what serves callers. */
+export function makeCallerRouter(
+  parts: DaemonParts,
+  metrics: DaemonMetrics,
+): CallerRouter {
+  const {placement, broker, tickets, workers, members} = parts;
+  const authenticator = new Authenticator(parts.configuration);
+  const budget = new RetryBudget();
+  const attempts = new ChatAttempt(parts.engines, tickets);
+  const directory = new DirectoryHandler(
+    authenticator,
+    placement,
+    tickets,
+    parts.tuning.directoryKeepMs,
+  );
+  const chats = new ChatHandler(
+    authenticator,
+    new ChatDispatcher(placement, broker, attempts, budget),
+    tickets,
+    new CustomerLimit(),
+    members,
+  );
+  const services = new ServiceHandler(
+    authenticator,
+    new RepeatableDispatcher(placement, workers, budget),
+    new OnceDispatcher(placement, workers, new ClaimBook(parts.table)),
+  );
+  return new CallerRouter(directory, chats, services, metrics);
+}
--- /dev/null
+++ b/packages/daemon/src/wiring/make_control_router.ts
@@ -0,0 +1,47 @@
+import {Effect} from 'effect';
+import {
+  AcquireSlotSchema,
+  HeartbeatSchema,
+  PeerMethod,
+  PeerServer,
+  ReleaseSlotSchema,
+} from '@greengagecross/peers';
+import {ControlRouter, type DaemonOrders} from '../control/control_router.js';
+import {StateDump} from '../control/state_dump.js';
+import type {DaemonMetrics} from '../metrics/daemon_metrics.js';
+import type {DaemonParts} from './daemon_parts.js';
+
+/** Wires what serves peers and operators. */
+export function makeControlRouter(
+  parts: DaemonParts,
+  metrics: DaemonMetrics,
+  orders: DaemonOrders,
+): ControlRouter {
+  const dump = new StateDump(
+    parts.members,
+    parts.configuration,
+    parts.hosts,
+    parts.ledger,
+    parts.startedAtMs,
+  );
+  const peers = makePeerServer(parts);
+  return new ControlRouter(peers, metrics, dump, parts.keys.operator, orders);
+}
+
+function makePeerServer(parts: DaemonParts): PeerServer {
+  const {members, broker, ledger} = parts;
+  const peers = new PeerServer(parts.keys.peer);
+  peers.addMethod(PeerMethod.HEARTBEAT, HeartbeatSchema, heartbeat =>
+    members.answerHeartbeat(heartbeat),
+  );
+  peers.addMethod(PeerMethod.ACQUIRE_SLOT, AcquireSlotSchema, request =>
+    Effect.map(broker.answerAcquire(request), granted => ({granted})),
+  );
+  peers.addMethod(PeerMethod.RELEASE_SLOT, ReleaseSlotSchema, release =>
+    Effect.sync(() => {
+      ledger.release(release.engine, release.slotId);
+      return {released: true};
+    }),
+  );
+  return peers;
+}
--- /dev/null
+++ b/packages/decisions/src/index.ts
@@ -0,0 +1,9 @@
+/** Decisions free of I/O: members, placement, limits and retries. */
+export * from './members/member_table.js';
+export * from './placement/engine_ledger.js';
+export * from './placement/load_bound.js';
+export * from './placement/placement_policy.js';
+export * from './placement/home_placement.js';
+export * from './placement/engine_owner.js';
+export * from './limits/customer_limit.js';
+export * from './retries/retry_budget.js';
--- /dev/null
+++ b/packages/http/src/http_client.ts
@@ -0,0 +1,122 @@
+import {request, type ClientRequest} from 'node:http';
+import type {Socket} from 'node:net';
+import {Effect} from 'effect';
+import {formatAddress} from '@greengagecross/common';
+import {ConnectionPool} from './connection_pool.js';
+import {HttpError} from './http_error.js';
+import {HttpFailure} from './http_failure.js';
+import type {HttpReply, OpenReply} from './http_reply.js';
+import type {OutgoingRequest} from './outgoing_request.js';
+import {readBody} from './read_body.js';
+import {RequestPhase} from './request_phase.js';
+
+const DEFAULT_MAX_REPLY_BYTES = 16 * 1024 * 1024;
+
+/** Sends requests over kept connections and tells how far a failed one came. */
+export class HttpClient {
+  readonly pool = new ConnectionPool();
+
+  /** Sends a request and reads the whole reply. */
+  send(outgoing: OutgoingRequest): Effect.Effect<HttpReply, HttpError> {
+    const limit = outgoing.maxReplyBytes ?? DEFAULT_MAX_REPLY_BYTES;
+    const target = formatAddress(outgoing.address);
+    return Effect.flatMap(this.open(outgoing), reply =>
+      readBody(reply.stream, limit, target).pipe(
+        Effect.map(body => ({
+          status: reply.status,
+          headers: reply.headers,
+          body,
+        })),
+        Effect.onError(() => Effect.sync(() => reply.stream.destroy())),
+      ),
+    );
+  }
+
+  /** Sends a request and gives its reply once the headers are in. */
+  open(outgoing: OutgoingRequest): Effect.Effect<OpenReply, HttpError> {
+    return Effect.callback<OpenReply, HttpError>((resume, signal) => {
+      const sending = this.start(outgoing);
+      const tracker = new PhaseTracker(sending, outgoing, this.pool);
+      sending.once('response', stream =>
+        resume(
+          Effect.succeed({
+            status: stream.statusCode ?? 0,
+            headers: stream.headers,
+            stream,
+          }),
+        ),
+      );
+      sending.on('error', error =>
+        resume(Effect.fail(tracker.makeError(error))),
+      );
+      sending.once('close', () => resume(Effect.fail(tracker.makeError())));
+      signal.addEventListener('abort', () => sending.destroy());
+    });
+  }
+
+  /** Closes every connection. */
+  close(): void {
+    this.pool.destroy();
+  }
+
+  private start(outgoing: OutgoingRequest): ClientRequest {
+    const sending = request({
+      agent: this.pool,
+      host: outgoing.address.host,
+      port: outgoing.address.port,
+      method: outgoing.method,
+      path: outgoing.path,
+      headers: {...outgoing.headers},
+    });
+    sending.end(outgoing.body);
+    return sending;
+  }
+}
+
+/** Follows one request: whether it was sent, and whether it went silent. */
+class PhaseTracker {
+  private phase = RequestPhase.NOT_SENT;
+  private failure = HttpFailure.CONNECT;
+  private connectTimer: NodeJS.Timeout | undefined;
+
+  constructor(
+    private readonly sending: ClientRequest,
+    private readonly outgoing: OutgoingRequest,
+    private readonly pool: ConnectionPool,
+  ) {
+    sending.once('socket', socket => this.onSocket(socket));
+    sending.once('close', () => clearTimeout(this.connectTimer));
+  }
+
+  makeError(cause?: Error): HttpError {
+    const target = formatAddress(this.outgoing.address);
+    return new HttpError(this.failure, this.phase, target, cause);
+  }
+
+  private onSocket(socket: Socket): void {
+    if (!socket.connecting) {
+      this.onConnected();
+      return;
+    }
+    this.connectTimer = setTimeout(
+      () => this.sending.destroy(),
+      this.outgoing.connectTimeoutMs,
+    );
+    socket.once('connect', () => this.onConnected());
+  }
+
+  private onConnected(): void {
+    clearTimeout(this.connectTimer);
+    this.phase = RequestPhase.MAYBE_SENT;
+    this.failure = HttpFailure.CLOSED;
+    this.sending.setTimeout(this.outgoing.silenceMs, () => this.onSilent());
+  }
+
+  private onSilent(): void {
+    this.failure = HttpFailure.SILENT;
+    const {host, port} = this.outgoing.address;
+    // Other idle connections of that age may be as dead as this one.
+    this.pool.closeIdle(host, port);
+    this.sending.destroy(new Error('no byte arrived in time'));
+  }
+}
--- /dev/null
+++ b/packages/http/src/index.ts
@@ -0,0 +1,12 @@
+/** Node's http with one fiber per connection and counted, kept connections. */
+export * from './request_phase.js';
+export * from './http_failure.js';
+export * from './http_error.js';
+export * from './socket_bytes.js';
+export * from './connection_pool.js';
+export * from './outgoing_request.js';
+export * from './http_reply.js';
+export * from './read_body.js';
+export * from './http_client.js';
+export * from './http_exchange.js';
+export * from './http_server.js';
--- /dev/null
+++ b/packages/http/src/read_body.ts
@@ -0,0 +1,37 @@
+import type {IncomingMessage} from 'node:http';
+import {Effect} from 'effect';
+import {HttpError} from './http_error.js';
+import {HttpFailure} from './http_failure.js';
+import {RequestPhase} from './request_phase.js';
+
+/** Reads a body to its end; fails when it is cut short or over the limit. */
+export function readBody(
+  stream: IncomingMessage,
+  maxBytes: number,
+  target: string,
+): Effect.Effect<Buffer, HttpError> {
+  return Effect.callback<Buffer, HttpError>(resume => {
+    const chunks: Buffer[] = [];
+    let length = 0;
+    const stop = (failure: HttpFailure, cause?: Error) => {
+      stream.off('data', onData);
+      stream.pause();
+      resume(
+        Effect.fail(
+          new HttpError(failure, RequestPhase.MAYBE_SENT, target, cause),
+        ),
+      );
+    };
+    const onData = (chunk: Buffer) => {
+      chunks.push(chunk);
+      length += chunk.length;
+      if (length > maxBytes) stop(HttpFailure.TOO_LARGE);
+    };
+    stream.on('data', onData);
+    stream.once('end', () => resume(Effect.succeed(Buffer.concat(chunks))));
+    stream.once('error', error => stop(HttpFailure.CLOSED, error));
+    stream.once('close', () => {
+      if (!stream.complete) stop(HttpFailure.CLOSED);
+    });
+  });
+}
--- /dev/null
+++ b/packages/http/src/request_phase.ts
@@ -0,0 +1,7 @@
+/** How far a request had come when it failed. */
+export enum RequestPhase {
+  /** No byte can have reached the other end. */
+  NOT_SENT = 'not-sent',
+  /** Bytes may have reached the other end. */
+  MAYBE_SENT = 'maybe-sent',
+}
--- /dev/null
+++ b/packages/peers/src/index.ts
@@ -0,0 +1,6 @@
+/** Calls between daemons: JSON-RPC 2.0 over kept HTTP connections. */
+export * from './peer_method.js';
+export * from './peer_error.js';
+export * from './peer_messages.js';
+export * from './peer_client.js';
+export * from './peer_server.js';
--- /dev/null
+++ b/packages/peers/src/peer_client.ts
@@ -0,0 +1,86 @@
+import {Effect, Schema} from 'effect';
+import {JSONRPCClient} from 'json-rpc-2.0';
+import {
+  decodeDocument,
+  formatAddress,
+  toError,
+  type Address,
+} from '@greengagecross/common';
+import type {HttpClient, HttpReply} from '@greengagecross/http';
+import {PeerError} from './peer_error.js';
+import type {PeerMethod} from './peer_method.js';
+
+/** Path of the JSON-RPC endpoint on a control listener. */
+export const PEER_PATH = '/rpc';
+
+const MAX_PEER_BYTES = 4 * 1024 * 1024;
+
+/** Calls methods of other daemons over kept connections. */
+export class PeerClient {
+  /** @param key the first of the fleet's peer keys. */
+  constructor(
+    private readonly client: HttpClient,
+    private readonly key: string,
+    private readonly timeoutMs: number,
+  ) {}
+
+  /** Calls a method and decodes its result. */
+  send<S extends Schema.ConstraintDecoder<unknown>>(
+    address: Address,
+    method: PeerMethod,
+    params: object,
+    result: S,
+  ): Effect.Effect<S['Type'], PeerError> {
+    const target = formatAddress(address);
+    return Effect.tryPromise({
+      try: signal => this.request(address, method, params, signal),
+      catch: thrown => new PeerError(method, target, toError(thrown)),
+    }).pipe(
+      Effect.timeoutOrElse({
+        duration: this.timeoutMs,
+        orElse: () => Effect.fail(new PeerError(method, target)),
+      }),
+      Effect.flatMap(value =>
+        Effect.try({
+          try: () => decodeDocument(result, value, method),
+          catch: thrown => new PeerError(method, target, toError(thrown)),
+        }),
+      ),
+    );
+  }
+
+  private request(
+    address: Address,
+    method: PeerMethod,
+    params: object,
+    signal: AbortSignal,
+  ): PromiseLike<unknown> {
+    const rpc: JSONRPCClient = new JSONRPCClient(async payload => {
+      const body = JSON.stringify(payload);
+      const sending = this.sendPayload(address, body);
+      const reply = await Effect.runPromise(sending, {signal});
+      if (reply.status !== 200) throw new Error(`status ${reply.status}`);
+      rpc.receive(JSON.parse(reply.body.toString()));
+    });
+    return rpc.request(method, params);
+  }
+
+  private sendPayload(
+    address: Address,
+    body: string,
+  ): Effect.Effect<HttpReply, unknown> {
+    return this.client.send({
+      address,
+      method: 'POST',
+      path: PEER_PATH,
+      headers: {
+        'content-type': 'application/json',
+        authorization: `Bearer ${this.key}`,
+      },
+      body,
+      connectTimeoutMs: this.timeoutMs,
+      silenceMs: this.timeoutMs,
+      maxReplyBytes: MAX_PEER_BYTES,
+    });
+  }
+}
--- /dev/null
+++ b/packages/platform/src/http_table_service.ts
@@ -0,0 +1,48 @@
+import {Effect, Schema} from 'effect';
+import type {PlatformCaller} from './platform_caller.js';
+import type {PlatformError} from './platform_error.js';
+import {TableRowSchema, type TableRow} from './table_row.js';
+import {TableService} from './table_service.js';
+import {
+  TransactionResultSchema,
+  type Transaction,
+  type TransactionResult,
+} from './transaction.js';
+
+const RowsSchema = Schema.Struct({rows: Schema.Array(TableRowSchema)});
+
+/** The table service over HTTP. */
+export class HttpTableService extends TableService {
+  constructor(private readonly caller: PlatformCaller) {
+    super();
+  }
+
+  override read(
+    keys: readonly string[],
+  ): Effect.Effect<readonly TableRow[], PlatformError> {
+    return this.caller
+      .ask('POST', '/v1/table/read', {keys}, RowsSchema)
+      .pipe(Effect.map(reply => reply.rows));
+  }
+
+  override list(
+    prefix: string,
+    after: string,
+    limit: number,
+  ): Effect.Effect<readonly TableRow[], PlatformError> {
+    return this.caller
+      .ask('POST', '/v1/table/list', {prefix, after, limit}, RowsSchema)
+      .pipe(Effect.map(reply => reply.rows));
+  }
+
+  override transact(
+    transaction: Transaction,
+  ): Effect.Effect<TransactionResult, PlatformError> {
+    return this.caller.ask(
+      'POST',
+      '/v1/table/transact',
+      transaction,
+      TransactionResultSchema,
+    );
+  }
+}
--- /dev/null
+++ b/packages/platform/src/http_weight_store.ts
@@ -0,0 +1,23 @@
+import {Effect, Schema} from 'effect';
+import type {PlatformCaller} from './platform_caller.js';
+import type {PlatformError} from './platform_error.js';
+import {WeightStore} from './weight_store.js';
+
+const SizeSchema = Schema.Struct({bytes: Schema.optionalKey(Schema.Int)});
+
+/** The weight store over HTTP. */
+export class HttpWeightStore extends WeightStore {
+  constructor(private readonly caller: PlatformCaller) {
+    super();
+  }
+
+  override getSize(
+    model: string,
+    version: string,
+  ): Effect.Effect<number | undefined, PlatformError> {
+    const name = `${encodeURIComponent(model)}/${encodeURIComponent(version)}`;
+    return this.caller
+      .ask('GET', `/v1/weights/${name}`, undefined, SizeSchema)
+      .pipe(Effect.map(reply => reply.bytes));
+  }
+}
--- /dev/null
+++ b/packages/platform/src/object_store.ts
@@ -0,0 +1,11 @@
+import type {Effect} from 'effect';
+import type {PlatformError} from './platform_error.js';
+
+/** The platform's object store. */
+export abstract class ObjectStore {
+  /** Writes an object whole. */
+  abstract put(key: string, body: Buffer): Effect.Effect<void, PlatformError>;
+
+  /** Reads an object whole, or undefined when there is none. */
+  abstract get(key: string): Effect.Effect<Buffer | undefined, PlatformError>;
+}
--- /dev/null
+++ b/packages/platform/src/platform_caller.ts
@@ -0,0 +1,86 @@
+import {Effect, Schema} from 'effect';
+import {decodeJson, toError, type Address} from '@greengagecross/common';
+import {
+  RequestPhase,
+  type HttpClient,
+  type HttpError,
+  type HttpReply,
+} from '@greengagecross/http';
+import {PlatformError} from './platform_error.js';
+import {PlatformFailure} from './platform_failure.js';
+
+/** Sends calls to the platform and turns failures into PlatformError. */
+export class PlatformCaller {
+  constructor(
+    private readonly client: HttpClient,
+    private readonly address: Address,
+    private readonly timeoutMs: number,
+  ) {}
+
+  /** Sends one call; any status but 200 and 404 is an error. */
+  send(
+    method: string,
+    path: string,
+    body?: string | Buffer,
+  ): Effect.Effect<HttpReply, PlatformError> {
+    const call = `${method} ${path}`;
+    return this.client
+      .send({
+        address: this.address,
+        method,
+        path,
+        connectTimeoutMs: this.timeoutMs,
+        silenceMs: this.timeoutMs,
+        ...(body === undefined ? {} : {body}),
+      })
+      .pipe(
+        Effect.mapError(error => toPlatformError(call, error)),
+        Effect.flatMap(reply => checkStatus(call, reply)),
+      );
+  }
+
+  /** Sends a JSON call and decodes its reply. */
+  ask<S extends Schema.ConstraintDecoder<unknown>>(
+    method: string,
+    path: string,
+    body: unknown,
+    schema: S,
+  ): Effect.Effect<S['Type'], PlatformError> {
+    const call = `${method} ${path}`;
+    const text = body === undefined ? undefined : JSON.stringify(body);
+    return Effect.flatMap(this.send(method, path, text), reply =>
+      Effect.try({
+        try: () => decodeJson(schema, reply.body.toString(), call),
+        catch: thrown =>
+          new PlatformError(PlatformFailure.UNCERTAIN, call, toError(thrown)),
+      }),
+    );
+  }
+}
+
+function toPlatformError(call: string, error: HttpError): PlatformError {
+  const failure =
+    error.phase === RequestPhase.NOT_SENT
+      ? PlatformFailure.UNREACHABLE
+      : PlatformFailure.UNCERTAIN;
+  return new PlatformError(failure, call, error);
+}
+
+function checkStatus(
+  call: string,
+  reply: HttpReply,
+): Effect.Effect<HttpReply, PlatformError> {
+  if (reply.status === 200 || reply.status === 404) {
+    return Effect.succeed(reply);
+  }
+  const cause = new Error(`status ${reply.status}`);
+  // The platform says 503 before it touches any row.
+  if (reply.status === 503) {
+    return Effect.fail(
+      new PlatformError(PlatformFailure.UNREACHABLE, call, cause),
+    );
+  }
+  const failure =
+    reply.status >= 500 ? PlatformFailure.UNCERTAIN : PlatformFailure.REFUSED;
+  return Effect.fail(new PlatformError(failure, call, cause));
+}
--- /dev/null
+++ b/packages/platform/src/platform_error.ts
@@ -0,0 +1,18 @@
+import {LayerError} from '@greengagecross/common';
+import type {PlatformFailure} from './platform_failure.js';
+
+/** A failed call to the platform. */
+export class PlatformError extends LayerError {
+  constructor(
+    readonly failure: PlatformFailure,
+    call: string,
+    cause?: Error,
+  ) {
+    super(
+      'PlatformError',
+      `platform call ${call} failed: ${failure}`,
+      {failure, call},
+      cause,
+    );
+  }
+}
--- /dev/null
+++ b/packages/questionnaire/src/answers.ts
@@ -0,0 +1,65 @@
+import {Schema} from 'effect';
+import {
+  BackendServerSchema,
+  KeyHashSchema,
+  PlacementPreference,
+  PriorityClass,
+} from '@greengagecross/common';
+
+const DEADLINE_SECONDS = Schema.Int.check(
+  Schema.isBetween({minimum: 1, maximum: 3600}),
+);
+
+/** Answers about a service that runs on model engines. */
+export const EngineAnswersSchema = Schema.Struct({
+  name: Schema.NonEmptyString,
+  /** What matters more: returning to a warm engine, or even load. */
+  mattersMore: Schema.Enum(PlacementPreference),
+  /** Who waits for its answers. */
+  whoWaits: Schema.Enum(PriorityClass),
+  /** Whether its engines check who gives them an order. */
+  checksOrders: Schema.Boolean,
+  longestWaitSeconds: DEADLINE_SECONDS,
+  servers: Schema.Array(BackendServerSchema),
+});
+
+/** Decoded form of {@link EngineAnswersSchema}. */
+export type EngineAnswers = typeof EngineAnswersSchema.Type;
+
+/** Answers about a plain service. */
+export const PlainAnswersSchema = Schema.Struct({
+  name: Schema.NonEmptyString,
+  whoWaits: Schema.Enum(PriorityClass),
+  /** Path prefixes whose calls may not be repeated. */
+  mayNotBeRepeated: Schema.Array(Schema.NonEmptyString),
+  longestWaitSeconds: DEADLINE_SECONDS,
+  servers: Schema.Array(BackendServerSchema),
+});
+
+/** Decoded form of {@link PlainAnswersSchema}. */
+export type PlainAnswers = typeof PlainAnswersSchema.Type;
+
+/** Answers about a customer. */
+export const CustomerAnswersSchema = Schema.Struct({
+  name: Schema.NonEmptyString,
+  keyHashes: Schema.Array(KeyHashSchema),
+  services: Schema.Array(Schema.NonEmptyString),
+  /** Requests that it may have in flight at once. */
+  atMostAtOnce: Schema.Int.check(
+    Schema.isBetween({minimum: 1, maximum: 100_000}),
+  ),
+});
+
+/** Decoded form of {@link CustomerAnswersSchema}. */
+export type CustomerAnswers = typeof CustomerAnswersSchema.Type;
+
+/** Every answer of the questionnaire. */
+export const AnswersSchema = Schema.Struct({
+  deployment: Schema.NonEmptyString,
+  engines: Schema.Array(EngineAnswersSchema),
+  plainServices: Schema.Array(PlainAnswersSchema),
+  customers: Schema.Array(CustomerAnswersSchema),
+});
+
+/** Decoded form of {@link AnswersSchema}. */
+export type Answers = typeof AnswersSchema.Type;
--- /dev/null
+++ b/packages/questionnaire/src/generate.ts
@@ -0,0 +1,87 @@
+import {
+  FencingSupport,
+  PlacementPreference,
+  ServiceKind,
+  type Configuration,
+  type Customer,
+  type PlacementRules,
+  type Service,
+} from '@greengagecross/common';
+import type {
+  Answers,
+  CustomerAnswers,
+  EngineAnswers,
+  PlainAnswers,
+} from './answers.js';
+
+const MS_PER_SECOND = 1000;
+const REUSE_RULES: PlacementRules = {
+  preference: PlacementPreference.REUSE,
+  maxLoadMultiple: 1.5,
+};
+const EVENNESS_RULES: PlacementRules = {
+  preference: PlacementPreference.EVENNESS,
+  maxLoadMultiple: 1.25,
+};
+
+/** Makes the configuration that the answers ask for; the same each time. */
+export function makeConfiguration(answers: Answers): Configuration {
+  const services = [
+    ...answers.engines.map(makeEngineService),
+    ...answers.plainServices.map(makePlainService),
+  ];
+  return {
+    formatVersion: 1,
+    services: sortBy(services, service => service.name),
+    customers: sortBy(answers.customers.map(makeCustomer), c => c.id),
+  };
+}
+
+/** Encodes a configuration; the same bytes each time. */
+export function encodeConfiguration(configuration: Configuration): string {
+  return JSON.stringify(configuration);
+}
+
+function makeEngineService(answers: EngineAnswers): Service {
+  return {
+    name: answers.name,
+    kind: ServiceKind.ENGINE,
+    backendServers: sortBy(answers.servers, server => server.id),
+    placement:
+      answers.mattersMore === PlacementPreference.REUSE
+        ? REUSE_RULES
+        : EVENNESS_RULES,
+    fencing: answers.checksOrders
+      ? FencingSupport.ENFORCED
+      : FencingSupport.IGNORED,
+    nonRepeatablePaths: [],
+    priority: answers.whoWaits,
+    deadlineMs: answers.longestWaitSeconds * MS_PER_SECOND,
+  };
+}
+
+function makePlainService(answers: PlainAnswers): Service {
+  return {
+    name: answers.name,
+    kind: ServiceKind.PLAIN,
+    backendServers: sortBy(answers.servers, server => server.id),
+    placement: EVENNESS_RULES,
+    fencing: FencingSupport.IGNORED,
+    nonRepeatablePaths: [...answers.mayNotBeRepeated].sort(),
+    priority: answers.whoWaits,
+    deadlineMs: answers.longestWaitSeconds * MS_PER_SECOND,
+  };
+}
+
+function makeCustomer(answers: CustomerAnswers): Customer {
+  return {
+    id: answers.name,
+    keyHashes: answers.keyHashes,
+    services: [...answers.services].sort(),
+    maxInFlight: answers.atMostAtOnce,
+  };
+}
+
+function sortBy<T>(items: readonly T[], getKey: (item: T) => string): T[] {
+  return [...items].sort((a, b) => (getKey(a) < getKey(b) ? -1 : 1));
+}
--- /dev/null
+++ b/packages/standins/src/account/gather_evidence.ts
@@ -0,0 +1,21 @@
+import type {CallerVerdict} from '../callers/caller_verdict.js';
+import type {Fleet} from '../fleet/fleet.js';
+import type {Evidence} from './make_account.js';
+import type {SkewSampler} from './skew_sampler.js';
+
+/** Gathers both sides' records while the fleet still runs. */
+export async function readEvidence(
+  fleet: Fleet,
+  verdicts: readonly CallerVerdict[],
+  sampler: SkewSampler,
+  controlBytesPerSecond: number,
+): Promise<Evidence> {
+  const {engines, workers} = fleet.plan;
+  return {
+    verdicts,
+    engineRecords: await Promise.all(engines.map(e => fleet.readRecord(e))),
+    workerRecords: await Promise.all(workers.map(w => fleet.readRecord(w))),
+    skew: sampler.compute(),
+    controlBytesPerSecond,
+  };
+}
--- /dev/null
+++ b/packages/standins/src/account/make_account.ts
@@ -0,0 +1,86 @@
+import {Outcome} from '@greengagecross/common';
+import type {RunRecord} from '../backends/run_record.js';
+import {WorkKind, type CallerVerdict} from '../callers/caller_verdict.js';
+import type {Account} from './account.js';
+
+/** What was gathered during a run, on both sides. */
+export interface Evidence {
+  readonly verdicts: readonly CallerVerdict[];
+  /** Records of the engines, in the order in which they ran. */
+  readonly engineRecords: readonly (readonly RunRecord[])[];
+  readonly workerRecords: readonly (readonly RunRecord[])[];
+  readonly skew: number;
+  readonly controlBytesPerSecond: number;
+}
+
+/** Compares what callers were told with what backend servers ran. */
+export function makeAccount(evidence: Evidence): Account {
+  const {verdicts} = evidence;
+  const engineRuns = evidence.engineRecords.flat();
+  const workerRuns = evidence.workerRecords.flat();
+  const count = (isCounted: (verdict: CallerVerdict) => boolean): number =>
+    verdicts.filter(isCounted).length;
+  const isComplete = (v: CallerVerdict): boolean => v.told === Outcome.COMPLETE;
+  const seenRuns = engineRuns.filter(run => run.promptTokens > 0);
+  const returning = seenRuns.filter(run => isReturn(run));
+  return {
+    requests: verdicts.length,
+    complete: count(v => isComplete(v) && v.isOwnWhole),
+    failed: count(v => v.told === Outcome.FAILED || v.told === undefined),
+    unknown: count(v => v.told === Outcome.UNKNOWN),
+    told_not_run: count(v => v.told === Outcome.NOT_RUN),
+    incomplete: count(v => isComplete(v) && !v.isOwnWhole),
+    executed_though_told_not_run: countRunThoughNot(
+      verdicts,
+      workerRuns,
+      engineRuns,
+    ),
+    executed_twice: countTwice(verdicts, workerRuns),
+    returns: returning.length,
+    warm_returns: returning.filter(run => run.cachedTokens > 0).length,
+    skew_max_over_mean: evidence.skew,
+    control_bytes_per_second_per_daemon: evidence.controlBytesPerSecond,
+  };
+}
+
+/** A caller's work id ends in `#N`, the chat's N-th request. */
+function isReturn(run: RunRecord): boolean {
+  const turn = Number(run.workId.split('#')[1] ?? 0);
+  return turn > 0;
+}
+
+function countRunThoughNot(
+  verdicts: readonly CallerVerdict[],
+  workerRuns: readonly RunRecord[],
+  engineRuns: readonly RunRecord[],
+): number {
+  const ran = new Set(
+    [...workerRuns, ...engineRuns]
+      .map(run => run.workId)
+      .filter(id => id !== ''),
+  );
+  const otherwise = new Set(
+    verdicts.filter(v => v.told !== Outcome.NOT_RUN).map(v => v.workId),
+  );
+  // Work that was resent may have run in the attempt that was not refused.
+  return verdicts.filter(
+    v =>
+      v.told === Outcome.NOT_RUN &&
+      ran.has(v.workId) &&
+      !otherwise.has(v.workId),
+  ).length;
+}
+
+function countTwice(
+  verdicts: readonly CallerVerdict[],
+  workerRuns: readonly RunRecord[],
+): number {
+  const once = new Set(
+    verdicts.filter(v => v.kind === WorkKind.RESERVATION).map(v => v.workId),
+  );
+  const runs = new Map<string, number>();
+  for (const {workId} of workerRuns) {
+    if (once.has(workId)) runs.set(workId, (runs.get(workId) ?? 0) + 1);
+  }
+  return [...runs.values()].filter(times => times > 1).length;
+}
--- /dev/null
+++ b/packages/standins/src/bench/main.ts
@@ -0,0 +1,17 @@
+/** A bench: prints its figures and gives the exit code. */
+export interface Bench {
+  readonly run: (args: readonly string[]) => Promise<number>;
+}
+
+/** Benches by the name given on the command line. */
+const BENCHES: Readonly<Record<string, () => Promise<Bench>>> = {};
+
+const [name = '', ...args] = process.argv.slice(2);
+const load = BENCHES[name];
+if (load === undefined) {
+  const names = Object.keys(BENCHES).join(', ');
+  process.stderr.write(`usage: npm run bench -- NAME; names: ${names}\n`);
+  process.exit(2);
+}
+const bench = await load();
+process.exit(await bench.run(args));
--- /dev/null
+++ b/packages/standins/src/callers/told.ts
@@ -0,0 +1,10 @@
+import type {Outcome} from '@greengagecross/common';
+
+/** What a whole exchange told the caller. */
+export interface Told {
+  readonly outcome: Outcome | undefined;
+  readonly isOwnWhole: boolean;
+  readonly requestId: string;
+  readonly ticket: string | undefined;
+  readonly firstTokenMs: number;
+}
--- /dev/null
+++ b/packages/standins/src/fault_gate.ts
@@ -0,0 +1,65 @@
+import type {Socket} from 'node:net';
+import {Effect} from 'effect';
+import type {HttpExchange} from '@greengagecross/http';
+import {NO_FAULTS, type StandinFaults} from './faults.js';
+
+/** Applies a stand-in's faults to the exchanges that pass it. */
+export class FaultGate {
+  private faults = NO_FAULTS;
+  private readonly silent = new WeakSet<Socket>();
+  private readonly seen = new Set<Socket>();
+
+  /** Gets the faults now in force. */
+  getFaults(): StandinFaults {
+    return this.faults;
+  }
+
+  /** Sets some faults; silence falls on the connections now open. */
+  set(changes: Partial<StandinFaults>): void {
+    if (changes.silentOpen === true) {
+      for (const socket of this.seen) this.silent.add(socket);
+    }
+    this.faults = {...this.faults, ...changes};
+  }
+
+  /** Runs a handler behind the faults. */
+  run(
+    exchange: HttpExchange,
+    handler: Effect.Effect<void>,
+  ): Effect.Effect<void> {
+    const {socket} = exchange.request;
+    this.track(socket);
+    if (this.silent.has(socket)) {
+      socket.pause();
+      return Effect.never;
+    }
+    const {down, slowMs} = this.faults;
+    const delayed = slowMs > 0 ? Effect.sleep(slowMs) : Effect.void;
+    if (down) {
+      return Effect.andThen(
+        delayed,
+        Effect.sync(() => exchange.sendJson(503, {error: 'down'})),
+      );
+    }
+    return Effect.andThen(delayed, this.runWithLoss(exchange, handler));
+  }
+
+  private runWithLoss(
+    exchange: HttpExchange,
+    handler: Effect.Effect<void>,
+  ): Effect.Effect<void> {
+    if (!this.faults.loseReplies) return handler;
+    // The handler's reply is buffered until the socket is gone.
+    exchange.request.socket.cork();
+    return Effect.andThen(
+      handler,
+      Effect.sync(() => exchange.request.socket.destroy()),
+    );
+  }
+
+  private track(socket: Socket): void {
+    if (this.seen.has(socket)) return;
+    this.seen.add(socket);
+    socket.once('close', () => this.seen.delete(socket));
+  }
+}
--- /dev/null
+++ b/packages/standins/src/fleet/child.ts
@@ -0,0 +1,43 @@
+import {spawn, type ChildProcess} from 'node:child_process';
+import {createWriteStream} from 'node:fs';
+
+/** One process that a runner started, with its log in a file. */
+export class Child {
+  private readonly process: ChildProcess;
+  private readonly ended: Promise<number | null>;
+
+  constructor(
+    readonly name: string,
+    script: string,
+    args: readonly string[],
+    logFile: string,
+  ) {
+    this.process = spawn(process.execPath, [script, ...args], {
+      stdio: ['ignore', 'pipe', 'pipe'],
+    });
+    const log = createWriteStream(logFile, {flags: 'a'});
+    this.process.stdout?.pipe(log, {end: false});
+    this.process.stderr?.pipe(log, {end: false});
+    this.ended = new Promise(resolve => {
+      this.process.once('exit', code => {
+        log.end();
+        resolve(code);
+      });
+    });
+  }
+
+  /** Sends a signal to the process by its id. */
+  send(signal: NodeJS.Signals): void {
+    if (this.isRunning()) this.process.kill(signal);
+  }
+
+  /** Tells whether the process has not ended. */
+  isRunning(): boolean {
+    return this.process.exitCode === null && this.process.signalCode === null;
+  }
+
+  /** Waits for the end; gives the exit code, null after a signal. */
+  waitEnd(): Promise<number | null> {
+    return this.ended;
+  }
+}
--- /dev/null
+++ b/packages/standins/src/standin_kind.ts
@@ -0,0 +1,6 @@
+/** Kinds of stand-in that one program runs. */
+export enum StandinKind {
+  PLATFORM = 'platform',
+  ENGINE = 'engine',
+  WORKER = 'worker',
+}
--- /dev/null
+++ b/scripts/run_tests.mjs
@@ -0,0 +1,75 @@
+import {spawnSync} from 'node:child_process';
+import {existsSync, mkdirSync, readFileSync} from 'node:fs';
+
+const REPORT = 'out/tests.ndjson';
+const KNOWN_RED = 'KNOWN-RED.txt';
+
+/** Reads the names of scenarios that are known to fail: text before ` | `. */
+function readKnownRed() {
+  if (!existsSync(KNOWN_RED)) return new Set();
+  const lines = readFileSync(KNOWN_RED, 'utf8').split('\n');
+  return new Set(
+    lines
+      .filter(line => line.trim() !== '' && !line.startsWith('#'))
+      .map(line => line.split(' | ')[0].trim()),
+  );
+}
+
+/** Reads each scenario's name and whether all of its steps passed. */
+function readResults() {
+  const pickles = new Map();
+  const cases = new Map();
+  const attempts = new Map();
+  const failed = new Set();
+  for (const line of readFileSync(REPORT, 'utf8').split('\n')) {
+    if (line === '') continue;
+    const message = JSON.parse(line);
+    if (message.pickle) pickles.set(message.pickle.id, message.pickle);
+    if (message.testCase) {
+      cases.set(message.testCase.id, message.testCase.pickleId);
+    }
+    if (message.testCaseStarted) {
+      attempts.set(
+        message.testCaseStarted.id,
+        cases.get(message.testCaseStarted.testCaseId),
+      );
+    }
+    if (message.testStepFinished) {
+      const {status} = message.testStepFinished.testStepResult;
+      if (status !== 'PASSED') {
+        failed.add(message.testStepFinished.testCaseStartedId);
+      }
+    }
+  }
+  return [...attempts].map(([attempt, pickleId]) => {
+    const {name, uri} = pickles.get(pickleId);
+    return {name: `${uri}: ${name}`, isPassed: !failed.has(attempt)};
+  });
+}
+
+mkdirSync('out', {recursive: true});
+const run = spawnSync(
+  'npx',
+  [
+    'cucumber-js',
+    ...process.argv.slice(2),
+    '--format',
+    'progress',
+    '--format',
+    `message:${REPORT}`,
+  ],
+  {stdio: 'inherit'},
+);
+const knownRed = readKnownRed();
+const results = readResults();
+const red = results.filter(result => !result.isPassed);
+const surprising = red.filter(result => !knownRed.has(result.name));
+for (const {name} of red) {
+  process.stdout.write(
+    `${knownRed.has(name) ? 'known red' : 'FAILED'}: ${name}\n`,
+  );
+}
+const passed = results.length - red.length;
+process.stdout.write(`${passed} passed, ${surprising.length} failed\n`);
+const isBroken = run.status !== 0 && red.length === 0;
+process.exit(surprising.length > 0 || isBroken || passed === 0 ? 1 : 0);
