--- a/packages/standins/src/fleet/fleet_world_steps.ts
+++ b/packages/standins/src/fleet/fleet_world_steps.ts
@@ -13,26 +13,26 @@
 /** State of one scenario that runs a fleet of processes. */
 export class FleetWorld extends World {
   readonly verdicts: CallerVerdict[] = [];
-  private started: Fleet | undefined;
+  private startedFleet: Fleet | undefined;
 
   /** Starts the scenario's fleet. */
   async startFleet(size: FleetSize): Promise<Fleet> {
-    this.started = new Fleet(await planFleet(size));
-    await this.started.start();
-    return this.started;
+    this.startedFleet = new Fleet(await planFleet(size));
+    await this.startedFleet.start();
+    return this.startedFleet;
   }
 
   /** Gets the fleet that the scenario started. */
   getFleet(): Fleet {
-    if (this.started === undefined) throw new Error('no fleet was started');
-    return this.started;
+    if (this.startedFleet === undefined) throw new Error('no fleet was started');
+    return this.startedFleet;
   }
 
   /** Stops what the scenario started. */
   async stop(): Promise<void> {
-    await this.started?.stop();
-    this.started?.removeFolder();
-    this.started = undefined;
+    await this.startedFleet?.stop();
+    this.startedFleet?.removeFolder();
+    this.startedFleet = undefined;
   }
 }
 
--- a/scripts/run_tests.mjs
+++ b/scripts/run_tests.mjs
@@ -3,6 +3,7 @@
 
 const REPORT = 'out/tests.ndjson';
 const KNOWN_RED = 'KNOWN-RED.txt';
+const ALL_FEATURES = 'packages/*/src/**/*.feature';
 
 /** Reads the names of scenarios that are known to fail: text before ` | `. */
 function readKnownRed() {
@@ -48,11 +49,12 @@
 }
 
 mkdirSync('out', {recursive: true});
+const chosen = process.argv.slice(2);
 const run = spawnSync(
   'npx',
   [
     'cucumber-js',
-    ...process.argv.slice(2),
+    ...(chosen.length === 0 ? [ALL_FEATURES] : chosen),
     '--format',
     'progress',
     '--format',
