--- a/packages/decisions/src/limits/fair_queue.ts
+++ b/packages/decisions/src/limits/fair_queue.ts
@@ -55,6 +55,15 @@
     return best < 0 ? undefined : queue.splice(best, 1)[0];
   }
 
+  /** Takes the oldest request of the most urgent class that waits. */
+  takeMostUrgent(): AdmissionRequest | undefined {
+    for (const priority of CLASS_ORDER) {
+      const next = this.waiting.get(priority)?.shift();
+      if (next !== undefined) return next;
+    }
+    return undefined;
+  }
+
   /** Counts those of a class and of more urgent ones. */
   countAhead(priority: PriorityClass): number {
     return CLASS_ORDER.slice(0, CLASS_ORDER.indexOf(priority) + 1).reduce(
