--- a/packages/decisions/src/limits/adaptive_limit_steps.ts
+++ b/packages/decisions/src/limits/adaptive_limit_steps.ts
@@ -54,14 +54,14 @@
 When(
   'more work than the engine can run is offered to the limit for {int} s',
   function (this: LimitWorld, seconds: number) {
-    offerWork(this, seconds, Infinity);
+    sendWork(this, seconds, Infinity);
   },
 );
 
 When(
   '{int} requests at once are offered to the limit for {int} s',
   function (this: LimitWorld, offered: number, seconds: number) {
-    offerWork(this, seconds, offered);
+    sendWork(this, seconds, offered);
   },
 );
 
@@ -94,7 +94,7 @@
 );
 
 /** Keeps the engine filled up to the limit, tick by tick. */
-function offerWork(world: LimitWorld, seconds: number, offered: number): void {
+function sendWork(world: LimitWorld, seconds: number, offered: number): void {
   const startMs = world.nowMs;
   const endMs = startMs + seconds * 1000;
   for (; world.nowMs < endMs; world.nowMs += TICK_MS) {
