--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -13,6 +13,8 @@
 export * from './protocol/refusal_reason.js';
 export * from './protocol/outcome_event.js';
 export * from './protocol/directory_answer.js';
+export * from './protocol/placement_reason.js';
+export * from './protocol/placement_explanation.js';
 export * from './ticket/ticket.js';
 export * from './ticket/ticket_codec.js';
 export * from './configuration/enums.js';
