Bound retries by a budget, jitter and the caller's deadline

Cause: the bucket began with ten retries and was shared by all services, so a failing service used up the others' retries; deadlines were the service's whole time at each attempt, whatever had been spent.

Each first try now pays 0.09 of a retry, once for its service and once for the daemon; a retry takes from both, waits a random time and never starts past the deadline. A caller's greengagecross-deadline-ms shortens the service's deadline and what is left goes to the backend server. Moving on from an address that was not reached, or that is leaving, offers no load and takes nothing from the budget.

With the budget switched off the features' rows for the budget and the storm fail.

--- a/packages/daemon/src/callers/chat_attempt.ts
+++ b/packages/daemon/src/callers/chat_attempt.ts
@@ -1,4 +1,4 @@
-import {Effect} from 'effect';
+import {Clock, Effect} from 'effect';
 import {
   BackendError,
   BackendFailure,
@@ -15,6 +15,7 @@
   type Ticket,
   type TicketCodec,
 } from '@greengagecross/common';
+import type {RequestDeadline} from '@greengagecross/decisions';
 import {
   readBody,
   type HttpExchange,
@@ -51,15 +52,25 @@
     job: ChatJob,
     server: BackendServer,
     attemptId: string,
+    deadline: RequestDeadline,
   ): Effect.Effect<void, BackendError> {
-    const call: BackendCall = {
+    const base = {
       server,
       attemptId,
       customer: job.customer.id,
       chat: job.chat,
       priority: job.service.priority,
-      deadlineMs: job.service.deadlineMs,
     };
+    return Effect.flatMap(Clock.currentTimeMillis, nowMs =>
+      this.runCall(job, {...base, deadlineMs: deadline.computeLeftMs(nowMs)}),
+    );
+  }
+
+  private runCall(
+    job: ChatJob,
+    call: BackendCall,
+  ): Effect.Effect<void, BackendError> {
+    const {server} = call;
     return Effect.gen({self: this}, function* () {
       const reply = yield* this.engines.open(call, job.body);
       yield* checkOwn(reply, call);
--- a/packages/daemon/src/callers/chat_dispatcher.ts
+++ b/packages/daemon/src/callers/chat_dispatcher.ts
@@ -1,5 +1,5 @@
-import {Effect, Result} from 'effect';
-import {BackendError, isKnownNotRun} from '@greengagecross/backend';
+import {Clock, Effect, Result} from 'effect';
+import {isKnownNotRun, type BackendError} from '@greengagecross/backend';
 import {
   Logger,
   makeRequestId,
@@ -7,14 +7,18 @@
   RefusalReason,
   type BackendServer,
 } from '@greengagecross/common';
-import type {RetryBudget} from '@greengagecross/decisions';
+import type {RequestDeadline, RetryPolicy} from '@greengagecross/decisions';
 import type {PlacementService} from '../placement/placement_service.js';
 import type {Slot, SlotBroker} from '../placement/slot_broker.js';
 import type {ChatAttempt, ChatJob} from './chat_attempt.js';
 import {makeChatKey} from './chat_key.js';
+import {
+  computeAttemptCost,
+  makeDeadline,
+  makeDeadlinePassed,
+} from './deadlines.js';
 import {makeNotRun, Refusal} from './refusal.js';
 
-const MAX_ATTEMPTS = 3;
 const OVERLOAD_RETRY_MS = 1000;
 const logger = new Logger('chats');
 
@@ -24,7 +28,7 @@
     private readonly placement: PlacementService,
     private readonly broker: SlotBroker,
     private readonly attempts: ChatAttempt,
-    private readonly budget: RetryBudget,
+    private readonly retries: RetryPolicy,
   ) {}
 
   /** Dispatches a job; a refusal says whether anything may have run. */
@@ -36,13 +40,21 @@
         job.ticket,
       );
       if (servers.length === 0) yield* Effect.fail(makeNoBackend());
-      this.budget.recordFirstTry();
+      const deadline = makeDeadline(job.exchange, job.service);
+      this.retries.recordFirstTry(job.service.name);
       let failed: BackendError | undefined;
       let mayHaveRun = false;
       let attempts = 0;
       for (const server of servers) {
-        if (attempts > 0 && !this.isRetryAllowed(job, attempts)) break;
-        const result = yield* this.runOn(job, server);
+        const leftMs = deadline.computeLeftMs(yield* Clock.currentTimeMillis);
+        if (failed !== undefined) {
+          const waitMs = this.chooseWaitMs(job, failed, attempts, leftMs);
+          if (waitMs === undefined) break;
+          yield* Effect.sleep(waitMs);
+        } else if (leftMs === 0) {
+          yield* Effect.fail(makeDeadlinePassed());
+        }
+        const result = yield* this.runOn(job, server, deadline);
         if (result === undefined) continue;
         if (Result.isSuccess(result)) return;
         attempts += 1;
@@ -59,16 +71,23 @@
   }
 
   /** A stream that has begun cannot be begun again elsewhere. */
-  private isRetryAllowed(job: ChatJob, attempts: number): boolean {
-    if (attempts >= MAX_ATTEMPTS) return false;
-    if (job.stream?.isStarted() === true) return false;
-    return this.budget.take();
+  private chooseWaitMs(
+    job: ChatJob,
+    failed: BackendError,
+    attempts: number,
+    leftMs: number,
+  ): number | undefined {
+    if (job.stream?.isStarted() === true) return undefined;
+    const service = job.service.name;
+    const cost = computeAttemptCost(failed.failure);
+    return this.retries.chooseWaitMs({service, attempts, cost, leftMs});
   }
 
   /** Runs one attempt within a slot; undefined when no slot is free. */
   private runOn(
     job: ChatJob,
     server: BackendServer,
+    deadline: RequestDeadline,
   ): Effect.Effect<Result.Result<void, BackendError> | undefined> {
     const attemptId = makeRequestId();
     return Effect.acquireUseRelease(
@@ -76,7 +95,7 @@
       slot =>
         slot === undefined
           ? Effect.undefined
-          : Effect.result(this.attempts.run(job, server, attemptId)),
+          : Effect.result(this.attempts.run(job, server, attemptId, deadline)),
       slot => this.releaseSlot(slot),
     );
   }
--- /dev/null
+++ b/packages/daemon/src/callers/deadlines_steps.ts
@@ -0,0 +1,110 @@
+import assert from 'node:assert/strict';
+import {Given, Then, When, World} from '@cucumber/cucumber';
+import {Effect, Fiber} from 'effect';
+import {TestClock} from 'effect/testing';
+import {
+  BackendError,
+  ServiceClient,
+  type BackendCall,
+  type BackendFailure,
+} from '@greengagecross/backend';
+import {SeededRandom, type BackendServer} from '@greengagecross/common';
+import {BudgetedRetries, RetryBudget} from '@greengagecross/decisions';
+import type {HttpReply} from '@greengagecross/http';
+import type {PlacementService} from '../placement/placement_service.js';
+import type {Refusal} from './refusal.js';
+import {RepeatableDispatcher} from './repeatable_dispatcher.js';
+import type {ServiceJob} from './service_job.js';
+
+const SERVERS = ['worker-1', 'worker-2', 'worker-3', 'worker-4'].map(
+  id => ({id, host: '127.0.0.1', port: 1}) as BackendServer,
+);
+
+/** A plain service that takes a while and then fails. */
+class FailingWorkers extends ServiceClient {
+  readonly calls: BackendCall[] = [];
+
+  constructor(
+    private readonly failure: BackendFailure,
+    private readonly spentMs: number,
+  ) {
+    super();
+  }
+
+  override send(call: BackendCall): Effect.Effect<HttpReply, BackendError> {
+    this.calls.push(call);
+    const failed = new BackendError(this.failure, call.server.id);
+    return Effect.andThen(Effect.sleep(this.spentMs), Effect.fail(failed));
+  }
+}
+
+/** State of one scenario about deadlines. */
+interface DeadlineWorld extends World {
+  lookup: ServiceJob;
+  failing: FailingWorkers;
+  refusal: Refusal;
+}
+
+Given(
+  "a lookup whose caller waits {string} ms of the service's {int} ms",
+  function (this: DeadlineWorld, told: string, deadlineMs: number) {
+    const exchange = {
+      getHeader: () => (told === '' ? undefined : told),
+      arrivedAtMs: 0,
+    };
+    this.lookup = {
+      exchange,
+      requestId: 'lookup-1',
+      customer: {id: 'customer-1'},
+      service: {name: 'booking', deadlineMs},
+      chat: 'lookup-1',
+      request: {method: 'GET', path: '/', headers: {}, body: Buffer.alloc(0)},
+    } as unknown as ServiceJob;
+  },
+);
+
+Given(
+  'its workers fail with {word} after {int} ms each',
+  function (this: DeadlineWorld, failure: string, spentMs: number) {
+    this.failing = new FailingWorkers(failure as BackendFailure, spentMs);
+  },
+);
+
+When(
+  'the lookup is dispatched in virtual time',
+  async function (this: DeadlineWorld) {
+    const placement = {listServers: () => Effect.succeed(SERVERS)};
+    const dispatcher = new RepeatableDispatcher(
+      placement as unknown as PlacementService,
+      this.failing,
+      new BudgetedRetries(new RetryBudget(), new SeededRandom(3)),
+    );
+    const program = Effect.gen({self: this}, function* () {
+      const ending = Effect.flip(dispatcher.dispatch(this.lookup));
+      const fiber = yield* Effect.forkChild(ending);
+      yield* TestClock.adjust('30 seconds');
+      return yield* Fiber.join(fiber);
+    });
+    this.refusal = await Effect.runPromise(
+      Effect.provide(program, TestClock.layer()) as Effect.Effect<Refusal>,
+    );
+  },
+);
+
+Then(
+  '{int} attempts were sent, each with less time left than the one before',
+  function (this: DeadlineWorld, attempts: number) {
+    const left = this.failing.calls.map(call => call.deadlineMs);
+    assert.equal(left.length, attempts, left.join(', '));
+    for (const [index, leftMs] of left.entries()) {
+      assert.ok(leftMs > 0 && leftMs < (left[index - 1] ?? Infinity));
+    }
+  },
+);
+
+Then(
+  "the lookup's caller is told {word}",
+  function (this: DeadlineWorld, outcome: string) {
+    assert.equal(this.refusal.outcome, outcome);
+  },
+);
--- a/packages/daemon/src/callers/repeatable_dispatcher.ts
+++ b/packages/daemon/src/callers/repeatable_dispatcher.ts
@@ -1,14 +1,22 @@
-import {Effect, Result} from 'effect';
-import {isKnownNotRun, type ServiceClient} from '@greengagecross/backend';
+import {Clock, Effect, Result} from 'effect';
+import {
+  isKnownNotRun,
+  type BackendError,
+  type ServiceClient,
+} from '@greengagecross/backend';
 import {makeRequestId, Outcome, RefusalReason} from '@greengagecross/common';
-import type {RetryBudget} from '@greengagecross/decisions';
+import type {RetryPolicy} from '@greengagecross/decisions';
 import type {PlacementService} from '../placement/placement_service.js';
 import {answerService, toServiceAnswer} from './answer_service.js';
+import {
+  computeAttemptCost,
+  makeDeadline,
+  makeDeadlinePassed,
+} from './deadlines.js';
 import {makeNotRun, Refusal} from './refusal.js';
 import {makeServiceCall, type ServiceJob} from './service_job.js';
 import {listWorkers} from './worker_order.js';
 
-const MAX_ATTEMPTS = 3;
 const RETRY_MS = 1000;
 
 /** Dispatches calls that may be run again after a failure. */
@@ -16,18 +24,36 @@
   constructor(
     private readonly placement: PlacementService,
     private readonly workers: ServiceClient,
-    private readonly budget: RetryBudget,
+    private readonly retries: RetryPolicy,
   ) {}
 
   /** Sends a call to workers until one has answered it whole. */
   dispatch(job: ServiceJob): Effect.Effect<void, Refusal> {
     return Effect.gen({self: this}, function* () {
-      this.budget.recordFirstTry();
+      const deadline = makeDeadline(job.exchange, job.service);
+      const service = job.service.name;
+      this.retries.recordFirstTry(service);
+      let failed: BackendError | undefined;
       let mayHaveRun = false;
       const servers = yield* listWorkers(this.placement, job);
-      for (const [index, server] of servers.slice(0, MAX_ATTEMPTS).entries()) {
-        if (index > 0 && !this.budget.take()) break;
-        const call = makeServiceCall(job, server, makeRequestId());
+      for (const [attempts, server] of servers.entries()) {
+        const leftMs = deadline.computeLeftMs(yield* Clock.currentTimeMillis);
+        if (failed !== undefined) {
+          const cost = computeAttemptCost(failed.failure);
+          const tried = {service, attempts, cost, leftMs};
+          const waitMs = this.retries.chooseWaitMs(tried);
+          if (waitMs === undefined) break;
+          yield* Effect.sleep(waitMs);
+        } else if (leftMs === 0) {
+          yield* Effect.fail(makeDeadlinePassed());
+        }
+        const sentAtMs = yield* Clock.currentTimeMillis;
+        const call = makeServiceCall(
+          job,
+          server,
+          makeRequestId(),
+          deadline.computeLeftMs(sentAtMs),
+        );
         const result = yield* Effect.result(
           this.workers.send(call, job.request),
         );
@@ -35,7 +61,8 @@
           answerService(job, toServiceAnswer(result.success));
           return;
         }
-        mayHaveRun = mayHaveRun || !isKnownNotRun(result.failure.failure);
+        failed = result.failure;
+        mayHaveRun = mayHaveRun || !isKnownNotRun(failed.failure);
       }
       yield* Effect.fail(makeRefusal(mayHaveRun));
     });
--- a/packages/daemon/src/callers/service_job.ts
+++ b/packages/daemon/src/callers/service_job.ts
@@ -17,6 +17,7 @@
   job: ServiceJob,
   server: BackendServer,
   attemptId: string,
+  deadlineMs: number = job.service.deadlineMs,
 ): BackendCall {
   return {
     server,
@@ -24,6 +25,6 @@
     customer: job.customer.id,
     chat: job.chat,
     priority: job.service.priority,
-    deadlineMs: job.service.deadlineMs,
+    deadlineMs,
   };
 }
--- a/packages/daemon/src/wiring/make_caller_router.ts
+++ b/packages/daemon/src/wiring/make_caller_router.ts
@@ -1,4 +1,9 @@
-import {CustomerLimit, RetryBudget} from '@greengagecross/decisions';
+import {hash32, SeededRandom} from '@greengagecross/common';
+import {
+  BudgetedRetries,
+  CustomerLimit,
+  RetryBudget,
+} from '@greengagecross/decisions';
 import {Authenticator} from '../callers/authenticator.js';
 import {CallerRouter} from '../callers/caller_router.js';
 import {ChatAttempt} from '../callers/chat_attempt.js';
@@ -19,7 +24,11 @@
 ): CallerRouter {
   const {placement, broker, tickets, workers, members} = parts;
   const authenticator = new Authenticator(parts.configuration);
-  const budget = new RetryBudget();
+  const seed = hash32(`${parts.settings.id} ${parts.startedAtMs}`);
+  const retries = new BudgetedRetries(
+    new RetryBudget(),
+    new SeededRandom(seed),
+  );
   const attempts = new ChatAttempt(parts.engines, tickets);
   const directory = new DirectoryHandler(
     authenticator,
@@ -29,14 +38,14 @@
   );
   const chats = new ChatHandler(
     authenticator,
-    new ChatDispatcher(placement, broker, attempts, budget),
+    new ChatDispatcher(placement, broker, attempts, retries),
     tickets,
     new CustomerLimit(),
     members,
   );
   const services = new ServiceHandler(
     authenticator,
-    new RepeatableDispatcher(placement, workers, budget),
+    new RepeatableDispatcher(placement, workers, retries),
     new OnceDispatcher(placement, workers, new ClaimBook(parts.table)),
   );
   return new CallerRouter(directory, chats, services, metrics);
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -7,3 +7,5 @@
 export * from './placement/engine_owner.js';
 export * from './limits/customer_limit.js';
 export * from './retries/retry_budget.js';
+export * from './retries/request_deadline.js';
+export * from './retries/retry_policy.js';
--- /dev/null
+++ b/packages/decisions/src/retries/retry_policy_steps.ts
@@ -0,0 +1,137 @@
+import assert from 'node:assert/strict';
+import {Given, Then, When, World} from '@cucumber/cucumber';
+import {SeededRandom} from '@greengagecross/common';
+import {RequestDeadline} from './request_deadline.js';
+import {RetryBudget} from './retry_budget.js';
+import {AttemptCost, BudgetedRetries} from './retry_policy.js';
+
+const SEED = 11;
+const MANY_MS = 10_000;
+
+/** State of one scenario about retries. */
+interface RetryWorld extends World {
+  retries: BudgetedRetries;
+  waitMs: number | undefined;
+  retried: Map<string, number>;
+  deadline: RequestDeadline;
+}
+
+/** Runs one request that fails as often as it is tried. */
+function runFailing(world: RetryWorld, service: string): void {
+  world.retries.recordFirstTry(service);
+  for (let attempts = 1; ; attempts += 1) {
+    const cost = AttemptCost.LOAD;
+    const failed = {service, attempts, cost, leftMs: MANY_MS};
+    if (world.retries.chooseWaitMs(failed) === undefined) return;
+    world.retried.set(service, (world.retried.get(service) ?? 0) + 1);
+  }
+}
+
+function countRetries(world: RetryWorld): number {
+  return [...world.retried.values()].reduce((a, b) => a + b, 0);
+}
+
+Given('a retry policy with a full budget', function (this: RetryWorld) {
+  this.retried = new Map();
+  const random = new SeededRandom(SEED);
+  this.retries = new BudgetedRetries(new RetryBudget(), random);
+});
+
+When(
+  'attempt {int} of a request failed at cost {word} with {int} ms left',
+  function (this: RetryWorld, attempts: number, cost: string, leftMs: number) {
+    this.waitMs = this.retries.chooseWaitMs({
+      service: 'a',
+      attempts,
+      cost: cost === 'none' ? AttemptCost.NONE : AttemptCost.LOAD,
+      leftMs,
+    });
+  },
+);
+
+Then('the retry decision is no retry', function (this: RetryWorld) {
+  assert.equal(this.waitMs, undefined);
+});
+
+Then('the retry decision is no wait', function (this: RetryWorld) {
+  assert.equal(this.waitMs, 0);
+});
+
+Then(
+  'the retry decision is a wait under {int} ms',
+  function (this: RetryWorld, limitMs: number) {
+    assert.ok(this.waitMs !== undefined && this.waitMs > 0);
+    assert.ok(this.waitMs < limitMs, `${this.waitMs}`);
+  },
+);
+
+Then(
+  'over {int} failures with {int} ms left no wait reaches {int} ms',
+  function (this: RetryWorld, failures: number, leftMs: number, endMs: number) {
+    let waits = 0;
+    for (let count = 0; count < failures; count += 1) {
+      this.retries.recordFirstTry('a');
+      const cost = AttemptCost.LOAD;
+      const failed = {service: 'a', attempts: 1, cost, leftMs};
+      const waitMs = this.retries.chooseWaitMs(failed);
+      if (waitMs === undefined) continue;
+      waits += 1;
+      assert.ok(waitMs < endMs, `${waitMs}`);
+    }
+    assert.ok(waits > 0);
+  },
+);
+
+When(
+  '{int} requests over {int} services all fail',
+  function (this: RetryWorld, requests: number, services: number) {
+    for (let count = 0; count < requests; count += 1) {
+      runFailing(this, `service-${count % services}`);
+    }
+  },
+);
+
+Then(
+  'at most {int} retries were made',
+  function (this: RetryWorld, most: number) {
+    const made = countRetries(this);
+    assert.ok(made <= most, `${made} retries`);
+    assert.ok(made > 0);
+  },
+);
+
+When(
+  'service {string} fails every time while service {string} sends 9 times as much',
+  function (this: RetryWorld, failing: string, other: string) {
+    for (let count = 0; count < 1000; count += 1) {
+      runFailing(this, failing);
+      for (let sent = 0; sent < 9; sent += 1) {
+        this.retries.recordFirstTry(other);
+        if (sent === 0) runFailing(this, other);
+      }
+    }
+  },
+);
+
+Then(
+  'service {string} still gets retries for 8 of 100 first tries',
+  function (this: RetryWorld, service: string) {
+    const made = this.retried.get(service) ?? 0;
+    assert.ok(made >= 10_000 * 0.08, `${made} retries`);
+  },
+);
+
+When(
+  'a caller sends a deadline of {string} to a service of {int} ms',
+  function (this: RetryWorld, told: string, maxMs: number) {
+    const text = told === '' ? undefined : told;
+    this.deadline = RequestDeadline.make(text, maxMs, 0);
+  },
+);
+
+Then(
+  'after {int} ms the deadline leaves {int} ms',
+  function (this: RetryWorld, afterMs: number, leftMs: number) {
+    assert.equal(this.deadline.computeLeftMs(afterMs), leftMs);
+  },
+);
--- a/packages/http/src/http_exchange.ts
+++ b/packages/http/src/http_exchange.ts
@@ -9,6 +9,8 @@
   readonly method: string;
   readonly path: string;
   readonly query: URLSearchParams;
+  /** When its headers were in, in milliseconds of the local clock. */
+  readonly arrivedAtMs = Date.now();
 
   constructor(
     readonly request: IncomingMessage,
--- a/packages/standins/src/bench/main.ts
+++ b/packages/standins/src/bench/main.ts
@@ -4,7 +4,10 @@
 }
 
 /** Benches by the name given on the command line. */
-const BENCHES: Readonly<Record<string, () => Promise<Bench>>> = {};
+const BENCHES: Readonly<Record<string, () => Promise<Bench>>> = {
+  members: () => import('./members/run_members.js'),
+  retries: () => import('./retries/run_retries.js'),
+};
 
 const [name = '', ...args] = process.argv.slice(2);
 const load = BENCHES[name];
--- /dev/null
+++ b/packages/standins/src/bench/retries/event_queue.ts
@@ -0,0 +1,71 @@
+/** One action at a moment of virtual time. */
+interface TimedAction {
+  readonly atMs: number;
+  readonly run: () => void;
+}
+
+/** Actions in virtual time, run in the order of their moments. */
+export class EventQueue {
+  private readonly heap: TimedAction[] = [];
+  private currentMs = 0;
+
+  /** Gets the present moment, in milliseconds. */
+  getNowMs(): number {
+    return this.currentMs;
+  }
+
+  /** Schedules an action this much later. */
+  schedule(delayMs: number, run: () => void): void {
+    const {heap} = this;
+    heap.push({atMs: this.currentMs + delayMs, run});
+    let child = heap.length - 1;
+    while (child > 0) {
+      const parent = (child - 1) >> 1;
+      if (!this.isEarlier(child, parent)) return;
+      this.setSwapped(child, parent);
+      child = parent;
+    }
+  }
+
+  /** Runs every action up to a moment. */
+  runUntil(endMs: number): void {
+    for (;;) {
+      const first = this.heap[0];
+      if (first === undefined || first.atMs > endMs) break;
+      this.removeFirst();
+      this.currentMs = first.atMs;
+      first.run();
+    }
+    this.currentMs = endMs;
+  }
+
+  private removeFirst(): void {
+    const {heap} = this;
+    const last = heap.pop();
+    if (last === undefined || heap.length === 0) return;
+    heap[0] = last;
+    let parent = 0;
+    for (;;) {
+      const left = 2 * parent + 1;
+      if (left >= heap.length) return;
+      const right = left + 1;
+      const isRight = right < heap.length && this.isEarlier(right, left);
+      const child = isRight ? right : left;
+      if (!this.isEarlier(child, parent)) return;
+      this.setSwapped(child, parent);
+      parent = child;
+    }
+  }
+
+  private isEarlier(a: number, b: number): boolean {
+    return (this.heap[a]?.atMs ?? 0) < (this.heap[b]?.atMs ?? 0);
+  }
+
+  private setSwapped(a: number, b: number): void {
+    const first = this.heap[a];
+    const second = this.heap[b];
+    if (first === undefined || second === undefined) return;
+    this.heap[a] = second;
+    this.heap[b] = first;
+  }
+}
