Commit claims in groups under keys that bear their time

A claim was one transaction each, its row was deleted when nothing was dispatched, and no row was ever removed otherwise. A first write that arrived after the deletion left a claim that nobody held; a delayed resend could not be told from it. Rows are now never deleted while their key is honoured: a key is a version 7 UUID, refused after 24 hours by the time that it bears, and its row is swept one hour later. A claim whose reply is lost is read back by its value; one that stays in doubt is refused and released in the background.

Attempt ids begin with the request's id, so that the account compares what a caller was told with each attempt. The stand-ins' lost replies are kept back in a response without a socket: ServerResponse.end() uncorks the socket, so a corked reply was still sent.

--- a/packages/daemon/src/callers/chat_dispatcher.ts
+++ b/packages/daemon/src/callers/chat_dispatcher.ts
@@ -2,7 +2,6 @@
 import {BackendError, isKnownNotRun} from '@greengagecross/backend';
 import {
   Logger,
-  makeRequestId,
   Outcome,
   RefusalReason,
   type BackendServer,
@@ -40,9 +39,13 @@
       let failed: BackendError | undefined;
       let mayHaveRun = false;
       let attempts = 0;
-      for (const server of servers) {
+      for (const [index, server] of servers.entries()) {
         if (attempts > 0 && !this.isRetryAllowed(job, attempts)) break;
-        const result = yield* this.runOn(job, server);
+        const result = yield* this.runOn(
+          job,
+          server,
+          `${job.requestId}.${index}`,
+        );
         if (result === undefined) continue;
         if (Result.isSuccess(result)) return;
         attempts += 1;
@@ -69,8 +72,8 @@
   private runOn(
     job: ChatJob,
     server: BackendServer,
+    attemptId: string,
   ): Effect.Effect<Result.Result<void, BackendError> | undefined> {
-    const attemptId = makeRequestId();
     return Effect.acquireUseRelease(
       this.broker.acquire(server.id, attemptId),
       slot =>
--- a/packages/daemon/src/callers/once_dispatcher.ts
+++ b/packages/daemon/src/callers/once_dispatcher.ts
@@ -1,25 +1,34 @@
 import {Clock, Effect, Result} from 'effect';
 import {isKnownNotRun, type ServiceClient} from '@greengagecross/backend';
-import {
-  HeaderName,
-  makeRequestId,
-  Outcome,
-  RefusalReason,
-} from '@greengagecross/common';
+import {HeaderName} from '@greengagecross/common';
 import {computeDigest} from '@greengagecross/platform';
 import type {Claim, ClaimBook} from '../claims/claim_book.js';
-import {ClaimState} from '../claims/claim_record.js';
+import {ClaimState, type ClaimRecord} from '../claims/claim_record.js';
+import {checkIdempotencyKey, KeyStanding} from '../claims/idempotency_key.js';
 import type {PlacementService} from '../placement/placement_service.js';
 import {
   answerService,
   toServiceAnswer,
   type ServiceAnswer,
 } from './answer_service.js';
-import {makeNotRun, Refusal} from './refusal.js';
+import {
+  makeAnswerNotKept,
+  makeDeadlinePassed,
+  makeKeyExpired,
+  makeKeyInUse,
+  makeKeyMalformed,
+  makeKeyRequired,
+  makeKeyReused,
+  makeNoWorker,
+  makeOutcomeUnknown,
+  makePlatformDown,
+} from './once_refusals.js';
+import type {Refusal} from './refusal.js';
 import {makeServiceCall, type ServiceJob} from './service_job.js';
 import {listWorkers} from './worker_order.js';
 
-const RETRY_MS = 1000;
+/** Largest answer that is recorded for later attempts, in bytes. */
+const MAX_KEPT_BYTES = 16 * 1024;
 
 /** Dispatches calls that may not be repeated, each under its own claim. */
 export class OnceDispatcher {
@@ -32,15 +41,7 @@
   /** Runs a call at most once for its customer's idempotency key. */
   dispatch(job: ServiceJob): Effect.Effect<void, Refusal> {
     const key = job.exchange.getHeader(HeaderName.IDEMPOTENCY_KEY);
-    if (key === undefined || key === '') {
-      return Effect.fail(
-        makeNotRun(
-          RefusalReason.KEY_REQUIRED,
-          400,
-          'this call may not be repeated and needs an Idempotency-Key header',
-        ),
-      );
-    }
+    if (key === undefined || key === '') return Effect.fail(makeKeyRequired());
     // A caller that leaves does not stop the work from being recorded.
     return Effect.uninterruptible(this.runClaimed(job, key));
   }
@@ -50,105 +51,127 @@
     idempotencyKey: string,
   ): Effect.Effect<void, Refusal> {
     return Effect.gen({self: this}, function* () {
-      const claim = yield* this.claim(job, idempotencyKey);
+      const startMs = yield* Clock.currentTimeMillis;
+      yield* checkKey(idempotencyKey, startMs);
+      const claim = yield* this.claim(job, idempotencyKey, startMs);
       if (!claim.isOwn) {
         yield* answerStanding(job, claim);
         return;
       }
+      yield* this.checkStillDue(job, claim, idempotencyKey, startMs);
+      const answer = yield* this.send(job, claim);
+      yield* this.claims.record(claim, toDone(claim.record, answer));
+      answerService(job, answer);
+    });
+  }
+
+  /**
+   * Releases a claim that came too late: this process may have been paused
+   * until its caller gave up or until the key's row may be deleted.
+   */
+  private checkStillDue(
+    job: ServiceJob,
+    claim: Claim,
+    idempotencyKey: string,
+    startMs: number,
+  ): Effect.Effect<void, Refusal> {
+    return Effect.gen({self: this}, function* () {
+      const nowMs = yield* Clock.currentTimeMillis;
+      const release = this.claims.release(claim);
+      if (nowMs - startMs > job.service.deadlineMs) {
+        yield* release;
+        yield* Effect.fail(makeDeadlinePassed());
+      }
+      yield* checkKey(idempotencyKey, nowMs).pipe(
+        Effect.tapError(() => release),
+      );
+    });
+  }
+
+  /** Sends the call to workers until one may have run it. */
+  private send(
+    job: ServiceJob,
+    claim: Claim,
+  ): Effect.Effect<ServiceAnswer, Refusal> {
+    return Effect.gen({self: this}, function* () {
       const servers = yield* listWorkers(this.placement, job);
-      for (const server of servers) {
-        const call = makeServiceCall(job, server, claim.record.token);
+      for (const [index, server] of servers.entries()) {
+        const call = makeServiceCall(job, server, `${job.requestId}.${index}`);
         const result = yield* Effect.result(
           this.workers.send(call, job.request),
         );
-        if (Result.isSuccess(result)) {
-          const answer = toServiceAnswer(result.success);
-          yield* this.claims.record(claim, makeDone(claim, answer));
-          answerService(job, answer);
-          return;
-        }
+        if (Result.isSuccess(result)) return toServiceAnswer(result.success);
         if (isKnownNotRun(result.failure.failure)) continue;
         const record = {...claim.record, state: ClaimState.UNKNOWN};
         yield* this.claims.record(claim, record);
-        yield* Effect.fail(makeUnknown());
+        yield* Effect.fail(makeOutcomeUnknown());
       }
-      yield* this.claims.remove(claim);
-      yield* Effect.fail(
-        makeNotRun(
-          RefusalReason.NO_BACKEND,
-          503,
-          'no worker could take the call',
-          RETRY_MS,
-        ),
-      );
+      yield* this.claims.release(claim);
+      return yield* Effect.fail(makeNoWorker());
     });
   }
 
   private claim(
     job: ServiceJob,
     idempotencyKey: string,
+    nowMs: number,
   ): Effect.Effect<Claim, Refusal> {
     const {method, path, body} = job.request;
-    const bodyDigest = computeDigest(body);
-    return Effect.flatMap(Clock.currentTimeMillis, nowMs =>
-      this.claims
-        .claim({
-          customer: job.customer.id,
-          service: job.service.name,
-          idempotencyKey,
-          requestDigest: computeDigest(`${method} ${path} ${bodyDigest}`),
-          token: makeRequestId(),
-          nowMs,
-        })
-        .pipe(Effect.mapError(() => makePlatformDown())),
-    ).pipe(Effect.flatMap(claim => checkSameRequest(claim, job, bodyDigest)));
+    const request = {
+      customer: job.customer.id,
+      service: job.service.name,
+      idempotencyKey,
+      requestDigest: computeDigest(`${method} ${path} ${computeDigest(body)}`),
+      token: job.requestId,
+      nowMs,
+    };
+    return this.claims.claim(request).pipe(
+      Effect.mapError(() => makePlatformDown()),
+      Effect.flatMap(claim =>
+        claim.record.requestDigest === request.requestDigest
+          ? Effect.succeed(claim)
+          : Effect.fail(makeKeyReused()),
+      ),
+    );
   }
 }
 
-function makeDone(claim: Claim, answer: ServiceAnswer) {
+function checkKey(key: string, nowMs: number): Effect.Effect<void, Refusal> {
+  switch (checkIdempotencyKey(key, nowMs)) {
+    case KeyStanding.USABLE:
+      return Effect.void;
+    case KeyStanding.MALFORMED:
+      return Effect.fail(makeKeyMalformed());
+    case KeyStanding.EXPIRED:
+      return Effect.fail(makeKeyExpired());
+  }
+}
+
+function toDone(record: ClaimRecord, answer: ServiceAnswer): ClaimRecord {
+  const {status, contentType, body} = answer;
+  if (body.length > MAX_KEPT_BYTES) {
+    return {...record, state: ClaimState.DONE_NOT_KEPT};
+  }
+  const encoded = body.toString('base64');
   return {
-    ...claim.record,
+    ...record,
     state: ClaimState.DONE,
-    status: answer.status,
-    contentType: answer.contentType,
-    body: answer.body.toString('base64'),
+    status,
+    contentType,
+    body: encoded,
   };
 }
 
-function checkSameRequest(
-  claim: Claim,
-  job: ServiceJob,
-  bodyDigest: string,
-): Effect.Effect<Claim, Refusal> {
-  const {method, path} = job.request;
-  const digest = computeDigest(`${method} ${path} ${bodyDigest}`);
-  if (claim.record.requestDigest === digest) return Effect.succeed(claim);
-  return Effect.fail(
-    makeNotRun(
-      RefusalReason.KEY_REUSED,
-      422,
-      'this idempotency key was used for another request',
-    ),
-  );
-}
-
 /** Answers from what an earlier attempt recorded, without running anything. */
 function answerStanding(
   job: ServiceJob,
   claim: Claim,
 ): Effect.Effect<void, Refusal> {
   const {state, status, contentType, body} = claim.record;
-  if (state !== ClaimState.DONE) {
-    return Effect.fail(
-      new Refusal(
-        Outcome.UNKNOWN,
-        RefusalReason.KEY_IN_USE,
-        409,
-        'an earlier attempt with this key may have run',
-        RETRY_MS,
-      ),
-    );
+  if (state === ClaimState.DONE_NOT_KEPT) {
+    return Effect.fail(makeAnswerNotKept());
   }
+  if (state !== ClaimState.DONE) return Effect.fail(makeKeyInUse());
   return Effect.sync(() =>
     answerService(job, {
       status,
@@ -157,22 +180,3 @@
     }),
   );
 }
-
-function makePlatformDown(): Refusal {
-  return makeNotRun(
-    RefusalReason.PLATFORM_DOWN,
-    503,
-    'this attempt was not run: its claim could not be recorded;' +
-      ' an earlier attempt with this key may have run',
-    RETRY_MS,
-  );
-}
-
-function makeUnknown(): Refusal {
-  return new Refusal(
-    Outcome.UNKNOWN,
-    RefusalReason.BACKEND_FAILED,
-    502,
-    'the call may have run; its answer was lost',
-  );
-}
--- a/packages/daemon/src/callers/repeatable_dispatcher.ts
+++ b/packages/daemon/src/callers/repeatable_dispatcher.ts
@@ -1,6 +1,6 @@
 import {Effect, Result} from 'effect';
 import {isKnownNotRun, type ServiceClient} from '@greengagecross/backend';
-import {makeRequestId, Outcome, RefusalReason} from '@greengagecross/common';
+import {Outcome, RefusalReason} from '@greengagecross/common';
 import type {RetryBudget} from '@greengagecross/decisions';
 import type {PlacementService} from '../placement/placement_service.js';
 import {answerService, toServiceAnswer} from './answer_service.js';
@@ -27,7 +27,7 @@
       const servers = yield* listWorkers(this.placement, job);
       for (const [index, server] of servers.slice(0, MAX_ATTEMPTS).entries()) {
         if (index > 0 && !this.budget.take()) break;
-        const call = makeServiceCall(job, server, makeRequestId());
+        const call = makeServiceCall(job, server, `${job.requestId}.${index}`);
         const result = yield* Effect.result(
           this.workers.send(call, job.request),
         );
--- a/packages/daemon/src/claims/claim_book.ts
+++ b/packages/daemon/src/claims/claim_book.ts
@@ -1,27 +1,26 @@
-import {Effect, Result} from 'effect';
+import {Effect, Latch, Result} from 'effect';
 import {decodeJson, Logger, toError} from '@greengagecross/common';
 import {
   ABSENT_VERSION,
-  computeDigest,
   PlatformError,
   PlatformFailure,
   type TableRow,
-  type TableService,
 } from '@greengagecross/platform';
+import {makeClaimKey, type ClaimName} from './claim_key.js';
 import {
   ClaimRecordSchema,
   ClaimState,
   type ClaimRecord,
 } from './claim_record.js';
+import type {GroupCommit} from './group_commit.js';
 
 const CLAIM_TRIES = 3;
+const RETRY_PENDING_MS = 500;
+const MAX_PENDING = 1000;
 const logger = new Logger('claims');
 
 /** What names a claim and what it was made for. */
-export interface ClaimRequest {
-  readonly customer: string;
-  readonly service: string;
-  readonly idempotencyKey: string;
+export interface ClaimRequest extends ClaimName {
   readonly requestDigest: string;
   /** Id of this attempt; no other attempt has it. */
   readonly token: string;
@@ -38,79 +37,134 @@
 
 /** Claims idempotency keys in the table service, so that work runs once. */
 export class ClaimBook {
-  constructor(private readonly table: TableService) {}
+  /** Ends of claims still to be written, by token, the oldest first. */
+  private readonly pending = new Map<string, Claim>();
+  private readonly hasPending = Latch.makeUnsafe(false);
+
+  constructor(private readonly commits: GroupCommit) {}
 
   /**
    * Claims a key for this attempt, or finds who has it.
    *
    * Succeeds only when the claim is known to stand. No claim is ever taken
-   * over: a holder that seems gone may still dispatch.
+   * over: a holder that seems gone may still dispatch. Rows are not deleted
+   * while their key is honoured, so a write that arrives late finds its
+   * condition broken.
    */
   claim(request: ClaimRequest): Effect.Effect<Claim, PlatformError> {
-    return this.tryClaim(request, CLAIM_TRIES);
+    const key = makeClaimKey(request);
+    const record = makeRecord(request);
+    return Effect.gen({self: this}, function* () {
+      let version = ABSENT_VERSION;
+      for (let tries = 0; tries < CLAIM_TRIES; tries += 1) {
+        const value = JSON.stringify(record);
+        const result = yield* Effect.result(
+          this.commits.write({key, version, value}),
+        );
+        if (Result.isFailure(result)) {
+          this.releaseLater(
+            {key, version, record, isOwn: true},
+            result.failure,
+          );
+          return yield* Effect.fail(result.failure);
+        }
+        const {committed, standing} = result.success;
+        if (committed) return {key, version: version + 1, record, isOwn: true};
+        if (standing === undefined) break;
+        const claim = yield* readClaim(standing);
+        if (claim.record.state !== ClaimState.RELEASED) return claim;
+        version = claim.version;
+      }
+      return yield* Effect.fail(
+        new PlatformError(PlatformFailure.REFUSED, 'claim'),
+      );
+    });
   }
 
-  /** Records how the work ended. */
+  /** Records how the work ended; what fails is tried again later. */
   record(claim: Claim, record: ClaimRecord): Effect.Effect<void> {
-    return this.table
-      .transact({
-        conditions: [{key: claim.key, version: claim.version}],
-        writes: [{key: claim.key, value: JSON.stringify(record)}],
-        deletes: [],
-      })
-      .pipe(
-        Effect.retry({times: CLAIM_TRIES}),
-        Effect.asVoid,
-        Effect.catch(error => logFailure('A claim was not recorded.', error)),
-      );
+    const ended = {...claim, record};
+    return this.write(ended).pipe(
+      Effect.catch(error =>
+        Effect.sync(() => {
+          logger.log('A claim will be recorded later.', {error: error.message});
+          this.addPending(ended);
+        }),
+      ),
+    );
   }
 
-  /** Removes this attempt's own claim after nothing was dispatched. */
-  remove(claim: Claim): Effect.Effect<void> {
-    return this.table
-      .transact({
-        conditions: [{key: claim.key, version: claim.version}],
-        writes: [],
-        deletes: [claim.key],
-      })
-      .pipe(
-        Effect.retry({times: CLAIM_TRIES}),
-        Effect.asVoid,
-        Effect.catch(error => logFailure('A claim was not removed.', error)),
-      );
+  /** Frees the key of this attempt's own claim: it dispatches nothing. */
+  release(claim: Claim): Effect.Effect<void> {
+    return this.record(claim, toReleased(claim.record));
   }
 
-  private tryClaim(
-    request: ClaimRequest,
-    triesLeft: number,
-  ): Effect.Effect<Claim, PlatformError> {
-    const key = makeClaimKey(request);
-    const record = makeRecord(request);
+  /** Counts the ends of claims that are still to be written. */
+  countPending(): number {
+    return this.pending.size;
+  }
+
+  /** Writes pending ends for as long as the daemon runs. */
+  run(): Effect.Effect<never> {
     return Effect.gen({self: this}, function* () {
-      const result = yield* Effect.result(
-        this.table.transact({
-          conditions: [{key, version: ABSENT_VERSION}],
-          writes: [{key, value: JSON.stringify(record)}],
-          deletes: [],
-        }),
-      );
-      if (Result.isFailure(result)) {
-        // Sent again, the same token is recognized if the first did apply.
-        if (triesLeft <= 1) return yield* Effect.fail(result.failure);
-        return yield* this.tryClaim(request, triesLeft - 1);
-      }
-      const standing = result.success.conflicts[0];
-      if (result.success.committed) {
-        return {key, version: 1, record, isOwn: true};
-      }
-      if (standing === undefined) {
-        return yield* Effect.fail(
-          new PlatformError(PlatformFailure.REFUSED, 'claim'),
+      for (;;) {
+        yield* this.hasPending.await;
+        yield* Effect.sleep(RETRY_PENDING_MS);
+        yield* Effect.forEach(
+          [...this.pending.values()],
+          claim => this.writePending(claim),
+          {concurrency: 'unbounded'},
         );
+        if (this.pending.size === 0) this.hasPending.closeUnsafe();
       }
-      return yield* readClaim(standing, request.token);
     });
   }
+
+  private writePending(claim: Claim): Effect.Effect<void> {
+    return this.write(claim).pipe(
+      Effect.map(() => {
+        const {token} = claim.record;
+        if (this.pending.get(token) === claim) this.pending.delete(token);
+      }),
+      Effect.ignore,
+    );
+  }
+
+  /** Writes a claim's record over this attempt's own row only. */
+  private write(claim: Claim): Effect.Effect<void, PlatformError> {
+    const {key, record} = claim;
+    const value = JSON.stringify(record);
+    return Effect.gen({self: this}, function* () {
+      let {version} = claim;
+      for (let tries = 0; tries < CLAIM_TRIES; tries += 1) {
+        const result = yield* this.commits.write({key, version, value});
+        if (result.committed || result.standing === undefined) return;
+        const standing = yield* readClaim(result.standing);
+        if (standing.record.token !== record.token) return;
+        version = standing.version;
+      }
+    });
+  }
+
+  /** A claim that may stand although nobody will use it is released later. */
+  private releaseLater(claim: Claim, error: PlatformError): void {
+    if (error.failure !== PlatformFailure.UNCERTAIN) return;
+    this.addPending({...claim, record: toReleased(claim.record)});
+  }
+
+  private addPending(claim: Claim): void {
+    const {token} = claim.record;
+    this.pending.delete(token);
+    this.pending.set(token, claim);
+    this.hasPending.openUnsafe();
+    if (this.pending.size <= MAX_PENDING) return;
+    const [oldest] = this.pending.keys();
+    if (oldest !== undefined) this.pending.delete(oldest);
+  }
+}
+
+function toReleased(record: ClaimRecord): ClaimRecord {
+  return {...record, state: ClaimState.RELEASED};
 }
 
 function makeRecord(request: ClaimRequest): ClaimRecord {
@@ -125,30 +179,13 @@
   };
 }
 
-function makeClaimKey(request: ClaimRequest): string {
-  const {customer, service, idempotencyKey} = request;
-  const name = JSON.stringify([customer, service, idempotencyKey]);
-  return `claim/${computeDigest(name)}`;
-}
-
-function readClaim(
-  row: TableRow,
-  token: string,
-): Effect.Effect<Claim, PlatformError> {
+function readClaim(row: TableRow): Effect.Effect<Claim, PlatformError> {
   return Effect.try({
     try: () => {
       const record = decodeJson(ClaimRecordSchema, row.value, 'claim');
-      const {key, version} = row;
-      return {key, version, record, isOwn: record.token === token};
+      return {key: row.key, version: row.version, record, isOwn: false};
     },
     catch: thrown =>
       new PlatformError(PlatformFailure.REFUSED, 'claim', toError(thrown)),
   });
 }
-
-function logFailure(
-  sentence: string,
-  error: PlatformError,
-): Effect.Effect<void> {
-  return Effect.sync(() => logger.log(sentence, {error: error.message}));
-}
--- a/packages/daemon/src/claims/claim_record.ts
+++ b/packages/daemon/src/claims/claim_record.ts
@@ -4,8 +4,12 @@
 export enum ClaimState {
   /** A daemon holds the claim and may have dispatched. */
   CLAIMED = 'claimed',
+  /** The holder dispatched nothing and never will; the key is free again. */
+  RELEASED = 'released',
   /** The answer is recorded. */
   DONE = 'done',
+  /** The work ran; its answer was too large to be recorded. */
+  DONE_NOT_KEPT = 'done-not-kept',
   /** The work may have run; nobody knows its answer. */
   UNKNOWN = 'unknown',
 }
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -67,6 +67,9 @@
       yield* Effect.forkScoped(parts.configuration.run());
       yield* Effect.forkScoped(parts.hosts.run());
       yield* Effect.forkScoped(parts.members.run());
+      yield* Effect.forkScoped(parts.commits.run());
+      yield* Effect.forkScoped(parts.claims.run());
+      yield* Effect.forkScoped(parts.sweeper.run());
       yield* this.callerServer.start();
       const {id, callerListener, controlListener} = parts.settings;
       logger.log('The daemon listens.', {
--- a/packages/daemon/src/wiring/daemon_parts.ts
+++ b/packages/daemon/src/wiring/daemon_parts.ts
@@ -1,6 +1,8 @@
+import {Clock, Effect} from 'effect';
 import {HttpEngineClient, HttpServiceClient} from '@greengagecross/backend';
 import {
   DEFAULT_TUNING,
+  findRendezvousHome,
   TicketCodec,
   type DaemonSettings,
   type FleetKeys,
@@ -21,6 +23,9 @@
   PlatformCaller,
   type TableService,
 } from '@greengagecross/platform';
+import {ClaimBook} from '../claims/claim_book.js';
+import {ClaimSweeper} from '../claims/claim_sweeper.js';
+import {GroupCommit} from '../claims/group_commit.js';
 import {ConfigurationFollower} from '../configuration/configuration_follower.js';
 import {HostFollower} from '../hosts/host_follower.js';
 import {MemberService} from '../members/member_service.js';
@@ -29,6 +34,9 @@
 
 const SUSPECT_HEARTBEATS = 4;
 const FORGET_AFTER_MS = 60_000;
+const MS_PER_SECOND = 1000;
+/** Claim transactions a second of all daemons together. */
+const FLEET_COMMITS_PER_SECOND = 300;
 
 /** The long-lived parts of one daemon, each made once and passed on. */
 export class DaemonParts {
@@ -38,6 +46,9 @@
   readonly ledger = new EngineLedger();
   readonly tickets: TicketCodec;
   readonly table: TableService;
+  readonly commits: GroupCommit;
+  readonly claims: ClaimBook;
+  readonly sweeper: ClaimSweeper;
   readonly configuration: ConfigurationFollower;
   readonly hosts: HostFollower;
   readonly members: MemberService;
@@ -55,6 +66,13 @@
     this.tickets = new TicketCodec(keys.ticket);
     const platform = this.makePlatformCaller();
     this.table = new HttpTableService(platform);
+    this.commits = new GroupCommit(
+      this.table,
+      () =>
+        (this.members.countLive() * MS_PER_SECOND) / FLEET_COMMITS_PER_SECOND,
+    );
+    this.claims = new ClaimBook(this.commits);
+    this.sweeper = new ClaimSweeper(this.table, () => this.isSweeper());
     this.configuration = new ConfigurationFollower(
       new ConfigurationStore(this.table, new HttpObjectStore(platform)),
       this.tuning.configurationPollMs,
@@ -96,6 +114,13 @@
     this.backendClient.close();
   }
 
+  private isSweeper(): Effect.Effect<boolean> {
+    return Effect.map(Clock.currentTimeMillis, nowMs => {
+      const live = this.members.listLive(nowMs).map(member => member.id);
+      return findRendezvousHome('claim sweeper', live) === this.settings.id;
+    });
+  }
+
   private makePlatformCaller(): PlatformCaller {
     return new PlatformCaller(
       this.controlClient,
--- a/packages/daemon/src/wiring/make_caller_router.ts
+++ b/packages/daemon/src/wiring/make_caller_router.ts
@@ -8,7 +8,6 @@
 import {OnceDispatcher} from '../callers/once_dispatcher.js';
 import {RepeatableDispatcher} from '../callers/repeatable_dispatcher.js';
 import {ServiceHandler} from '../callers/service_handler.js';
-import {ClaimBook} from '../claims/claim_book.js';
 import type {DaemonMetrics} from '../metrics/daemon_metrics.js';
 import type {DaemonParts} from './daemon_parts.js';
 
@@ -37,7 +36,7 @@
   const services = new ServiceHandler(
     authenticator,
     new RepeatableDispatcher(placement, workers, budget),
-    new OnceDispatcher(placement, workers, new ClaimBook(parts.table)),
+    new OnceDispatcher(placement, workers, parts.claims),
   );
   return new CallerRouter(directory, chats, services, metrics);
 }
--- a/packages/standins/src/account/make_account.ts
+++ b/packages/standins/src/account/make_account.ts
@@ -30,11 +30,10 @@
     unknown: count(v => v.told === Outcome.UNKNOWN),
     told_not_run: count(v => v.told === Outcome.NOT_RUN),
     incomplete: count(v => isComplete(v) && !v.isOwnWhole),
-    executed_though_told_not_run: countRunThoughNot(
-      verdicts,
-      workerRuns,
-      engineRuns,
-    ),
+    executed_though_told_not_run: countRunThoughNot(verdicts, [
+      ...workerRuns,
+      ...engineRuns,
+    ]),
     executed_twice: countTwice(verdicts, workerRuns),
     returns: returning.length,
     warm_returns: returning.filter(run => run.cachedTokens > 0).length,
@@ -49,26 +48,26 @@
   return turn > 0;
 }
 
+/**
+ * Counts requests told not-run that ran: by their own attempts, whose ids
+ * begin with the request's, or because all sends of the work were refused.
+ */
 function countRunThoughNot(
   verdicts: readonly CallerVerdict[],
-  workerRuns: readonly RunRecord[],
-  engineRuns: readonly RunRecord[],
+  runs: readonly RunRecord[],
 ): number {
-  const ran = new Set(
-    [...workerRuns, ...engineRuns]
-      .map(run => run.workId)
-      .filter(id => id !== ''),
-  );
+  const ranWork = new Set(runs.map(run => run.workId));
+  const ranRequests = new Set(runs.map(run => run.attemptId.split('.')[0]));
   const otherwise = new Set(
     verdicts.filter(v => v.told !== Outcome.NOT_RUN).map(v => v.workId),
   );
-  // Work that was resent may have run in the attempt that was not refused.
-  return verdicts.filter(
-    v =>
-      v.told === Outcome.NOT_RUN &&
-      ran.has(v.workId) &&
-      !otherwise.has(v.workId),
-  ).length;
+  return verdicts.filter(verdict => {
+    if (verdict.told !== Outcome.NOT_RUN) return false;
+    const {requestId, workId} = verdict;
+    if (requestId !== '' && ranRequests.has(requestId)) return true;
+    // Work that was resent may have run in the attempt that was not refused.
+    return workId !== '' && ranWork.has(workId) && !otherwise.has(workId);
+  }).length;
 }
 
 function countTwice(
--- a/packages/standins/src/callers/caller_request.ts
+++ b/packages/standins/src/callers/caller_request.ts
@@ -6,6 +6,8 @@
   readonly kind: WorkKind;
   readonly chat: string;
   readonly workId: string;
+  /** Key of the work; the caller makes one for each work id without it. */
+  readonly idempotencyKey?: string;
   readonly ticket: string | undefined;
   readonly body: StandinChatBody;
 }
--- a/packages/standins/src/callers/fleet_caller.ts
+++ b/packages/standins/src/callers/fleet_caller.ts
@@ -10,6 +10,7 @@
 import {PlannedService} from '../fleet/fleet_plan.js';
 import type {CallerRequest} from './caller_request.js';
 import {WorkKind, type CallerVerdict} from './caller_verdict.js';
+import {makeIdempotencyKey} from './make_idempotency_key.js';
 import {readTold} from './read_told.js';
 import {SendFailure} from './send_failure.js';
 import type {Told} from './told.js';
@@ -33,6 +34,7 @@
 /** A customer's program: asks the directory, keeps its answer, connects. */
 export class FleetCaller {
   private readonly client = new HttpClient();
+  private readonly keys = new Map<string, string>();
   private readonly kept = new Map<string, KeptAnswer>();
 
   constructor(
@@ -74,6 +76,15 @@
     this.client.close();
   }
 
+  /** Finds the key of some work: the same on every resend. */
+  private findKey(request: CallerRequest): string {
+    const {workId} = request;
+    const known = request.idempotencyKey ?? this.keys.get(workId);
+    const key = known ?? makeIdempotencyKey(Date.now());
+    if (request.kind === WorkKind.RESERVATION) this.keys.set(workId, key);
+    return key;
+  }
+
   private findAddresses(
     request: CallerRequest,
   ): Effect.Effect<readonly Address[]> {
@@ -154,7 +165,7 @@
       authorization: `Bearer ${this.customer.key}`,
       [HeaderName.CUSTOMER]: this.customer.id,
       [HeaderName.CHAT]: request.chat,
-      [HeaderName.IDEMPOTENCY_KEY]: request.workId,
+      [HeaderName.IDEMPOTENCY_KEY]: this.findKey(request),
       'content-type': 'application/json',
       ...(ticket === undefined ? {} : {[HeaderName.TICKET]: ticket}),
     };
--- a/packages/standins/src/fault_gate.ts
+++ b/packages/standins/src/fault_gate.ts
@@ -1,6 +1,7 @@
+import {ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import {Effect} from 'effect';
-import type {HttpExchange} from '@greengagecross/http';
+import {HttpExchange} from '@greengagecross/http';
 import {NO_FAULTS, type StandinFaults} from './faults.js';
 
 /** Applies a stand-in's faults to the exchanges that pass it. */
@@ -25,10 +26,12 @@
   /** Runs a handler behind the faults. */
   run(
     exchange: HttpExchange,
-    handler: Effect.Effect<void>,
+    handler: (exchange: HttpExchange) => Effect.Effect<void>,
   ): Effect.Effect<void> {
     const {socket} = exchange.request;
     this.track(socket);
+    const {onlyPath} = this.faults;
+    if (!exchange.path.startsWith(onlyPath)) return handler(exchange);
     if (this.silent.has(socket)) {
       socket.pause();
       return Effect.never;
@@ -46,15 +49,17 @@
 
   private runWithLoss(
     exchange: HttpExchange,
-    handler: Effect.Effect<void>,
+    handler: (exchange: HttpExchange) => Effect.Effect<void>,
   ): Effect.Effect<void> {
-    if (!this.faults.loseReplies) return handler;
-    // The handler's reply is buffered until the socket is gone.
-    exchange.request.socket.cork();
-    return Effect.andThen(
-      handler,
-      Effect.sync(() => exchange.request.socket.destroy()),
-    );
+    const {loseReplies, holdReplies} = this.faults;
+    if (!loseReplies && !holdReplies) return handler(exchange);
+    // A response without a socket keeps every byte of the reply back.
+    const {request} = exchange;
+    const unsent = new HttpExchange(request, new ServerResponse(request));
+    const end = loseReplies
+      ? Effect.sync(() => request.socket.destroy())
+      : Effect.never;
+    return Effect.andThen(handler(unsent), end);
   }
 
   private track(socket: Socket): void {
--- a/packages/standins/src/faults.ts
+++ b/packages/standins/src/faults.ts
@@ -6,6 +6,10 @@
   readonly slowMs: number;
   /** Destroys the connection after the call took effect. */
   readonly loseReplies: boolean;
+  /** Lets the call take effect and never answers it. */
+  readonly holdReplies: boolean;
+  /** Path prefix that the faults are limited to; empty for every path. */
+  readonly onlyPath: string;
   /** Leaves connections open that were open, without answering on them. */
   readonly silentOpen: boolean;
   /** Age of what is shown, in milliseconds. */
@@ -23,6 +27,8 @@
   down: false,
   slowMs: 0,
   loseReplies: false,
+  holdReplies: false,
+  onlyPath: '',
   silentOpen: false,
   lagMs: 0,
   leaving: false,
--- a/packages/standins/src/platform/platform_server.ts
+++ b/packages/standins/src/platform/platform_server.ts
@@ -7,6 +7,7 @@
 
 const OBJECT_PREFIX = '/v1/objects/';
 const WEIGHT_PREFIX = '/v1/weights/';
+const MAX_SHOWN_ROWS = 100_000;
 const WEIGHT_BYTES = 20_000_000_000;
 
 /** Calls that the stand-in has answered, by kind. */
@@ -91,6 +92,9 @@
         this.setHosts(JSON.parse(body.toString()) as Host[]);
         exchange.sendJson(200, {});
         return;
+      case '/observe/claims':
+        exchange.sendJson(200, this.table.list('claim/', '', MAX_SHOWN_ROWS));
+        return;
       case '/observe/counts':
         exchange.sendJson(200, this.counts);
         return;
--- a/packages/standins/src/standin_server.ts
+++ b/packages/standins/src/standin_server.ts
@@ -53,7 +53,7 @@
     if (exchange.path.startsWith('/observe')) {
       return this.handle(exchange, body);
     }
-    return this.gate.run(exchange, this.handle(exchange, body));
+    return this.gate.run(exchange, given => this.handle(given, body));
   }
 
   private applyControl(exchange: HttpExchange, body: Buffer): void {
