--- a/packages/daemon/src/callers/chat_dispatcher.ts
+++ b/packages/daemon/src/callers/chat_dispatcher.ts
@@ -2,7 +2,6 @@
 import {isKnownNotRun, type BackendError} from '@greengagecross/backend';
 import {
   Logger,
-  makeRequestId,
   Outcome,
   RefusalReason,
   type BackendServer,
@@ -45,7 +44,7 @@
       let failed: BackendError | undefined;
       let mayHaveRun = false;
       let attempts = 0;
-      for (const server of servers) {
+      for (const [index, server] of servers.entries()) {
         const leftMs = deadline.computeLeftMs(yield* Clock.currentTimeMillis);
         if (failed !== undefined) {
           const waitMs = this.chooseWaitMs(job, failed, attempts, leftMs);
@@ -54,7 +53,8 @@
         } else if (leftMs === 0) {
           yield* Effect.fail(makeDeadlinePassed());
         }
-        const result = yield* this.runOn(job, server, deadline);
+        const attemptId = `${job.requestId}.${index}`;
+        const result = yield* this.runOn(job, server, attemptId, deadline);
         if (result === undefined) continue;
         if (Result.isSuccess(result)) return;
         attempts += 1;
@@ -87,9 +87,9 @@
   private runOn(
     job: ChatJob,
     server: BackendServer,
+    attemptId: string,
     deadline: RequestDeadline,
   ): Effect.Effect<Result.Result<void, BackendError> | undefined> {
-    const attemptId = makeRequestId();
     return Effect.acquireUseRelease(
       this.broker.acquire(server.id, attemptId),
       slot =>
--- a/packages/daemon/src/callers/repeatable_dispatcher.ts
+++ b/packages/daemon/src/callers/repeatable_dispatcher.ts
@@ -4,7 +4,7 @@
   type BackendError,
   type ServiceClient,
 } from '@greengagecross/backend';
-import {makeRequestId, Outcome, RefusalReason} from '@greengagecross/common';
+import {Outcome, RefusalReason} from '@greengagecross/common';
 import type {RetryPolicy} from '@greengagecross/decisions';
 import type {PlacementService} from '../placement/placement_service.js';
 import {answerService, toServiceAnswer} from './answer_service.js';
@@ -51,7 +51,7 @@
         const call = makeServiceCall(
           job,
           server,
-          makeRequestId(),
+          `${job.requestId}.${attempts}`,
           deadline.computeLeftMs(sentAtMs),
         );
         const result = yield* Effect.result(
