Keep complete answers of both deployments and merge answers one by one

The demo's answers were made up in code, so nothing showed that the questionnaire can express either deployment. Answers have stable ids, so two changes of one base merge unless both changed the same answer. Checks that span answers (names used twice, unknown services, servers at one address) report every problem at once.

--- /dev/null
+++ b/packages/questionnaire/src/answer_entries.ts
@@ -0,0 +1,98 @@
+import {decodeDocument} from '@greengagecross/common';
+import {AnswersSchema, type Answers} from './answers.js';
+
+const ASKED = 'asked';
+const LISTED_FIELDS: ReadonlySet<string> = new Set(['servers', 'otherWork']);
+
+/**
+ * Answers by their ids, as in `customers/NAME/atMostAtOnce`.
+ *
+ * An id stays the same while other answers come and go, so that two sets of
+ * answers can be compared and merged answer by answer.
+ */
+export type AnswerEntries = ReadonlyMap<string, unknown>;
+
+/** The lists of answers, each with the things that are asked about. */
+export enum AnswerGroup {
+  ENGINES = 'engines',
+  PLAIN_SERVICES = 'plainServices',
+  CUSTOMERS = 'customers',
+}
+
+type AnswerRecord = Readonly<Record<string, unknown>>;
+
+/** Lists a document's answers by id. */
+export function listEntries(answers: Answers): Map<string, unknown> {
+  const entries = new Map<string, unknown>();
+  entries.set('deployment', answers.deployment);
+  for (const group of Object.values(AnswerGroup)) {
+    for (const subject of answers[group]) {
+      addSubject(entries, group, subject as AnswerRecord);
+    }
+  }
+  return entries;
+}
+
+/**
+ * Makes the document that has exactly these answers, in the order of names.
+ *
+ * @throws ValidationError where an answer that must be there is not.
+ */
+export function makeAnswers(entries: AnswerEntries): Answers {
+  const groups = new Map<string, Map<string, Record<string, unknown>>>();
+  for (const group of Object.values(AnswerGroup)) groups.set(group, new Map());
+  const ids = [...entries.keys()].sort();
+  for (const id of ids) {
+    const [group = '', name, field, item] = id.split('/');
+    const subjects = groups.get(group);
+    if (subjects === undefined || name === undefined) continue;
+    if (field === undefined) {
+      subjects.set(name, makeSubject(group, name));
+      continue;
+    }
+    const subject = subjects.get(name);
+    if (subject === undefined) continue;
+    const value = entries.get(id);
+    if (item === undefined) subject[field] = value;
+    else subject[field] = [...((subject[field] as unknown[]) ?? []), value];
+  }
+  const document = {
+    deployment: entries.get('deployment'),
+    engines: [...(groups.get(AnswerGroup.ENGINES)?.values() ?? [])],
+    plainServices: [
+      ...(groups.get(AnswerGroup.PLAIN_SERVICES)?.values() ?? []),
+    ],
+    customers: [...(groups.get(AnswerGroup.CUSTOMERS)?.values() ?? [])],
+  };
+  return decodeDocument(AnswersSchema, document, 'the answers');
+}
+
+/** Puts a document's lists into the order of names. */
+export function sortAnswers(answers: Answers): Answers {
+  return makeAnswers(listEntries(answers));
+}
+
+function makeSubject(group: string, name: string): Record<string, unknown> {
+  const subject = {name: decodeURIComponent(name)};
+  return group === AnswerGroup.CUSTOMERS ? subject : {...subject, servers: []};
+}
+
+function addSubject(
+  entries: Map<string, unknown>,
+  group: AnswerGroup,
+  subject: AnswerRecord,
+): void {
+  const prefix = `${group}/${encodeURIComponent(String(subject['name']))}`;
+  entries.set(prefix, ASKED);
+  for (const [field, value] of Object.entries(subject)) {
+    if (field === 'name') continue;
+    if (!LISTED_FIELDS.has(field)) {
+      entries.set(`${prefix}/${field}`, value);
+      continue;
+    }
+    for (const item of value as readonly AnswerRecord[]) {
+      const name = encodeURIComponent(String(item['id'] ?? item['name']));
+      entries.set(`${prefix}/${field}/${name}`, item);
+    }
+  }
+}
--- a/packages/questionnaire/src/answers.ts
+++ b/packages/questionnaire/src/answers.ts
@@ -10,6 +10,16 @@
   Schema.isBetween({minimum: 1, maximum: 3600}),
 );
 
+/** Answers about one more kind of work that runs on the same engines. */
+export const OtherWorkSchema = Schema.Struct({
+  name: Schema.NonEmptyString,
+  whoWaits: Schema.Enum(PriorityClass),
+  longestWaitSeconds: DEADLINE_SECONDS,
+});
+
+/** Decoded form of {@link OtherWorkSchema}. */
+export type OtherWork = typeof OtherWorkSchema.Type;
+
 /** Answers about a service that runs on model engines. */
 export const EngineAnswersSchema = Schema.Struct({
   name: Schema.NonEmptyString,
@@ -21,6 +31,8 @@
   checksOrders: Schema.Boolean,
   longestWaitSeconds: DEADLINE_SECONDS,
   servers: Schema.Array(BackendServerSchema),
+  /** Further kinds of work on these engines, each a name that callers use. */
+  otherWork: Schema.optionalKey(Schema.Array(OtherWorkSchema)),
 });
 
 /** Decoded form of {@link EngineAnswersSchema}. */
--- a/packages/questionnaire/src/generate.ts
+++ b/packages/questionnaire/src/generate.ts
@@ -11,6 +11,7 @@
   Answers,
   CustomerAnswers,
   EngineAnswers,
+  OtherWork,
   PlainAnswers,
 } from './answers.js';
 
@@ -27,7 +28,7 @@
 /** Makes the configuration that the answers ask for; the same each time. */
 export function makeConfiguration(answers: Answers): Configuration {
   const services = [
-    ...answers.engines.map(makeEngineService),
+    ...answers.engines.flatMap(makeEngineServices),
     ...answers.plainServices.map(makePlainService),
   ];
   return {
@@ -42,9 +43,15 @@
   return JSON.stringify(configuration);
 }
 
-function makeEngineService(answers: EngineAnswers): Service {
+/** Makes one service for each kind of work on the same engines. */
+function makeEngineServices(answers: EngineAnswers): Service[] {
+  const works = [answers, ...(answers.otherWork ?? [])];
+  return works.map(work => makeEngineService(answers, work));
+}
+
+function makeEngineService(answers: EngineAnswers, work: OtherWork): Service {
   return {
-    name: answers.name,
+    name: work.name,
     kind: ServiceKind.ENGINE,
     backendServers: sortBy(answers.servers, server => server.id),
     placement:
@@ -55,8 +62,8 @@
       ? FencingSupport.ENFORCED
       : FencingSupport.IGNORED,
     nonRepeatablePaths: [],
-    priority: answers.whoWaits,
-    deadlineMs: answers.longestWaitSeconds * MS_PER_SECOND,
+    priority: work.whoWaits,
+    deadlineMs: work.longestWaitSeconds * MS_PER_SECOND,
   };
 }
 
--- /dev/null
+++ b/packages/questionnaire/src/merge_answers.ts
@@ -0,0 +1,67 @@
+import {toError, type Problem, ValidationError} from '@greengagecross/common';
+import {isSameAnswer} from './answer_change.js';
+import {listEntries, makeAnswers} from './answer_entries.js';
+import type {Answers} from './answers.js';
+import {checkAnswers} from './check_answers.js';
+
+/** One answer that both sides changed, each to something else. */
+export interface AnswerConflict {
+  readonly id: string;
+  readonly base: unknown;
+  readonly mine: unknown;
+  readonly theirs: unknown;
+}
+
+/** The merged answers, or why there are none. */
+export interface MergeResult {
+  readonly merged: Answers | undefined;
+  readonly conflicts: readonly AnswerConflict[];
+  /** Problems of answers that are right on each side but not together. */
+  readonly problems: readonly Problem[];
+}
+
+/** Merges two changes of the same base, answer by answer. */
+export function mergeAnswers(
+  base: Answers,
+  mine: Answers,
+  theirs: Answers,
+): MergeResult {
+  const from = listEntries(base);
+  const ours = listEntries(mine);
+  const others = listEntries(theirs);
+  const merged = new Map(others);
+  const conflicts: AnswerConflict[] = [];
+  const ids = new Set([...from.keys(), ...ours.keys(), ...others.keys()]);
+  for (const id of ids) {
+    const sides = {
+      base: from.get(id),
+      mine: ours.get(id),
+      theirs: others.get(id),
+    };
+    if (isSameAnswer(sides.mine, sides.base)) continue;
+    if (isSameAnswer(sides.mine, sides.theirs)) continue;
+    if (!isSameAnswer(sides.theirs, sides.base)) {
+      conflicts.push({id, ...sides});
+      continue;
+    }
+    if (sides.mine === undefined) merged.delete(id);
+    else merged.set(id, sides.mine);
+  }
+  if (conflicts.length > 0) {
+    return {merged: undefined, conflicts, problems: []};
+  }
+  return checkMerged(merged);
+}
+
+function checkMerged(entries: Map<string, unknown>): MergeResult {
+  try {
+    const merged = makeAnswers(entries);
+    const problems = checkAnswers(merged);
+    const isRight = problems.length === 0;
+    return {merged: isRight ? merged : undefined, conflicts: [], problems};
+  } catch (thrown) {
+    const error = toError(thrown);
+    if (!(error instanceof ValidationError)) throw error;
+    return {merged: undefined, conflicts: [], problems: error.problems};
+  }
+}
--- a/packages/standins/src/fleet/fleet_plan.ts
+++ b/packages/standins/src/fleet/fleet_plan.ts
@@ -1,20 +1,23 @@
-import {
-  hashCustomerKey,
+import type {
+  Address,
+  BackendServer,
   PlacementPreference,
-  PriorityClass,
-  type Address,
-  type BackendServer,
-  type Tuning,
+  Tuning,
 } from '@greengagecross/common';
 import {HostRole, HostState, type Host} from '@greengagecross/platform';
 import type {Answers} from '@greengagecross/questionnaire';
 import type {EngineProfile} from '../backends/engine_profile.js';
 import {findFreePorts} from './free_ports.js';
+import {
+  Deployment,
+  listCustomerNames,
+  makePlannedAnswers,
+  readFixture,
+} from './plan_answers.js';
 
 const HOST = '127.0.0.1';
 const REGION = 'centro';
 const ZONES = ['centro-a', 'centro-b', 'centro-c', 'centro-d'];
-const CUSTOMER_LIMIT = 200;
 
 /** Sizes of a fleet on this machine. */
 export interface FleetSize {
@@ -88,9 +91,10 @@
     }));
   const engines = planServers('engine', size.engines);
   const workers = planServers('worker', size.workers);
-  const customers = Array.from({length: size.customers}, (unused, index) => ({
-    id: `customer-${index + 1}`,
-    key: `key-of-customer-${index + 1}`,
+  const fixture = readFixture(Deployment.VELO_COMPARTIDO);
+  const customers = listCustomerNames(fixture, size.customers).map(id => ({
+    id,
+    key: `key-of-${id}`,
   }));
   return {
     size,
@@ -99,7 +103,12 @@
     engines,
     workers,
     customers,
-    answers: makeAnswers(size, engines, workers, customers),
+    answers: makePlannedAnswers(fixture, {
+      preference: size.preference,
+      engines,
+      workers,
+      customers,
+    }),
     hosts: [
       ...daemons.map(makeEntryHost),
       ...[...engines, ...workers].map(makeBackendHost),
@@ -111,42 +120,6 @@
   return ZONES[index % ZONES.length] ?? '';
 }
 
-function makeAnswers(
-  size: FleetSize,
-  engines: readonly BackendServer[],
-  workers: readonly BackendServer[],
-  customers: readonly CustomerPlan[],
-): Answers {
-  return {
-    deployment: 'Velo Compartido Laboratorio',
-    engines: [
-      {
-        name: PlannedService.ASSISTANT,
-        mattersMore: size.preference ?? PlacementPreference.REUSE,
-        whoWaits: PriorityClass.CONSULTATION,
-        checksOrders: true,
-        longestWaitSeconds: 60,
-        servers: engines,
-      },
-    ],
-    plainServices: [
-      {
-        name: PlannedService.BOOKING,
-        whoWaits: PriorityClass.INTERACTIVE,
-        mayNotBeRepeated: ['/reservations'],
-        longestWaitSeconds: 10,
-        servers: workers,
-      },
-    ],
-    customers: customers.map(customer => ({
-      name: customer.id,
-      keyHashes: [hashCustomerKey(customer.key)],
-      services: [PlannedService.ASSISTANT, PlannedService.BOOKING],
-      atMostAtOnce: CUSTOMER_LIMIT,
-    })),
-  };
-}
-
 function makeEntryHost(daemon: DaemonPlan): Host {
   return {
     id: daemon.id,
