--- a/packages/questionnaire/src/answers.ts
+++ b/packages/questionnaire/src/answers.ts
@@ -6,7 +6,7 @@
   PriorityClass,
 } from '@greengagecross/common';
 
-const DEADLINE_SECONDS = Schema.Int.check(
+const WaitSecondsSchema = Schema.Int.check(
   Schema.isBetween({minimum: 1, maximum: 3600}),
 );
 
@@ -14,7 +14,7 @@
 export const OtherWorkSchema = Schema.Struct({
   name: Schema.NonEmptyString,
   whoWaits: Schema.Enum(PriorityClass),
-  longestWaitSeconds: DEADLINE_SECONDS,
+  longestWaitSeconds: WaitSecondsSchema,
 });
 
 /** Decoded form of {@link OtherWorkSchema}. */
@@ -29,7 +29,7 @@
   whoWaits: Schema.Enum(PriorityClass),
   /** Whether its engines check who gives them an order. */
   checksOrders: Schema.Boolean,
-  longestWaitSeconds: DEADLINE_SECONDS,
+  longestWaitSeconds: WaitSecondsSchema,
   servers: Schema.Array(BackendServerSchema),
   /** Further kinds of work on these engines, each a name that callers use. */
   otherWork: Schema.optionalKey(Schema.Array(OtherWorkSchema)),
@@ -44,7 +44,7 @@
   whoWaits: Schema.Enum(PriorityClass),
   /** Path prefixes whose calls may not be repeated. */
   mayNotBeRepeated: Schema.Array(Schema.NonEmptyString),
-  longestWaitSeconds: DEADLINE_SECONDS,
+  longestWaitSeconds: WaitSecondsSchema,
   servers: Schema.Array(BackendServerSchema),
 });
 
@@ -67,6 +67,10 @@
 
 /** Every answer of the questionnaire. */
 export const AnswersSchema = Schema.Struct({
+  /** Revision whose answers these were made from; no answer itself. */
+  basedOnRevision: Schema.optionalKey(
+    Schema.Int.check(Schema.isGreaterThanOrEqualTo(0)),
+  ),
   deployment: Schema.NonEmptyString,
   engines: Schema.Array(EngineAnswersSchema),
   plainServices: Schema.Array(PlainAnswersSchema),
--- /dev/null
+++ b/packages/questionnaire/src/interview.ts
@@ -0,0 +1,152 @@
+import {decodeDocument, toError, ValidationError} from '@greengagecross/common';
+import {Schema} from 'effect';
+import {
+  CustomerAnswersSchema,
+  EngineAnswersSchema,
+  OtherWorkSchema,
+  PlainAnswersSchema,
+  type Answers,
+} from './answers.js';
+import {checkAnswers} from './check_answers.js';
+import {formatAnswer, parseAnswer} from './parse_answer.js';
+import type {Prompter} from './prompter.js';
+import type {Question} from './question.js';
+import {
+  CUSTOMER_QUESTIONS,
+  DEPLOYMENT_QUESTIONS,
+  ENGINE_QUESTIONS,
+  OTHER_WORK_QUESTIONS,
+  PLAIN_QUESTIONS,
+} from './questions.js';
+
+type Fields = Readonly<Record<string, Schema.ConstraintDecoder<unknown>>>;
+type Subject = Readonly<Record<string, unknown>>;
+
+const DeploymentFields: Fields = {deployment: Schema.NonEmptyString};
+const YES = /^y(es)?$/i;
+
+/** Asks the questionnaire's questions in their order. */
+export class Interview {
+  constructor(private readonly prompter: Prompter) {}
+
+  /** Asks everything; earlier answers are kept by an empty line. */
+  async run(earlier: Answers | undefined): Promise<Answers> {
+    this.prompter.print([
+      'An empty line takes what stands in [brackets]; ? explains a question.',
+    ]);
+    const {deployment} = await this.askAll(
+      DEPLOYMENT_QUESTIONS,
+      DeploymentFields,
+      earlier,
+    );
+    const engines = await this.askSubjects(
+      'model service',
+      earlier?.engines,
+      old => this.askEngine(old),
+    );
+    const plainServices = await this.askSubjects(
+      'plain service',
+      earlier?.plainServices,
+      old => this.askAll(PLAIN_QUESTIONS, PlainAnswersSchema.fields, old),
+    );
+    const customers = await this.askSubjects(
+      'customer',
+      earlier?.customers,
+      old => this.askAll(CUSTOMER_QUESTIONS, CustomerAnswersSchema.fields, old),
+    );
+    const document = {deployment, engines, plainServices, customers};
+    const answers = document as unknown as Answers;
+    const problems = checkAnswers(answers);
+    if (problems.length > 0) throw new ValidationError('answers', problems);
+    return answers;
+  }
+
+  /** Asks one question until its answer is right. */
+  async ask(
+    question: Question,
+    schema: Schema.ConstraintDecoder<unknown>,
+    earlier: unknown,
+  ): Promise<unknown> {
+    const shown =
+      earlier === undefined
+        ? question.fallback
+        : formatAnswer(question, earlier);
+    this.prompter.print(formatQuestion(question));
+    for (;;) {
+      const prompt = shown === undefined ? '> ' : `[${shown}] > `;
+      const line = (await this.prompter.ask(prompt)).trim();
+      if (line === '?') {
+        this.prompter.print([
+          question.explanation,
+          `Example: ${question.example}`,
+        ]);
+        continue;
+      }
+      if (line === '' && earlier !== undefined) return earlier;
+      try {
+        const answer = parseAnswer(question, line);
+        return decodeDocument(schema, answer, question.field);
+      } catch (thrown) {
+        this.prompter.print([toError(thrown).message]);
+      }
+    }
+  }
+
+  private async askAll(
+    questions: readonly Question[],
+    fields: Fields,
+    earlier: Subject | undefined,
+  ): Promise<Record<string, unknown>> {
+    const answers: Record<string, unknown> = {};
+    for (const question of questions) {
+      const schema = fields[question.field] ?? Schema.Unknown;
+      const old = earlier?.[question.field];
+      answers[question.field] = await this.ask(question, schema, old);
+    }
+    return answers;
+  }
+
+  private async askEngine(
+    earlier: Subject | undefined,
+  ): Promise<Record<string, unknown>> {
+    const answers = await this.askAll(
+      ENGINE_QUESTIONS,
+      EngineAnswersSchema.fields,
+      earlier,
+    );
+    const otherWork = await this.askSubjects(
+      `further kind of work on the engines of ${String(answers['name'])}`,
+      earlier?.['otherWork'] as readonly Subject[] | undefined,
+      old => this.askAll(OTHER_WORK_QUESTIONS, OtherWorkSchema.fields, old),
+    );
+    return otherWork.length === 0 ? answers : {...answers, otherWork};
+  }
+
+  /** Goes through earlier ones, then asks for new ones until there are none. */
+  private async askSubjects(
+    what: string,
+    earlier: readonly Subject[] | undefined,
+    ask: (old: Subject | undefined) => Promise<Record<string, unknown>>,
+  ): Promise<Subject[]> {
+    const subjects: Subject[] = [];
+    for (const old of earlier ?? []) {
+      const prompt = `The ${what} ${String(old['name'])}: keep, change or remove? [keep] > `;
+      const line = (await this.prompter.ask(prompt)).trim().toLowerCase();
+      if (line.startsWith('r')) continue;
+      subjects.push(line.startsWith('c') ? await ask(old) : old);
+    }
+    for (;;) {
+      const line = await this.prompter.ask(`Add a ${what}? [no] > `);
+      if (!YES.test(line.trim())) return subjects;
+      subjects.push(await ask(undefined));
+    }
+  }
+}
+
+function formatQuestion(question: Question): string[] {
+  const choices = (question.choices ?? []).map(
+    (choice, at) => `  ${at + 1}  ${choice.value}: ${choice.text}`,
+  );
+  const help = `  ${question.explanation} Example: ${question.example}`;
+  return ['', question.text, help, ...choices];
+}
--- /dev/null
+++ b/packages/questionnaire/src/update_answers.ts
@@ -0,0 +1,69 @@
+import {toError, ValidationError} from '@greengagecross/common';
+import {AnswerGroup, listEntries, makeAnswers} from './answer_entries.js';
+import {findAnswerPlace} from './answer_text.js';
+import type {Answers} from './answers.js';
+import {checkAnswers} from './check_answers.js';
+import {parseAnswer, parseServer} from './parse_answer.js';
+
+/**
+ * Answers one question again, by its id; a server is `HOST:PORT ZONE`.
+ *
+ * @throws ValidationError when there is no such question or it is answered wrong.
+ */
+export function updateAnswer(
+  answers: Answers,
+  id: string,
+  text: string,
+): Answers {
+  const entries = listEntries(answers);
+  entries.set(id, parseAnswerAt(id, text));
+  const [group, name] = id.split('/');
+  const subject = `${group}/${name}`;
+  if (name !== undefined && !entries.has(subject)) {
+    entries.set(subject, 'asked');
+  }
+  return checkEntries(entries);
+}
+
+/** Removes an answer, or everything below an id such as `customers/NAME`. */
+export function removeAnswer(answers: Answers, id: string): Answers {
+  const entries = listEntries(answers);
+  const ids = [...entries.keys()].filter(
+    key => key === id || key.startsWith(`${id}/`),
+  );
+  if (ids.length === 0) throw makeError(id, 'the id of an answer', 'none');
+  for (const key of ids) entries.delete(key);
+  return checkEntries(entries);
+}
+
+function parseAnswerAt(id: string, text: string): unknown {
+  const {question, item} = findAnswerPlace(id);
+  const [group] = id.split('/');
+  const isKnown =
+    group === 'deployment' ||
+    Object.values<string | undefined>(AnswerGroup).includes(group);
+  if (!isKnown || question === undefined) {
+    throw makeError(id, 'the id of a question', 'none');
+  }
+  try {
+    if (item !== undefined) return parseServer(`${item} ${text}`);
+    return parseAnswer(question, text);
+  } catch (thrown) {
+    throw makeError(id, toError(thrown).message, text);
+  }
+}
+
+function checkEntries(entries: Map<string, unknown>): Answers {
+  const answers = makeAnswers(entries);
+  const problems = checkAnswers(answers);
+  if (problems.length > 0) throw new ValidationError('the answers', problems);
+  return answers;
+}
+
+function makeError(
+  path: string,
+  expected: string,
+  found: string,
+): ValidationError {
+  return new ValidationError('the answers', [{path, expected, found}]);
+}
