--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -14,3 +14,5 @@
 export * from './limits/engine_admission.js';
 export * from './limits/engine_ring.js';
 export * from './limits/fair_queue.js';
+export * from './retries/request_deadline.js';
+export * from './retries/retry_policy.js';
