--- a/packages/questionnaire/src/index.ts
+++ b/packages/questionnaire/src/index.ts
@@ -1,3 +1,14 @@
 /** The questionnaire's answers and the configuration generated from them. */
 export * from './answers.js';
+export * from './answer_change.js';
+export * from './answer_entries.js';
+export * from './check_answers.js';
 export * from './generate.js';
+export * from './merge_answers.js';
+export * from './question.js';
+export * from './questions.js';
+export * from './parse_answer.js';
+export * from './prompter.js';
+export * from './interview.js';
+export * from './answer_text.js';
+export * from './update_answers.js';
