--- a/packages/standins/src/fleet/fleet_world_steps.ts
+++ b/packages/standins/src/fleet/fleet_world_steps.ts
@@ -25,7 +25,7 @@
   /** Gets the fleet that the scenario started. */
   getFleet(): Fleet {
     if (this.startedFleet === undefined)
-      throw new Error('no fleet was started');
+      {throw new Error('no fleet was started');}
     return this.startedFleet;
   }
 
