--- a/packages/standins/src/fleet/fleet_world_steps.ts
+++ b/packages/standins/src/fleet/fleet_world_steps.ts
@@ -24,9 +24,9 @@
 
   /** Gets the fleet that the scenario started. */
   getFleet(): Fleet {
-    if (this.startedFleet === undefined)
-      {throw new Error('no fleet was started');}
-    return this.startedFleet;
+    const fleet = this.startedFleet;
+    if (fleet === undefined) throw new Error('no fleet was started');
+    return fleet;
   }
 
   /** Stops what the scenario started. */
