Prove that claimed work runs at most once

Twenty faults around one reservation, against processes, and races of three claim books over a table that loses, delays and answers late.

--- a/packages/daemon/src/claims/claim_book.ts
+++ b/packages/daemon/src/claims/claim_book.ts
@@ -87,7 +87,9 @@
     return this.write(ended).pipe(
       Effect.catch(error =>
         Effect.sync(() => {
-          logger.log('A claim will be recorded later.', {error: error.message});
+          if (this.pending.size === 0) {
+            logger.log('Claims wait to be written.', {error: error.message});
+          }
           this.addPending(ended);
         }),
       ),
@@ -115,7 +117,9 @@
           claim => this.writePending(claim),
           {concurrency: 'unbounded'},
         );
-        if (this.pending.size === 0) this.hasPending.closeUnsafe();
+        if (this.pending.size > 0) continue;
+        logger.log('No claim waits to be written.');
+        this.hasPending.closeUnsafe();
       }
     });
   }
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -2,3 +2,9 @@
 export * from './daemon.js';
 export * from './read_settings.js';
 export type {DaemonState} from './control/state_dump.js';
+export * from './claims/claim_book.js';
+export * from './claims/claim_key.js';
+export * from './claims/claim_record.js';
+export * from './claims/claim_sweeper.js';
+export * from './claims/group_commit.js';
+export * from './claims/idempotency_key.js';
--- /dev/null
+++ b/packages/standins/src/promises/booking_bench.ts
@@ -0,0 +1,145 @@
+import {NO_FAULTS, type StandinFaults} from '../faults.js';
+import {Fleet} from '../fleet/fleet.js';
+import {
+  planFleet,
+  type CustomerPlan,
+  type DaemonPlan,
+} from '../fleet/fleet_plan.js';
+import {sendJson} from '../fleet/http_json.js';
+import {waitUntil} from '../fleet/wait_until.js';
+import {StandinKind} from '../standin_kind.js';
+import type {RunRecord} from '../backends/run_record.js';
+
+const WAIT_LIMIT_MS = 20_000;
+const SIZE = {
+  daemons: 3,
+  engines: 1,
+  workers: 2,
+  customers: 2,
+  tuning: {
+    directoryKeepMs: 100,
+    platformTimeoutMs: 500,
+    backendSilenceMs: 1000,
+    backendConnectTimeoutMs: 500,
+  },
+};
+const WRITES = '/v1/table/transact';
+
+interface ClaimRow {
+  readonly value: string;
+}
+
+/** A small fleet with plain-service workers whose faults a test sets. */
+export class BookingBench {
+  private constructor(readonly fleet: Fleet) {}
+
+  /** Starts the fleet. */
+  static async start(): Promise<BookingBench> {
+    const fleet = new Fleet(await planFleet(SIZE));
+    await fleet.start();
+    return new BookingBench(fleet);
+  }
+
+  /** Gets a daemon by its place in the plan. */
+  getDaemon(index: number): DaemonPlan {
+    const daemon = this.fleet.plan.daemons[index];
+    if (daemon === undefined) throw new Error(`no daemon ${index}`);
+    return daemon;
+  }
+
+  /** Gets a customer by its place in the plan. */
+  getCustomer(index: number): CustomerPlan {
+    const customer = this.fleet.plan.customers[index];
+    if (customer === undefined) throw new Error(`no customer ${index}`);
+    return customer;
+  }
+
+  /** Sets faults of the platform's transactions alone. */
+  async setWriteFaults(faults: Partial<StandinFaults>): Promise<void> {
+    await this.fleet.setPlatformFaults({...faults, onlyPath: WRITES});
+  }
+
+  /** Sets faults of every worker. */
+  async setWorkerFaults(faults: Partial<StandinFaults>): Promise<void> {
+    for (const worker of this.fleet.plan.workers) {
+      await this.fleet.setBackendFaults(worker, faults);
+    }
+  }
+
+  /** Ends every fault and starts what was killed. */
+  async startAgain(): Promise<void> {
+    await this.fleet.setPlatformFaults(NO_FAULTS);
+    for (const worker of this.fleet.plan.workers) {
+      if (!this.fleet.getChild(worker.id).isRunning()) {
+        await this.fleet.startBackend(worker, StandinKind.WORKER);
+      }
+    }
+    await this.setWorkerFaults(NO_FAULTS);
+    for (const daemon of this.fleet.plan.daemons) {
+      const child = this.fleet.getChild(daemon.id);
+      child.send('SIGCONT');
+      if (!child.isRunning()) await this.fleet.startDaemon(daemon);
+    }
+  }
+
+  /** Kills a daemon and waits for its end. */
+  async stopDaemonHard(index: number): Promise<void> {
+    const child = this.fleet.getChild(this.getDaemon(index).id);
+    child.send('SIGKILL');
+    await child.waitEnd();
+  }
+
+  /** Kills every worker and waits for their ends. */
+  async stopWorkersHard(): Promise<void> {
+    for (const worker of this.fleet.plan.workers) {
+      const child = this.fleet.getChild(worker.id);
+      child.send('SIGKILL');
+      await child.waitEnd();
+    }
+  }
+
+  /** Lists what the workers ran of some work. */
+  async listRuns(workId: string): Promise<RunRecord[]> {
+    const records = await Promise.all(
+      this.fleet.plan.workers.map(worker => this.fleet.readRecord(worker)),
+    );
+    return records.flat().filter(run => run.workId === workId);
+  }
+
+  /** Waits until a claim's row has come to a state. */
+  async waitClaim(state: string, count = 1): Promise<void> {
+    await waitUntil(`a claim ${state}`, WAIT_LIMIT_MS, async () => {
+      const rows = await sendJson<ClaimRow[]>(
+        this.fleet.plan.platform,
+        'GET',
+        '/observe/claims',
+      );
+      const found = rows.filter(row => row.value.includes(`"${state}"`));
+      return found.length >= count;
+    });
+  }
+
+  /** Counts the claims in a state. */
+  async countClaims(state: string): Promise<number> {
+    const rows = await sendJson<ClaimRow[]>(
+      this.fleet.plan.platform,
+      'GET',
+      '/observe/claims',
+    );
+    return rows.filter(row => row.value.includes(`"${state}"`)).length;
+  }
+
+  /** Waits until a worker has begun some work. */
+  async waitRun(workId: string): Promise<void> {
+    await waitUntil(`a run of ${workId}`, WAIT_LIMIT_MS, async () => {
+      const runs = await this.listRuns(workId);
+      return runs.length > 0;
+    });
+  }
+
+  /** Stops the fleet. */
+  async stop(): Promise<void> {
+    await this.fleet.stop();
+    this.fleet.removeFolder();
+  }
+}
