Give orders to engines under a lease with a fencing number

Cause: nothing told an engine what to load, and 360 daemons that all did would undo each other's work. One holder at a time, by a lease in the table service that compares no two clocks; engines that ignore the fencing number are read back and repaired. Ruled out: rendezvous alone (two act while lists differ); a lease that lapses by the hosts' clocks.

--- a/packages/backend/src/index.ts
+++ b/packages/backend/src/index.ts
@@ -10,3 +10,7 @@
 export * from './service_client.js';
 export * from './http_service_client.js';
 export * from './to_backend_error.js';
+export * from './orders/engine_order.js';
+export * from './orders/engine_state.js';
+export * from './orders/engine_control.js';
+export * from './orders/http_engine_control.js';
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -8,3 +8,4 @@
 export * from './claims/claim_sweeper.js';
 export * from './claims/group_commit.js';
 export * from './claims/idempotency_key.js';
+export * from './orders/order_holder.js';
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -16,3 +16,6 @@
 export * from './limits/fair_queue.js';
 export * from './retries/request_deadline.js';
 export * from './retries/retry_policy.js';
+export * from './orders/lease_term.js';
+export * from './orders/lease_watch.js';
+export * from './orders/plan_orders.js';
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -19,3 +19,5 @@
 export * from './configuration/accept_result.js';
 export * from './configuration/configuration_store.js';
 export * from './configuration/digest.js';
+export * from './lease/lease_row.js';
+export * from './lease/lease_store.js';
