Exchange heartbeats with a few neighbours and send only what they miss

Cause: each daemon sent its whole record to every other every 500 ms, so bytes rose with the fleet. Measured on an idle fleet of 5 daemons and 17 backend servers: 18.6 KB/s a daemon, of which 15.4 KB/s heartbeats (16 exchanges a second of about 960 bytes), 3.0 KB/s the host list, 0.1 KB/s the configuration. Ruled out as causes: configuration polls; slot messages, as no request ran.

Each daemon now has up to four neighbours on two hash rings, whatever the fleet's size; each pair shares one exchange a second. A heartbeat carries what the neighbour is not known to know. News of a state, of a newer configuration or of a leaving host is passed on at once. A neighbour is suspected after two failed tries and when no other daemon reaches it; a suspected daemon that lives refutes it with a higher state version. The host list's poll interval grows with the fleet, and its leaving hosts spread with heartbeats.

--- a/packages/common/src/settings/daemon_settings.ts
+++ b/packages/common/src/settings/daemon_settings.ts
@@ -16,6 +16,8 @@
   platform: AddressSchema,
   /** File of the fleet's keys; see {@link FleetKeysSchema}. */
   keysFile: Schema.NonEmptyString,
+  /** Control addresses of other daemons, for when no host list can be read. */
+  seeds: Schema.optionalKey(Schema.Array(AddressSchema)),
   tuning: Schema.optionalKey(TuningSchema),
 });
 
--- a/packages/common/src/settings/tuning.ts
+++ b/packages/common/src/settings/tuning.ts
@@ -23,7 +23,7 @@
 
 /** What holds where the settings say nothing. */
 export const DEFAULT_TUNING: Tuning = {
-  heartbeatMs: 500,
+  heartbeatMs: 1000,
   configurationPollMs: 1000,
   hostListPollMs: 1000,
   platformTimeoutMs: 1000,
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -71,6 +71,7 @@
       yield* Effect.forkScoped(parts.claims.run());
       yield* Effect.forkScoped(parts.sweeper.run());
       yield* this.callerServer.start();
+      parts.members.setLive();
       const {id, callerListener, controlListener} = parts.settings;
       logger.log('The daemon listens.', {
         id,
--- a/packages/daemon/src/hosts/host_follower.ts
+++ b/packages/daemon/src/hosts/host_follower.ts
@@ -1,5 +1,6 @@
 import {Effect} from 'effect';
 import {Logger} from '@greengagecross/common';
+import type {HostNews} from '@greengagecross/peers';
 import {
   HostRole,
   HostState,
@@ -14,11 +15,15 @@
 export class HostFollower {
   private hosts: ReadonlyMap<string, Host> = new Map();
   private version = 0;
+  private leaving: readonly string[] = [];
   private isReachable = false;
+  /** What other daemons saw on a newer list. */
+  private told: HostNews = {version: 0, leaving: []};
 
+  /** @param computePollMs time until the next poll, in milliseconds */
   constructor(
     private readonly directory: HostDirectory,
-    private readonly pollMs: number,
+    private readonly computePollMs: () => number,
   ) {}
 
   /** Lists the daemons that the platform shows. */
@@ -28,9 +33,27 @@
 
   /** Tells whether the list shows a backend server as leaving. */
   isLeaving(id: string): boolean {
+    if (this.told.version > this.version) {
+      return this.told.leaving.includes(id);
+    }
     return this.hosts.get(id)?.state === HostState.LEAVING;
   }
 
+  /** Gets which hosts leave, for daemons that have not read the list since. */
+  getNews(): HostNews {
+    if (this.told.version > this.version) return this.told;
+    return {version: this.version, leaving: this.leaving};
+  }
+
+  /** Takes in what another daemon saw; tells whether it is newer. */
+  observeNews(news: HostNews): boolean {
+    if (news.version <= Math.max(this.version, this.told.version)) {
+      return false;
+    }
+    this.told = news;
+    return true;
+  }
+
   /** Tells whether the last poll reached the platform. */
   isCurrent(): boolean {
     return this.isReachable;
@@ -41,7 +64,7 @@
     return Effect.forever(
       Effect.andThen(
         this.poll().pipe(Effect.catch(error => this.recordFailure(error))),
-        Effect.sleep(this.pollMs),
+        Effect.suspend(() => Effect.sleep(this.computePollMs())),
       ),
     );
   }
@@ -53,6 +76,9 @@
       if (list.version < this.version) return;
       this.version = list.version;
       this.hosts = new Map(list.hosts.map(host => [host.id, host]));
+      this.leaving = list.hosts
+        .filter(host => host.state === HostState.LEAVING)
+        .map(host => host.id);
     });
   }
 
--- a/packages/daemon/src/members/member_service.ts
+++ b/packages/daemon/src/members/member_service.ts
@@ -1,145 +1,214 @@
 import {Clock, Effect, FiberMap, type Scope} from 'effect';
 import {
+  formatAddress,
+  hash32,
   Logger,
   MemberState,
+  SeededRandom,
   type Address,
   type DaemonSettings,
-  type EngineCount,
   type Member,
 } from '@greengagecross/common';
-import type {MemberTable} from '@greengagecross/decisions';
-import {
-  HeartbeatSchema,
-  PeerMethod,
-  type Heartbeat,
-  type PeerClient,
-} from '@greengagecross/peers';
+import type {MemberTable, NeighbourPolicy} from '@greengagecross/decisions';
+import type {Heartbeat, PeerCaller, Probe} from '@greengagecross/peers';
 import type {HostFollower} from '../hosts/host_follower.js';
+import {ContactList} from './contact_list.js';
+import {HeartbeatExchange} from './heartbeat_exchange.js';
+import {NeighbourWatches} from './neighbour_watches.js';
+import {SelfRecord, type SelfReport} from './self_record.js';
 
+const ANNOUNCE_RETRIES = 3;
+const MAX_MISSED_TICKS = 20;
 const logger = new Logger('members');
 
-/** What a daemon tells its peers beside its settings. */
-export interface SelfReport {
-  readonly configurationRevision: number;
-  readonly engines: readonly EngineCount[];
-}
-
-/** Exchanges heartbeats with the other daemons, one fiber for each peer. */
+/** Knows which daemons are there, by heartbeats with a few of them. */
 export class MemberService {
-  private state = MemberState.LIVE;
-  private sequence = 0;
+  private readonly self: SelfRecord;
+  private readonly exchange: HeartbeatExchange;
+  private readonly contacts: ContactList;
+  private readonly watches: NeighbourWatches;
   private lastTickMs = 0;
 
   constructor(
-    private readonly settings: DaemonSettings,
-    private readonly incarnation: number,
+    settings: DaemonSettings,
+    incarnation: number,
     private readonly table: MemberTable,
-    private readonly hosts: HostFollower,
-    private readonly peers: PeerClient,
+    hosts: HostFollower,
+    peers: PeerCaller,
     private readonly heartbeatMs: number,
-    private readonly reportSelf: () => SelfReport,
-  ) {}
+    reportSelf: () => SelfReport,
+    policy: NeighbourPolicy,
+  ) {
+    const random = new SeededRandom(hash32(`${settings.id} ${incarnation}`));
+    this.self = new SelfRecord(settings, incarnation, reportSelf);
+    this.exchange = new HeartbeatExchange(this.self, table, hosts, peers);
+    const sources = {
+      listHosts: () =>
+        hosts
+          .listEntryHosts()
+          .map(({host, controlPort}) => ({host, port: controlPort})),
+      seeds: settings.seeds ?? [],
+    };
+    this.contacts = new ContactList(sources, settings.controlListener, random);
+    this.watches = new NeighbourWatches(
+      settings.id,
+      table,
+      this.exchange,
+      peers,
+      heartbeatMs,
+      policy,
+      random,
+    );
+  }
+
+  /** Announces from now on that this daemon takes callers. */
+  setLive(): void {
+    if (this.self.getState() !== MemberState.JOINING) return;
+    this.self.setState(MemberState.LIVE);
+    this.exchange.wake();
+  }
 
   /** Announces from now on that this daemon takes no new callers. */
   setLeaving(): void {
-    this.state = MemberState.LEAVING;
+    this.self.setState(MemberState.LEAVING);
+    this.exchange.wake();
+  }
+
+  /** Gets whether this daemon takes callers. */
+  getState(): MemberState {
+    return this.self.getState();
   }
 
   /** Gets what this daemon says of itself. */
   getSelf(): Member {
-    const {id, region, availabilityZone} = this.settings;
-    return {
-      id,
-      state: this.state,
-      region,
-      availabilityZone,
-      callerAddress: this.settings.callerListener,
-      controlAddress: this.settings.controlListener,
-      incarnation: this.incarnation,
-      sequence: this.sequence,
-      ...this.reportSelf(),
-    };
+    return this.self.getMember();
+  }
+
+  /** Gets the highest revision of the configuration that any member told. */
+  getHighestRevision(): number {
+    return this.exchange.getHighestRevision();
+  }
+
+  /** Waits until a member tells of a revision above this one. */
+  waitNewerRevision(revision: number): Effect.Effect<void> {
+    return Effect.gen({self: this}, function* () {
+      while (this.getHighestRevision() <= revision) {
+        yield* this.exchange.news.await;
+      }
+    });
+  }
+
+  /** Tells whether the fiber that watches the peers still runs. */
+  isTicking(nowMs: number): boolean {
+    return nowMs - this.lastTickMs < MAX_MISSED_TICKS * this.heartbeatMs;
   }
 
   /** Lists the daemons that take callers, this one included unless leaving. */
-  listLive(nowMs: number): Member[] {
-    const others = this.table.listLive(nowMs);
-    return this.state === MemberState.LIVE
+  listLive(unusedNowMs?: number): Member[] {
+    const others = this.table.listLive();
+    return this.getState() === MemberState.LIVE
       ? [this.getSelf(), ...others]
       : others;
   }
 
   /** Counts the daemons that take callers, at least one. */
   countLive(): number {
-    return Math.max(1, this.listLive(this.lastTickMs).length);
+    const own = this.getState() === MemberState.LIVE ? 1 : 0;
+    return Math.max(1, own + this.table.listLive().length);
+  }
+
+  /** Counts this daemon and all it remembers, those just lost included. */
+  countRemembered(): number {
+    return 1 + this.table.listKnown().length;
   }
 
   /** Answers a heartbeat with this daemon's own news. */
   answerHeartbeat(heartbeat: Heartbeat): Effect.Effect<Heartbeat> {
-    return Effect.map(Clock.currentTimeMillis, nowMs => {
-      for (const member of heartbeat.members) this.table.observe(member, nowMs);
-      this.sequence += 1;
-      return {members: [this.getSelf()]};
-    });
+    return this.exchange.answer(heartbeat);
+  }
+
+  /** Tries a daemon on behalf of one that does not reach it. */
+  answerProbe(probe: Probe): Effect.Effect<{reached: boolean}> {
+    return this.exchange.send(probe.controlAddress, probe.id).pipe(
+      Effect.map(answerer => ({reached: answerer === probe.id})),
+      Effect.catch(() => Effect.succeed({reached: false})),
+    );
   }
 
-  /** Starts and ends the fibers of peers as the host list shows them. */
+  /** Sends this daemon's state to its neighbours at once; none may miss it. */
+  reportToPeers(): Effect.Effect<void> {
+    const addresses = this.watches
+      .listNeighbours()
+      .map(member => member.controlAddress);
+    const contacts = addresses.length > 0 ? [] : this.chooseContacts();
+    return Effect.forEach(
+      [...addresses, ...contacts],
+      address =>
+        this.exchange
+          .send(address, undefined)
+          .pipe(Effect.retry({times: ANNOUNCE_RETRIES}), Effect.ignore),
+      {concurrency: 'unbounded', discard: true},
+    );
+  }
+
+  /** Starts and ends the fibers of neighbours as members come and go. */
   run(): Effect.Effect<never, never, Scope.Scope> {
     return Effect.gen({self: this}, function* () {
-      const fibers = yield* FiberMap.make<string, never, never>();
+      const tries = yield* FiberMap.make<string, void>();
       for (;;) {
         const nowMs = yield* Clock.currentTimeMillis;
-        this.lastTickMs = nowMs;
-        this.table.removeForgotten(nowMs);
-        for (const [id, address] of this.listPeerAddresses()) {
-          yield* FiberMap.run(fibers, id, this.runPeer(id, address), {
-            onlyIfMissing: true,
-          });
+        const isTick = nowMs - this.lastTickMs >= this.heartbeatMs;
+        if (isTick) {
+          this.lastTickMs = nowMs;
+          this.removeForgotten(nowMs);
+          yield* this.tryContacts(tries);
         }
-        yield* Effect.sleep(this.heartbeatMs);
+        yield* this.watches.update();
+        yield* Effect.raceFirst(
+          Effect.sleep(this.heartbeatMs),
+          this.exchange.news.await,
+        );
       }
     });
   }
 
-  private listPeerAddresses(): Map<string, Address> {
-    const addresses = new Map<string, Address>();
-    for (const host of this.hosts.listEntryHosts()) {
-      addresses.set(host.id, {host: host.host, port: host.controlPort});
-    }
-    for (const member of this.table.listKnown()) {
-      addresses.set(member.id, member.controlAddress);
-    }
-    addresses.delete(this.settings.id);
-    return addresses;
-  }
-
-  /** Sends heartbeats to one peer until it is forgotten. */
-  private runPeer(id: string, address: Address): Effect.Effect<never> {
-    let isAnswering = false;
-    const logChange = (answered: boolean): void => {
-      if (answered === isAnswering) return;
-      isAnswering = answered;
-      logger.log(answered ? 'A peer answers.' : 'A peer is silent.', {id});
-    };
-    const beat = this.sendHeartbeat(address).pipe(
-      Effect.map(() => logChange(true)),
-      Effect.catch(() => Effect.sync(() => logChange(false))),
+  private removeForgotten(nowMs: number): void {
+    const forgotten = this.table.removeForgotten(nowMs);
+    for (const member of forgotten) this.contacts.add(member);
+    this.exchange.removeForgotten(forgotten);
+  }
+
+  private tryContacts(
+    tries: FiberMap.FiberMap<string, void>,
+  ): Effect.Effect<void> {
+    return Effect.forEach(
+      this.chooseContacts(),
+      address =>
+        FiberMap.run(tries, formatAddress(address), this.tryContact(address), {
+          onlyIfMissing: true,
+        }),
+      {discard: true},
     );
-    return Effect.forever(Effect.andThen(beat, Effect.sleep(this.heartbeatMs)));
   }
 
-  private sendHeartbeat(address: Address) {
-    return Effect.gen({self: this}, function* () {
-      this.sequence += 1;
-      const heartbeat = {members: [this.getSelf()]};
-      const answer = yield* this.peers.send(
-        address,
-        PeerMethod.HEARTBEAT,
-        heartbeat,
-        HeartbeatSchema,
-      );
-      const nowMs = yield* Clock.currentTimeMillis;
-      for (const member of answer.members) this.table.observe(member, nowMs);
-    });
+  private tryContact(address: Address): Effect.Effect<void> {
+    return this.exchange.send(address, this.findIdAt(address)).pipe(
+      Effect.map(id => logger.log('A peer answers.', {id})),
+      Effect.ignore,
+    );
+  }
+
+  private chooseContacts(): Address[] {
+    const suspects = this.table
+      .listKnown()
+      .filter(({state}) => state === MemberState.SUSPECT);
+    return this.contacts.choose(this.table.listHeard(), suspects);
+  }
+
+  private findIdAt(address: Address): string | undefined {
+    const text = formatAddress(address);
+    return this.table
+      .listKnown()
+      .find(member => formatAddress(member.controlAddress) === text)?.id;
   }
 }
--- a/packages/daemon/src/wiring/daemon_parts.ts
+++ b/packages/daemon/src/wiring/daemon_parts.ts
@@ -9,9 +9,11 @@
   type Tuning,
 } from '@greengagecross/common';
 import {
+  computePollMs,
   EngineLedger,
   HomePlacement,
   MemberTable,
+  RingNeighbours,
 } from '@greengagecross/decisions';
 import {HttpClient} from '@greengagecross/http';
 import {PeerClient} from '@greengagecross/peers';
@@ -32,7 +34,6 @@
 import {PlacementService} from '../placement/placement_service.js';
 import {SlotBroker} from '../placement/slot_broker.js';
 
-const SUSPECT_HEARTBEATS = 4;
 const FORGET_AFTER_MS = 60_000;
 const MS_PER_SECOND = 1000;
 /** Claim transactions a second of all daemons together. */
@@ -77,9 +78,8 @@
       new ConfigurationStore(this.table, new HttpObjectStore(platform)),
       this.tuning.configurationPollMs,
     );
-    this.hosts = new HostFollower(
-      new HttpHostDirectory(platform),
-      this.tuning.hostListPollMs,
+    this.hosts = new HostFollower(new HttpHostDirectory(platform), () =>
+      computePollMs(this.tuning.hostListPollMs, this.members.countRemembered()),
     );
     const peers = new PeerClient(
       this.controlClient,
@@ -132,7 +132,6 @@
   private makeMembers(peers: PeerClient): MemberService {
     const {heartbeatMs} = this.tuning;
     const table = new MemberTable(this.settings.id, {
-      suspectAfterMs: heartbeatMs * SUSPECT_HEARTBEATS,
       forgetAfterMs: FORGET_AFTER_MS,
     });
     return new MemberService(
@@ -146,6 +145,7 @@
         configurationRevision: this.configuration.getView()?.revision ?? 0,
         engines: this.ledger.listCounts(),
       }),
+      new RingNeighbours(),
     );
   }
 }
--- a/packages/daemon/src/wiring/make_control_router.ts
+++ b/packages/daemon/src/wiring/make_control_router.ts
@@ -4,6 +4,7 @@
   HeartbeatSchema,
   PeerMethod,
   PeerServer,
+  ProbeSchema,
   ReleaseSlotSchema,
 } from '@greengagecross/peers';
 import {ControlRouter, type DaemonOrders} from '../control/control_router.js';
@@ -34,6 +35,9 @@
   peers.addMethod(PeerMethod.HEARTBEAT, HeartbeatSchema, heartbeat =>
     members.answerHeartbeat(heartbeat),
   );
+  peers.addMethod(PeerMethod.PROBE, ProbeSchema, probe =>
+    members.answerProbe(probe),
+  );
   peers.addMethod(PeerMethod.ACQUIRE_SLOT, AcquireSlotSchema, request =>
     Effect.map(broker.answerAcquire(request), granted => ({granted})),
   );
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -1,5 +1,10 @@
 /** Decisions free of I/O: members, placement, limits and retries. */
 export * from './members/member_table.js';
+export * from './members/member_order.js';
+export * from './members/neighbour_policy.js';
+export * from './members/ring_neighbours.js';
+export * from './members/link_knowledge.js';
+export * from './members/poll_interval.js';
 export * from './placement/engine_ledger.js';
 export * from './placement/load_bound.js';
 export * from './placement/placement_policy.js';
--- a/packages/decisions/src/members/member_table.ts
+++ b/packages/decisions/src/members/member_table.ts
@@ -1,69 +1,146 @@
-import {MemberState, type Member} from '@greengagecross/common';
+import {
+  hash32,
+  MemberState,
+  type Member,
+  type MemberStatus,
+} from '@greengagecross/common';
+import {
+  isNewerState,
+  isNewerStatus,
+  makeStateKey,
+  toStatus,
+} from './member_order.js';
 
 /** What a daemon knows of one member. */
 interface MemberEntry {
   member: Member;
-  /** When news of it last arrived, in milliseconds of the local clock. */
+  /** When it was last heard directly, in milliseconds of the local clock. */
   heardAtMs: number;
+  /** When its state last changed here, in milliseconds of the local clock. */
+  changedAtMs: number;
 }
 
 /** Periods of the table, in milliseconds. */
 export interface MemberTableOptions {
-  /** Silence after which a member gets no new callers. */
-  readonly suspectAfterMs: number;
-  /** Silence after which a member is forgotten. */
+  /** Time after which a member that nobody reaches is forgotten. */
   readonly forgetAfterMs: number;
 }
 
 /** The daemons that one daemon knows of, and which of them it takes for live. */
 export class MemberTable {
   private readonly entries = new Map<string, MemberEntry>();
+  private version = 0;
+  private hashedVersion = -1;
+  private hash = 0;
 
   constructor(
     private readonly selfId: string,
     private readonly options: MemberTableOptions,
   ) {}
 
-  /** Merges news of a member; older news is dropped. */
-  observe(member: Member, nowMs: number): void {
-    if (member.id === this.selfId) return;
-    const known = this.entries.get(member.id);
-    if (known !== undefined && !isNewer(member, known.member)) return;
-    this.entries.set(member.id, {member, heardAtMs: nowMs});
+  /** Gets a number that rises with each change of any member's state. */
+  getVersion(): number {
+    return this.version;
   }
 
-  /** Lists members that answer and stay; suspects and leaving ones are out. */
-  listLive(nowMs: number): Member[] {
-    return this.listHeard(nowMs).filter(
-      member => member.state === MemberState.LIVE,
-    );
+  /** Merges news of a member; tells whether its state changed. */
+  observe(news: Member, nowMs: number): boolean {
+    if (news.id === this.selfId) return false;
+    const known = this.entries.get(news.id);
+    if (known === undefined) {
+      // Forgotten here; those that remember it will forget it too.
+      if (news.state === MemberState.SUSPECT) return false;
+      this.addEntry(news, nowMs);
+      return true;
+    }
+    this.observeStatus(news);
+    if (!isNewerState(news, known.member)) return false;
+    const isSameRun = news.incarnation === known.member.incarnation;
+    const status = isSameRun ? toStatus(known.member) : {};
+    known.member = {...news, ...status};
+    known.changedAtMs = nowMs;
+    this.version += 1;
+    return true;
+  }
+
+  /** Merges news of a member's status; an unknown member's is dropped. */
+  observeStatus(news: MemberStatus): void {
+    const known = this.entries.get(news.id);
+    if (known === undefined || !isNewerStatus(news, known.member)) return;
+    known.member = {...known.member, ...toStatus(news)};
+  }
+
+  /** Records that a member was heard directly. */
+  recordHeard(id: string, nowMs: number): void {
+    const known = this.entries.get(id);
+    if (known !== undefined) known.heardAtMs = nowMs;
   }
 
-  /** Lists members that answer, leaving ones included. */
-  listHeard(nowMs: number): Member[] {
-    const {suspectAfterMs} = this.options;
-    return [...this.entries.values()]
-      .filter(entry => nowMs - entry.heardAtMs < suspectAfterMs)
-      .map(entry => entry.member);
+  /** Suspects a member that none of those asked could reach. */
+  setSuspect(id: string, nowMs: number): void {
+    const known = this.entries.get(id);
+    if (known === undefined) return;
+    this.observe({...known.member, state: MemberState.SUSPECT}, nowMs);
   }
 
-  /** Lists every member still remembered. */
+  /** Finds a member that is still remembered. */
+  find(id: string): Member | undefined {
+    return this.entries.get(id)?.member;
+  }
+
+  /** Computes how long a member has not been heard directly. */
+  computeSilenceMs(id: string, nowMs: number): number {
+    return nowMs - (this.entries.get(id)?.heardAtMs ?? nowMs);
+  }
+
+  /** Lists members that stay and take callers; suspects are out. */
+  listLive(): Member[] {
+    return this.listKnown().filter(({state}) => state === MemberState.LIVE);
+  }
+
+  /** Lists members that are there, joining and leaving ones included. */
+  listHeard(): Member[] {
+    return this.listKnown().filter(({state}) => state !== MemberState.SUSPECT);
+  }
+
+  /** Lists every member still remembered, suspects included. */
   listKnown(): Member[] {
     return [...this.entries.values()].map(entry => entry.member);
   }
 
-  /** Removes members that have been silent for long. */
-  removeForgotten(nowMs: number): void {
-    for (const [id, entry] of this.entries) {
-      if (nowMs - entry.heardAtMs < this.options.forgetAfterMs) continue;
+  /** Removes and lists members that nobody has reached for long. */
+  removeForgotten(nowMs: number): Member[] {
+    const forgotten: Member[] = [];
+    for (const [id, {member, changedAtMs}] of this.entries) {
+      if (member.state !== MemberState.SUSPECT) continue;
+      if (nowMs - changedAtMs < this.options.forgetAfterMs) continue;
       this.entries.delete(id);
+      this.version += 1;
+      forgotten.push(member);
     }
+    return forgotten;
   }
-}
 
-function isNewer(news: Member, known: Member): boolean {
-  if (news.incarnation !== known.incarnation) {
-    return news.incarnation > known.incarnation;
+  /**
+   * Computes a number that is equal on daemons that know the same states;
+   * each adds itself.
+   */
+  computeHash(self: Member): number {
+    if (this.hashedVersion !== this.version) {
+      this.hash = 0;
+      for (const member of this.listHeard()) this.hash ^= hashState(member);
+      this.hashedVersion = this.version;
+    }
+    return (this.hash ^ hashState(self)) >>> 0;
   }
-  return news.sequence > known.sequence;
+
+  private addEntry(member: Member, nowMs: number): void {
+    const entry = {member, heardAtMs: nowMs, changedAtMs: nowMs};
+    this.entries.set(member.id, entry);
+    this.version += 1;
+  }
+}
+
+function hashState(member: Member): number {
+  return hash32(makeStateKey(member));
 }
--- a/packages/peers/src/index.ts
+++ b/packages/peers/src/index.ts
@@ -2,5 +2,6 @@
 export * from './peer_method.js';
 export * from './peer_error.js';
 export * from './peer_messages.js';
+export * from './peer_caller.js';
 export * from './peer_client.js';
 export * from './peer_server.js';
--- a/packages/peers/src/peer_client.ts
+++ b/packages/peers/src/peer_client.ts
@@ -7,6 +7,7 @@
   type Address,
 } from '@greengagecross/common';
 import type {HttpClient, HttpReply} from '@greengagecross/http';
+import {PeerCaller} from './peer_caller.js';
 import {PeerError} from './peer_error.js';
 import type {PeerMethod} from './peer_method.js';
 
@@ -16,16 +17,17 @@
 const MAX_PEER_BYTES = 4 * 1024 * 1024;
 
 /** Calls methods of other daemons over kept connections. */
-export class PeerClient {
+export class PeerClient extends PeerCaller {
   /** @param key the first of the fleet's peer keys. */
   constructor(
     private readonly client: HttpClient,
     private readonly key: string,
     private readonly timeoutMs: number,
-  ) {}
+  ) {
+    super();
+  }
 
-  /** Calls a method and decodes its result. */
-  send<S extends Schema.ConstraintDecoder<unknown>>(
+  override send<S extends Schema.ConstraintDecoder<unknown>>(
     address: Address,
     method: PeerMethod,
     params: object,
@@ -73,10 +75,7 @@
       address,
       method: 'POST',
       path: PEER_PATH,
-      headers: {
-        'content-type': 'application/json',
-        authorization: `Bearer ${this.key}`,
-      },
+      headers: {authorization: `Bearer ${this.key}`},
       body,
       connectTimeoutMs: this.timeoutMs,
       silenceMs: this.timeoutMs,
--- a/packages/peers/src/peer_messages.ts
+++ b/packages/peers/src/peer_messages.ts
@@ -1,14 +1,54 @@
 import {Schema} from 'effect';
-import {MemberSchema} from '@greengagecross/common';
+import {
+  AddressSchema,
+  MemberSchema,
+  MemberStatusSchema,
+} from '@greengagecross/common';
+
+/** Backend servers that the platform's host list showed as leaving. */
+export const HostNewsSchema = Schema.Struct({
+  /** Version of the list; the highest holds. */
+  version: Schema.Int,
+  leaving: Schema.Array(Schema.NonEmptyString),
+});
+
+/** Decoded form of {@link HostNewsSchema}. */
+export type HostNews = typeof HostNewsSchema.Type;
 
 /** Parameters and result of {@link PeerMethod.HEARTBEAT}. */
 export const HeartbeatSchema = Schema.Struct({
+  /** Sender; its own member or status comes first in its list. */
+  from: Schema.NonEmptyString,
+  incarnation: Schema.Int,
+  /** Members whose state the receiver may not know. */
   members: Schema.Array(MemberSchema),
+  /** Statuses of members that the receiver knows. */
+  statuses: Schema.Array(MemberStatusSchema),
+  /** Equal on daemons that know the same states of members. */
+  tableHash: Schema.Int,
+  /** Highest revision of the configuration that any member told. */
+  highestRevision: Schema.Int,
+  hosts: Schema.optionalKey(HostNewsSchema),
 });
 
 /** Decoded form of {@link HeartbeatSchema}. */
 export type Heartbeat = typeof HeartbeatSchema.Type;
 
+/** Parameters of {@link PeerMethod.PROBE}: a daemon to try on one's behalf. */
+export const ProbeSchema = Schema.Struct({
+  id: Schema.NonEmptyString,
+  controlAddress: AddressSchema,
+});
+
+/** Decoded form of {@link ProbeSchema}. */
+export type Probe = typeof ProbeSchema.Type;
+
+/** Result of {@link PeerMethod.PROBE}. */
+export const ProbeAnswerSchema = Schema.Struct({reached: Schema.Boolean});
+
+/** Decoded form of {@link ProbeAnswerSchema}. */
+export type ProbeAnswer = typeof ProbeAnswerSchema.Type;
+
 /** Parameters of {@link PeerMethod.ACQUIRE_SLOT}. */
 export const AcquireSlotSchema = Schema.Struct({
   engine: Schema.NonEmptyString,
--- a/packages/peers/src/peer_method.ts
+++ b/packages/peers/src/peer_method.ts
@@ -1,6 +1,7 @@
 /** Methods that daemons call on each other over JSON-RPC. */
 export enum PeerMethod {
   HEARTBEAT = 'member.heartbeat',
+  PROBE = 'member.probe',
   ACQUIRE_SLOT = 'slot.acquire',
   RELEASE_SLOT = 'slot.release',
 }
--- a/packages/peers/src/peer_server.ts
+++ b/packages/peers/src/peer_server.ts
@@ -41,7 +41,7 @@
     }
     return exchange.readBody(MAX_PEER_BYTES).pipe(
       Effect.flatMap(body => this.receive(body.toString())),
-      Effect.map(answer => exchange.sendJson(200, answer)),
+      Effect.map(answer => sendAnswer(exchange, answer)),
       Effect.catch(error =>
         Effect.sync(() => exchange.sendJson(400, {error: error.message})),
       ),
@@ -55,3 +55,13 @@
     });
   }
 }
+
+/** Sends an answer with no more headers than the peer needs. */
+function sendAnswer(exchange: HttpExchange, answer: unknown): void {
+  const {response} = exchange;
+  response.sendDate = false;
+  if (!response.hasHeader('connection')) {
+    response.setHeader('connection', 'keep-alive');
+  }
+  exchange.send(200, {}, JSON.stringify(answer));
+}
