Store configurations in parts and merge racing operators' answers

Cause: a configuration was one object, so each change cost every daemon the whole of it, and accept took its base from the store at the moment of accepting, so an operator with older answers silently undid others' changes.

Configurations and answers are now trees of parts named by their digests; a daemon shares what is unchanged, checks every part and refuses a wrong one.

races.feature, 13 scenarios. With the condition on the current row taken out 9 of 13 fail (a change told accepted is missing at the end); with it 13 pass. Taking out the operation row's condition alone fails none of them: the condition on the current row and the check before each offer cover it.

--- /dev/null
+++ b/packages/client/src/accept/change_merger.ts
@@ -0,0 +1,90 @@
+import {Effect} from 'effect';
+import {ValidationError} from '@greengagecross/common';
+import type {
+  ConfigurationRevision,
+  ConfigurationStore,
+  ReadError,
+} from '@greengagecross/platform';
+import {
+  listChanges,
+  mergeAnswers,
+  sortAnswers,
+  type AnswerChange,
+  type Answers,
+} from '@greengagecross/questionnaire';
+import type {ReportedConflict} from './accept_report.js';
+import {AnswerArchive} from './answer_archive.js';
+
+/** A change as it stands against the answers in force. */
+export interface MergedChange {
+  readonly current: ConfigurationRevision | undefined;
+  readonly currentAnswers: Answers | undefined;
+  /** The answers to accept; undefined when there are conflicts. */
+  readonly answers: Answers | undefined;
+  readonly changes: readonly AnswerChange[];
+  readonly isMerged: boolean;
+  readonly conflicts: readonly ReportedConflict[];
+}
+
+/** Brings changes onto the answers that are in force. */
+export class ChangeMerger {
+  readonly archive: AnswerArchive;
+
+  constructor(private readonly store: ConfigurationStore) {
+    this.archive = new AnswerArchive(store);
+  }
+
+  /** Merges what was accepted since the base into a change. */
+  merge(
+    answers: Answers,
+    baseRevision: number,
+  ): Effect.Effect<MergedChange, ReadError | ValidationError> {
+    return Effect.gen({self: this}, function* () {
+      const current = yield* this.store.readCurrent();
+      const currentAnswers =
+        current === undefined ? undefined : yield* this.archive.readOf(current);
+      if ((current?.revision ?? 0) === baseRevision) {
+        return makeChange(current, currentAnswers, sortAnswers(answers), false);
+      }
+      const base = yield* this.archive.read(baseRevision);
+      const theirs = currentAnswers ?? answers;
+      const result = mergeAnswers(base, answers, theirs);
+      if (result.problems.length > 0) {
+        yield* Effect.fail(
+          new ValidationError('the merged answers', result.problems),
+        );
+      }
+      if (result.merged !== undefined) {
+        return makeChange(current, currentAnswers, result.merged, true);
+      }
+      const conflicts = yield* this.archive.reportConflicts(
+        result.conflicts,
+        baseRevision,
+      );
+      return {
+        current,
+        currentAnswers,
+        answers: undefined,
+        changes: [],
+        isMerged: false,
+        conflicts,
+      };
+    });
+  }
+}
+
+function makeChange(
+  current: ConfigurationRevision | undefined,
+  currentAnswers: Answers | undefined,
+  answers: Answers,
+  isMerged: boolean,
+): MergedChange {
+  return {
+    current,
+    currentAnswers,
+    answers,
+    changes: listChanges(currentAnswers, answers),
+    isMerged,
+    conflicts: [],
+  };
+}
--- a/packages/client/src/commands/accept.ts
+++ b/packages/client/src/commands/accept.ts
@@ -1,22 +1,50 @@
 import {defineCommand} from 'citty';
-import {Clock, Effect} from 'effect';
-import {decodeJson, makeRequestId} from '@greengagecross/common';
-import {AcceptOutcome} from '@greengagecross/platform';
+import {Effect} from 'effect';
+import {makeRequestId} from '@greengagecross/common';
+import {PlatformError} from '@greengagecross/platform';
 import {
-  AnswersSchema,
-  encodeConfiguration,
-  makeConfiguration,
-} from '@greengagecross/questionnaire';
+  ChangeOutcome,
+  type AcceptReport,
+  type ChangeRequest,
+} from '../accept/accept_report.js';
+import {Acceptor} from '../accept/acceptor.js';
+import {formatConflicts} from '../accept/format_conflicts.js';
+import {readAnswersInput} from '../accept/read_answers_input.js';
+import {askInTerminal} from '../accept/ask_in_terminal.js';
 import type {ClientContext} from '../client_context.js';
-import {readInputFile} from '../client_settings.js';
+import {ClientError} from '../client_error.js';
 import {ExitCode} from '../exit_code.js';
+import {RevisionWatcher} from '../fleet/revision_watcher.js';
 import {COMMON_ARGS, runCommand, type CommandOutput} from '../run_command.js';
 
+/** Arguments of each command that accepts a revision. */
+export const ACCEPT_ARGS = {
+  ...COMMON_ARGS,
+  reason: {
+    type: 'string',
+    description: 'Why, for the history.',
+    default: '',
+  },
+  operation: {
+    type: 'string',
+    description: 'Id of the operation, to send it again.',
+  },
+  wait: {
+    type: 'boolean',
+    description: 'Wait until every live daemon has the revision.',
+    default: false,
+  },
+} as const;
+
 /** `greengagecross accept`: puts the configuration of the answers in force. */
 export const acceptCommand = defineCommand({
-  meta: {name: 'accept', description: 'Accept the answers as a revision.'},
+  meta: {
+    name: 'accept',
+    description:
+      'Accept the answers as a revision. Exit codes: 0 accepted, 2 wrong answers, 3 conflict, 4 some daemon has it not yet.',
+  },
   args: {
-    ...COMMON_ARGS,
+    ...ACCEPT_ARGS,
     answers: {
       type: 'string',
       description: 'JSON file with the answers.',
@@ -24,66 +52,99 @@
     },
     base: {
       type: 'string',
-      description: 'Revision that the answers were based on.',
-    },
-    reason: {
-      type: 'string',
-      description: 'Why, for the history.',
-      default: '',
-    },
-    operation: {
-      type: 'string',
-      description: 'Id of the operation, to send it again.',
+      description: 'Revision that the answers were made from.',
     },
   },
   run: ({args}) =>
     runCommand(args, context =>
-      acceptAnswers(context, {
-        answersText: readInputFile(args.answers),
-        base: args.base === undefined ? undefined : Number(args.base),
-        operationId: args.operation ?? makeRequestId(),
-        reason: args.reason,
+      Effect.gen(function* () {
+        const input = yield* readAnswersInput(context, args.answers, args.base);
+        const request = {
+          ...input,
+          operationId: args.operation ?? makeRequestId(),
+          operator: context.operator,
+          reason: args.reason,
+        };
+        return yield* acceptChange(context, request, args);
       }),
     ),
 });
 
-interface AcceptRequest {
-  readonly answersText: string;
-  readonly base: number | undefined;
-  readonly operationId: string;
-  readonly reason: string;
-}
-
-function acceptAnswers(
+/** Accepts a change, then waits for the daemons if asked to. */
+export function acceptChange(
   context: ClientContext,
-  request: AcceptRequest,
+  request: ChangeRequest,
+  args: {readonly wait: boolean; readonly json: boolean},
 ): Effect.Effect<CommandOutput, Error> {
   return Effect.gen(function* () {
-    const answers = yield* Effect.try({
-      try: () => decodeJson(AnswersSchema, request.answersText, 'answers'),
-      catch: thrown => thrown as Error,
-    });
-    const current = yield* context.store.readCurrent();
-    const result = yield* context.store.accept({
-      baseRevision: request.base ?? current?.revision ?? 0,
-      configurationBytes: encodeConfiguration(makeConfiguration(answers)),
-      answersBytes: JSON.stringify(answers),
-      operationId: request.operationId,
-      acceptedBy: context.operator,
-      acceptedAtMs: yield* Clock.currentTimeMillis,
-      reason: request.reason,
-    });
-    const {outcome, current: standing} = result;
-    const revision = standing?.revision ?? 0;
-    const value = {outcome, revision, operationId: request.operationId};
-    if (outcome === AcceptOutcome.ACCEPTED) {
-      return {value, lines: [`Revision ${revision} is accepted.`]};
+    const report = yield* tryAccept(context, request);
+    if (report.outcome === ChangeOutcome.CONFLICT) {
+      if (args.json || !process.stdin.isTTY) return formatReport(report);
+      process.stdout.write(`${formatConflicts(report.conflicts).join('\n')}\n`);
+      const answers = yield* askInTerminal(context, request, report);
+      const again = {
+        ...request,
+        answers,
+        baseRevision: report.revision,
+        operationId: makeRequestId(),
+      };
+      return yield* acceptChange(context, again, args);
     }
-    const who = standing?.acceptedBy ?? 'somebody';
+    const output = formatReport(report);
+    if (!args.wait) return output;
+    const watcher = new RevisionWatcher(context.hosts, context.daemons);
+    const wait = yield* watcher.wait(report.revision);
     return {
-      value,
-      lines: [`Not accepted: ${who} has put revision ${revision} in between.`],
-      exitCode: ExitCode.CONFLICT,
+      value: {...report, daemons: wait.daemons},
+      lines: [...output.lines, ...wait.lines],
+      exitCode: wait.isEverywhere ? ExitCode.OK : ExitCode.INCOMPLETE,
     };
   });
 }
+
+function tryAccept(
+  context: ClientContext,
+  request: ChangeRequest,
+): Effect.Effect<AcceptReport, Error> {
+  return new Acceptor(context.store)
+    .accept(request)
+    .pipe(
+      Effect.mapError(error =>
+        error instanceof PlatformError
+          ? new ClientError(
+              ExitCode.FAILED,
+              `it is not known whether the change was accepted: ${error.message}`,
+              `Run the same command with --operation ${request.operationId}; it is accepted at most once.`,
+              error,
+            )
+          : error,
+      ),
+    );
+}
+
+function formatReport(report: AcceptReport): CommandOutput {
+  const {outcome, revision, changes, isMerged} = report;
+  switch (outcome) {
+    case ChangeOutcome.ACCEPTED: {
+      const merged = isMerged
+        ? [`Others' changes since the base are kept.`]
+        : [];
+      const first = `Revision ${revision} is accepted, with ${changes.length} changed answer(s).`;
+      return {value: report, lines: [first, ...merged]};
+    }
+    case ChangeOutcome.UNCHANGED:
+      return {
+        value: report,
+        lines: [`Nothing to accept: revision ${revision} has these answers.`],
+      };
+    case ChangeOutcome.CONFLICT:
+      return {
+        value: report,
+        lines: [
+          ...formatConflicts(report.conflicts),
+          `Not accepted. Answer these again from revision ${revision}; see docs/operations/operators_conflict.md.`,
+        ],
+        exitCode: ExitCode.CONFLICT,
+      };
+  }
+}
--- /dev/null
+++ b/packages/client/src/commands/rollback.ts
@@ -0,0 +1,54 @@
+import {defineCommand} from 'citty';
+import {Effect} from 'effect';
+import {makeRequestId} from '@greengagecross/common';
+import {AnswerArchive} from '../accept/answer_archive.js';
+import {ClientError} from '../client_error.js';
+import {ExitCode} from '../exit_code.js';
+import {runCommand} from '../run_command.js';
+import {ACCEPT_ARGS, acceptChange} from './accept.js';
+
+/** `greengagecross rollback`: accepts the answers of an earlier revision. */
+export const rollbackCommand = defineCommand({
+  meta: {
+    name: 'rollback',
+    description:
+      'Accept the answers of an earlier revision as a new one. Exit codes as of accept.',
+  },
+  args: {
+    ...ACCEPT_ARGS,
+    to: {
+      type: 'string',
+      description: 'Revision whose answers to take.',
+      required: true,
+    },
+  },
+  run: ({args}) =>
+    runCommand(args, context =>
+      Effect.gen(function* () {
+        const to = Number(args.to);
+        const current = yield* context.store.readCurrent();
+        const baseRevision = current?.revision ?? 0;
+        const archive = new AnswerArchive(context.store);
+        const isKnown =
+          Number.isSafeInteger(to) && to > 0 && to <= baseRevision;
+        const answers = isKnown ? yield* archive.read(to) : undefined;
+        if (answers === undefined) {
+          return yield* Effect.fail(
+            new ClientError(
+              ExitCode.BAD_INPUT,
+              `there is no revision ${args.to}`,
+              'Choose one that greengagecross history lists.',
+            ),
+          );
+        }
+        const request = {
+          answers,
+          baseRevision,
+          operationId: args.operation ?? makeRequestId(),
+          operator: context.operator,
+          reason: args.reason || `back to revision ${to}`,
+        };
+        return yield* acceptChange(context, request, args);
+      }),
+    ),
+});
--- a/packages/client/src/index.ts
+++ b/packages/client/src/index.ts
@@ -1,3 +1,7 @@
 /** Parts of the operators' client that tests drive directly. */
 export * from './exit_code.js';
 export * from './client_settings.js';
+export * from './accept/accept_report.js';
+export * from './accept/acceptor.js';
+export * from './accept/answer_archive.js';
+export * from './accept/change_merger.js';
--- /dev/null
+++ b/packages/client/src/terminal_prompter.ts
@@ -0,0 +1,57 @@
+import {createInterface, type Interface} from 'node:readline/promises';
+import {Prompter} from '@greengagecross/questionnaire';
+
+/** Asks on the terminal. */
+export class TerminalPrompter extends Prompter {
+  private readonly lines: Interface = createInterface({
+    input: process.stdin,
+    output: process.stderr,
+  });
+  private readonly buffered: string[] = [];
+  private readonly waiting: {
+    readonly resolve: (line: string) => void;
+    readonly reject: (error: Error) => void;
+  }[] = [];
+  private isClosed = false;
+
+  constructor() {
+    super();
+    // Lines may arrive faster than they are asked for when input is a pipe.
+    this.lines.on('line', line => this.receive(line));
+    this.lines.on('close', () => this.finish());
+  }
+
+  override print(lines: readonly string[]): void {
+    process.stderr.write(`${lines.join('\n')}\n`);
+  }
+
+  override ask(prompt: string): Promise<string> {
+    process.stderr.write(prompt);
+    const line = this.buffered.shift();
+    if (line !== undefined) return Promise.resolve(line);
+    if (this.isClosed) return Promise.reject(makeEndError());
+    return new Promise((resolve, reject) =>
+      this.waiting.push({resolve, reject}),
+    );
+  }
+
+  /** Closes the terminal's input. */
+  close(): void {
+    this.lines.close();
+  }
+
+  private receive(line: string): void {
+    const next = this.waiting.shift();
+    if (next === undefined) this.buffered.push(line);
+    else next.resolve(line);
+  }
+
+  private finish(): void {
+    this.isClosed = true;
+    for (const {reject} of this.waiting) reject(makeEndError());
+  }
+}
+
+function makeEndError(): Error {
+  return new Error('the input ended before every question was answered');
+}
--- a/packages/daemon/src/configuration/configuration_follower.ts
+++ b/packages/daemon/src/configuration/configuration_follower.ts
@@ -46,7 +46,10 @@
       this.isStoreReachable = true;
       if (record === undefined) return;
       if (record.revision <= (this.view?.revision ?? 0)) return;
-      const accepted = yield* this.store.readConfiguration(record);
+      const accepted = yield* this.store.readConfiguration(
+        record,
+        this.view?.accepted,
+      );
       this.view = new ConfigurationView(accepted);
       logger.log('A configuration is in force.', {revision: record.revision});
     });
--- a/packages/daemon/src/configuration/configuration_view.ts
+++ b/packages/daemon/src/configuration/configuration_view.ts
@@ -1,38 +1,38 @@
 import type {Customer, Service} from '@greengagecross/common';
-import type {AcceptedConfiguration} from '@greengagecross/platform';
+import type {AcceptedConfiguration, PartBodies} from '@greengagecross/platform';
 
-/** One revision, indexed for the requests that read it. */
+/** One revision, as the requests read it. */
 export class ConfigurationView {
   readonly revision: number;
   readonly digest: string;
-  private readonly services: ReadonlyMap<string, Service>;
-  private readonly customers: ReadonlyMap<string, Customer>;
 
-  constructor(accepted: AcceptedConfiguration) {
-    const {record, configuration} = accepted;
-    this.revision = record.revision;
-    this.digest = record.digest;
-    this.services = new Map(configuration.services.map(s => [s.name, s]));
-    this.customers = new Map(configuration.customers.map(c => [c.id, c]));
+  constructor(readonly accepted: AcceptedConfiguration) {
+    this.revision = accepted.record.revision;
+    this.digest = accepted.record.digest;
   }
 
   /** Finds a service by the name that callers use. */
   findService(name: string): Service | undefined {
-    return this.services.get(name);
+    return this.accepted.index.findService(name);
   }
 
   /** Finds a customer by id. */
   findCustomer(id: string): Customer | undefined {
-    return this.customers.get(id);
+    return this.accepted.index.findCustomer(id);
   }
 
   /** Lists every service. */
   listServices(): Service[] {
-    return [...this.services.values()];
+    return this.accepted.index.services.map(part => part.service);
   }
 
   /** Counts the customers. */
   countCustomers(): number {
-    return this.customers.size;
+    return this.accepted.index.customers.count();
+  }
+
+  /** Lists the bodies of its parts, to be given to peers. */
+  listBodies(): PartBodies {
+    return this.accepted.index.listBodies();
   }
 }
--- /dev/null
+++ b/packages/platform/src/configuration/configuration_index.ts
@@ -0,0 +1,44 @@
+import type {Customer, Service} from '@greengagecross/common';
+import type {Part} from './part.js';
+import type {PartBodies} from './part_source.js';
+import {TreeNode} from './tree_node.js';
+
+/** A service with the part that it was read from. */
+export interface ServicePart extends Part {
+  readonly service: Service;
+}
+
+/** A configuration that was read from its parts. */
+export class ConfigurationIndex {
+  private readonly byName: ReadonlyMap<string, Service>;
+
+  constructor(
+    readonly root: Part,
+    readonly services: readonly ServicePart[],
+    readonly customers: TreeNode<Customer>,
+  ) {
+    this.byName = new Map(services.map(({service}) => [service.name, service]));
+  }
+
+  /** Finds a service by the name that callers use. */
+  findService(name: string): Service | undefined {
+    return this.byName.get(name);
+  }
+
+  /** Finds a customer by id. */
+  findCustomer(id: string): Customer | undefined {
+    return this.customers.find(id, customer => customer.id);
+  }
+
+  /** Lists the bodies of every part, to be given to peers. */
+  listBodies(): PartBodies {
+    const bodies = new Map<string, string>();
+    for (const part of [this.root, ...this.services]) {
+      bodies.set(part.digest, part.body);
+    }
+    const nodes = new Map<string, TreeNode<Customer>>();
+    this.customers.addTo(nodes);
+    for (const [digest, node] of nodes) bodies.set(digest, node.body);
+    return bodies;
+  }
+}
--- a/packages/platform/src/configuration/configuration_revision.ts
+++ b/packages/platform/src/configuration/configuration_revision.ts
@@ -4,10 +4,14 @@
 export const ConfigurationRevisionSchema = Schema.Struct({
   /** Rises by one with each acceptance, from 1. */
   revision: Schema.Int,
-  /** SHA-256 of the configuration's bytes, in hexadecimal. */
+  /** SHA-256 of the configuration's root part, in hexadecimal. */
   digest: Schema.NonEmptyString,
-  /** SHA-256 of the answers that it was generated from. */
+  /** SHA-256 of the root part of the answers that it was generated from. */
   answersDigest: Schema.NonEmptyString,
+  /** Part that names the packs; empty while there are none. */
+  packIndex: Schema.String,
+  /** Parts written since the packs. */
+  partsSincePacks: Schema.Int,
   /** Id of the operation that accepted it; sent again after a lost reply. */
   operationId: Schema.NonEmptyString,
   acceptedBy: Schema.NonEmptyString,
@@ -17,3 +21,14 @@
 
 /** Decoded form of {@link ConfigurationRevisionSchema}. */
 export type ConfigurationRevision = typeof ConfigurationRevisionSchema.Type;
+
+/** A revision with the ids of the answers that it changed. */
+export const HistoryEntrySchema = Schema.Struct({
+  record: ConfigurationRevisionSchema,
+  /** Ids of changed answers, the first ones where there are many. */
+  changes: Schema.Array(Schema.NonEmptyString),
+  changeCount: Schema.Int,
+});
+
+/** Decoded form of {@link HistoryEntrySchema}. */
+export type HistoryEntry = typeof HistoryEntrySchema.Type;
--- a/packages/platform/src/configuration/configuration_store.ts
+++ b/packages/platform/src/configuration/configuration_store.ts
@@ -1,96 +1,100 @@
-import {Effect} from 'effect';
-import {
-  ConfigurationSchema,
-  decodeJson,
-  toError,
-  type Configuration,
-} from '@greengagecross/common';
+import {Effect, type Schema} from 'effect';
+import {decodeJson, toError} from '@greengagecross/common';
 import type {ObjectStore} from '../object_store.js';
 import type {PlatformError} from '../platform_error.js';
-import type {TableService} from '../table_service.js';
 import type {TableRow} from '../table_row.js';
-import {ABSENT_VERSION} from '../transaction.js';
-import type {AcceptedConfiguration} from './accepted_configuration.js';
+import type {TableService} from '../table_service.js';
+import {ABSENT_VERSION, type Transaction} from '../transaction.js';
 import {AcceptOutcome, type AcceptResult} from './accept_result.js';
+import type {AcceptedConfiguration} from './accepted_configuration.js';
 import {ConfigurationError} from './configuration_error.js';
+import type {ConfigurationOffer} from './configuration_offer.js';
+import {ConfigurationReader} from './configuration_reader.js';
 import {
   ConfigurationRevisionSchema,
+  HistoryEntrySchema,
   type ConfigurationRevision,
+  type HistoryEntry,
 } from './configuration_revision.js';
-import {computeDigest} from './digest.js';
+import {makePart, type Part} from './part.js';
+import {
+  makePacks,
+  PackedPartSource,
+  PackIndexSchema,
+  readPacks,
+  type PackIndex,
+} from './part_pack.js';
+import type {PartSource, ReadError} from './part_source.js';
+import {StorePartSource} from './store_part_source.js';
 
 const CURRENT_KEY = 'configuration/current';
 const REVISION_PREFIX = 'configuration/revision/';
 const REVISION_DIGITS = 12;
 const MAX_HISTORY = 100;
-
-/** A configuration offered for acceptance. */
-export interface ConfigurationOffer {
-  /** Revision that the change was based on; 0 for the first. */
-  readonly baseRevision: number;
-  readonly configurationBytes: string;
-  readonly answersBytes: string;
-  readonly operationId: string;
-  readonly acceptedBy: string;
-  readonly acceptedAtMs: number;
-  readonly reason: string;
-}
+const MAX_LISTED_CHANGES = 50;
+const MAX_PARTS_SINCE_PACKS = 256;
 
 /** Reads and accepts configurations in the platform's stores. */
 export class ConfigurationStore {
+  private readonly parts: StorePartSource;
+  private readonly reader = new ConfigurationReader();
+
   constructor(
     private readonly table: TableService,
-    private readonly objects: ObjectStore,
-  ) {}
+    objects: ObjectStore,
+  ) {
+    this.parts = new StorePartSource(objects);
+  }
 
   /** Reads the record of the revision that stands, if there is one. */
-  readCurrent(): Effect.Effect<
-    ConfigurationRevision | undefined,
-    PlatformError | ConfigurationError
-  > {
-    return this.readCurrentRow().pipe(
-      Effect.flatMap(row =>
-        row === undefined ? Effect.undefined : parseRecord(row),
-      ),
+  readCurrent(): Effect.Effect<ConfigurationRevision | undefined, ReadError> {
+    return Effect.flatMap(this.readRow(CURRENT_KEY), row =>
+      row === undefined ? Effect.undefined : parseRecord(row),
     );
   }
 
-  /** Reads the configuration of a record and checks its digest. */
+  /** Reads the configuration of a record, sharing an earlier one's parts. */
   readConfiguration(
     record: ConfigurationRevision,
-  ): Effect.Effect<AcceptedConfiguration, PlatformError | ConfigurationError> {
-    return Effect.flatMap(
-      this.objects.get(`configuration/${record.digest}`),
-      body => parseConfiguration(record, body),
-    );
+    earlier?: AcceptedConfiguration,
+  ): Effect.Effect<AcceptedConfiguration, ReadError> {
+    return Effect.gen({self: this}, function* () {
+      const source =
+        earlier === undefined
+          ? yield* this.makeSource(record, index => index.configuration)
+          : this.parts;
+      const {digest} = record;
+      const index = yield* this.reader.read(digest, source, earlier?.index);
+      return {record, index};
+    });
   }
 
-  /** Reads the answers that a revision was generated from. */
-  readAnswers(
+  /** Makes the source of a record's answers. */
+  makeAnswersSource(
     record: ConfigurationRevision,
-  ): Effect.Effect<string, PlatformError | ConfigurationError> {
-    return Effect.flatMap(
-      this.objects.get(`answers/${record.answersDigest}`),
-      body =>
-        body === undefined
-          ? Effect.fail(new ConfigurationError('the answers are missing'))
-          : Effect.succeed(body.toString()),
+  ): Effect.Effect<PartSource, ReadError> {
+    return this.makeSource(record, index => index.answers);
+  }
+
+  /** Reads one revision with what it changed. */
+  readRevision(
+    revision: number,
+  ): Effect.Effect<HistoryEntry | undefined, ReadError> {
+    return Effect.flatMap(this.readRow(makeRevisionKey(revision)), row =>
+      row === undefined ? Effect.undefined : parseEntry(row),
     );
   }
 
-  /** Lists the newest revisions, newest first. */
-  listHistory(): Effect.Effect<
-    readonly ConfigurationRevision[],
-    PlatformError | ConfigurationError
-  > {
+  /** Lists the newest revisions after one, newest first. */
+  listHistory(after = 0): Effect.Effect<readonly HistoryEntry[], ReadError> {
     return Effect.gen({self: this}, function* () {
       const current = yield* this.readCurrent();
       if (current === undefined) return [];
-      const first = Math.max(0, current.revision - MAX_HISTORY);
-      const after = makeRevisionKey(first);
-      const rows = yield* this.table.list(REVISION_PREFIX, after, MAX_HISTORY);
-      const records = yield* Effect.forEach(rows, parseRecord);
-      return records.reverse();
+      const first = Math.max(after, current.revision - MAX_HISTORY);
+      const start = makeRevisionKey(first);
+      const rows = yield* this.table.list(REVISION_PREFIX, start, MAX_HISTORY);
+      const entries = yield* Effect.forEach(rows, parseEntry);
+      return entries.reverse();
     });
   }
 
@@ -100,11 +104,9 @@
    * An offer whose operation already stands is ACCEPTED again, so it may be
    * sent once more after an UNCERTAIN failure.
    */
-  accept(
-    offer: ConfigurationOffer,
-  ): Effect.Effect<AcceptResult, PlatformError | ConfigurationError> {
+  accept(offer: ConfigurationOffer): Effect.Effect<AcceptResult, ReadError> {
     return Effect.gen({self: this}, function* () {
-      const row = yield* this.readCurrentRow();
+      const row = yield* this.readRow(CURRENT_KEY);
       const current = row === undefined ? undefined : yield* parseRecord(row);
       const earlier = yield* this.findOperation(offer.operationId);
       if (earlier !== undefined) {
@@ -113,75 +115,120 @@
       if ((current?.revision ?? 0) !== offer.baseRevision) {
         return {outcome: AcceptOutcome.CONFLICT, current};
       }
-      const record = makeRecord(offer);
-      yield* this.putBodies(offer, record);
-      const value = JSON.stringify(record);
-      const result = yield* this.table.transact({
-        conditions: [
-          {key: CURRENT_KEY, version: row?.version ?? ABSENT_VERSION},
-          {key: makeOperationKey(offer.operationId), version: ABSENT_VERSION},
-        ],
-        writes: [
-          {key: CURRENT_KEY, value},
-          {key: makeRevisionKey(record.revision), value},
-          {key: makeOperationKey(offer.operationId), value},
-        ],
-        deletes: [],
-      });
+      const record = yield* this.putParts(offer, current);
+      const version = row?.version ?? ABSENT_VERSION;
+      const result = yield* this.table.transact(
+        makeTransaction(offer, record, version),
+      );
       if (result.committed) {
         return {outcome: AcceptOutcome.ACCEPTED, current: record};
       }
-      return {
-        outcome: AcceptOutcome.CONFLICT,
-        current: yield* this.readCurrent(),
-      };
+      return yield* this.readWinner(offer);
     });
   }
 
-  private readCurrentRow(): Effect.Effect<TableRow | undefined, PlatformError> {
-    return Effect.map(this.table.read([CURRENT_KEY]), rows => rows[0]);
-  }
-
-  private findOperation(
+  /** Finds the revision that an operation accepted. */
+  findOperation(
     operationId: string,
-  ): Effect.Effect<
-    ConfigurationRevision | undefined,
-    PlatformError | ConfigurationError
-  > {
-    return Effect.flatMap(
-      this.table.read([makeOperationKey(operationId)]),
-      rows => (rows[0] === undefined ? Effect.undefined : parseRecord(rows[0])),
+  ): Effect.Effect<ConfigurationRevision | undefined, ReadError> {
+    return Effect.flatMap(this.readRow(makeOperationKey(operationId)), row =>
+      row === undefined ? Effect.undefined : parseRecord(row),
     );
   }
 
-  /** Bodies are named by their digest, so that writing them twice is safe. */
-  private putBodies(
+  /** A delayed transaction of the same operation may have got in between. */
+  private readWinner(
     offer: ConfigurationOffer,
+  ): Effect.Effect<AcceptResult, ReadError> {
+    return Effect.gen({self: this}, function* () {
+      const own = yield* this.findOperation(offer.operationId);
+      if (own !== undefined) {
+        return {outcome: AcceptOutcome.ACCEPTED, current: own};
+      }
+      const current = yield* this.readCurrent();
+      return {outcome: AcceptOutcome.CONFLICT, current};
+    });
+  }
+
+  private readRow(
+    key: string,
+  ): Effect.Effect<TableRow | undefined, PlatformError> {
+    return Effect.map(this.table.read([key]), rows => rows[0]);
+  }
+
+  /** Parts are named by their digests, so that writing them twice is safe. */
+  private putParts(
+    offer: ConfigurationOffer,
+    current: ConfigurationRevision | undefined,
+  ): Effect.Effect<ConfigurationRevision, PlatformError> {
+    const all = [...offer.configuration.parts, ...offer.answers.parts];
+    const fresh = all.filter(part => !offer.storedParts.has(part.digest));
+    const since = (current?.partsSincePacks ?? 0) + fresh.length;
+    const isPacked = since > MAX_PARTS_SINCE_PACKS;
+    const packs = isPacked ? makePackParts(offer) : [];
+    const record: ConfigurationRevision = {
+      revision: offer.baseRevision + 1,
+      digest: offer.configuration.digest,
+      answersDigest: offer.answers.digest,
+      packIndex: packs.at(-1)?.digest ?? current?.packIndex ?? '',
+      partsSincePacks: isPacked ? 0 : since,
+      operationId: offer.operationId,
+      acceptedBy: offer.acceptedBy,
+      acceptedAtMs: offer.acceptedAtMs,
+      reason: offer.reason,
+    };
+    return Effect.as(this.parts.put([...fresh, ...packs]), record);
+  }
+
+  private makeSource(
     record: ConfigurationRevision,
-  ): Effect.Effect<void, PlatformError> {
-    const {configurationBytes, answersBytes} = offer;
-    return Effect.andThen(
-      this.objects.put(
-        `configuration/${record.digest}`,
-        Buffer.from(configurationBytes),
-      ),
-      this.objects.put(
-        `answers/${record.answersDigest}`,
-        Buffer.from(answersBytes),
-      ),
-    );
+    choose: (index: PackIndex) => readonly string[],
+  ): Effect.Effect<PartSource, ReadError> {
+    if (record.packIndex === '') return Effect.succeed(this.parts);
+    return Effect.gen({self: this}, function* () {
+      const bodies = yield* this.parts.fetchChecked([record.packIndex]);
+      const body = bodies.get(record.packIndex) ?? '';
+      const index = yield* parseValue(PackIndexSchema, body, 'the pack index');
+      const packed = yield* readPacks(choose(index), this.parts);
+      return new PackedPartSource(packed, this.parts);
+    });
   }
 }
 
-function makeRecord(offer: ConfigurationOffer): ConfigurationRevision {
+/** Makes the packs of an offer; the last part names the others. */
+function makePackParts(offer: ConfigurationOffer): Part[] {
+  const configuration = makePacks(offer.configuration.parts);
+  const answers = makePacks(offer.answers.parts);
+  const index: PackIndex = {
+    configuration: configuration.map(part => part.digest),
+    answers: answers.map(part => part.digest),
+  };
+  return [...configuration, ...answers, makePart(index)];
+}
+
+function makeTransaction(
+  offer: ConfigurationOffer,
+  record: ConfigurationRevision,
+  currentVersion: number,
+): Transaction {
+  const value = JSON.stringify(record);
+  const entry: HistoryEntry = {
+    record,
+    changes: offer.changes.slice(0, MAX_LISTED_CHANGES),
+    changeCount: offer.changes.length,
+  };
+  const operationKey = makeOperationKey(offer.operationId);
   return {
-    revision: offer.baseRevision + 1,
-    digest: computeDigest(offer.configurationBytes),
-    answersDigest: computeDigest(offer.answersBytes),
-    operationId: offer.operationId,
-    acceptedBy: offer.acceptedBy,
-    acceptedAtMs: offer.acceptedAtMs,
-    reason: offer.reason,
+    conditions: [
+      {key: CURRENT_KEY, version: currentVersion},
+      {key: operationKey, version: ABSENT_VERSION},
+    ],
+    writes: [
+      {key: CURRENT_KEY, value},
+      {key: makeRevisionKey(record.revision), value: JSON.stringify(entry)},
+      {key: operationKey, value},
+    ],
+    deletes: [],
   };
 }
 
@@ -196,32 +243,23 @@
 function parseRecord(
   row: TableRow,
 ): Effect.Effect<ConfigurationRevision, ConfigurationError> {
-  return Effect.try({
-    try: () => decodeJson(ConfigurationRevisionSchema, row.value, row.key),
-    catch: thrown =>
-      new ConfigurationError(`row ${row.key} is unreadable`, toError(thrown)),
-  });
+  return parseValue(ConfigurationRevisionSchema, row.value, row.key);
 }
 
-function parseConfiguration(
-  record: ConfigurationRevision,
-  body: Buffer | undefined,
-): Effect.Effect<AcceptedConfiguration, ConfigurationError> {
-  const name = `revision ${record.revision}`;
+function parseEntry(
+  row: TableRow,
+): Effect.Effect<HistoryEntry, ConfigurationError> {
+  return parseValue(HistoryEntrySchema, row.value, row.key);
+}
+
+function parseValue<S extends Schema.ConstraintDecoder<unknown>>(
+  schema: S,
+  text: string,
+  name: string,
+): Effect.Effect<S['Type'], ConfigurationError> {
   return Effect.try({
-    try: () => {
-      if (body === undefined) throw new Error('its body is missing');
-      if (computeDigest(body) !== record.digest) {
-        throw new Error('its digest does not match its body');
-      }
-      const configuration: Configuration = decodeJson(
-        ConfigurationSchema,
-        body.toString(),
-        name,
-      );
-      return {record, configuration};
-    },
+    try: () => decodeJson(schema, text, name),
     catch: thrown =>
-      new ConfigurationError(`${name} is refused`, toError(thrown)),
+      new ConfigurationError(`${name} is unreadable`, toError(thrown)),
   });
 }
--- /dev/null
+++ b/packages/platform/src/configuration/part_pack.ts
@@ -0,0 +1,84 @@
+import {Effect, Schema} from 'effect';
+import {decodeJson, toError} from '@greengagecross/common';
+import {ConfigurationError} from './configuration_error.js';
+import {computeDigest} from './digest.js';
+import {makePart, type Part} from './part.js';
+import {PartSource, type PartBodies, type ReadError} from './part_source.js';
+
+const MAX_PACK_CHARACTERS = 1024 * 1024;
+
+/** Names the packs that hold a whole document's parts. */
+export const PackIndexSchema = Schema.Struct({
+  configuration: Schema.Array(Schema.NonEmptyString),
+  answers: Schema.Array(Schema.NonEmptyString),
+});
+
+/** Decoded form of {@link PackIndexSchema}. */
+export type PackIndex = typeof PackIndexSchema.Type;
+
+const PackSchema = Schema.Array(Schema.String);
+
+/** Makes packs: objects with many parts each, for those who have none yet. */
+export function makePacks(parts: readonly Part[]): Part[] {
+  const packs: Part[] = [];
+  let bodies: string[] = [];
+  let size = 0;
+  for (const {body} of parts) {
+    if (size + body.length > MAX_PACK_CHARACTERS && bodies.length > 0) {
+      packs.push(makePart(bodies));
+      bodies = [];
+      size = 0;
+    }
+    bodies.push(body);
+    size += body.length;
+  }
+  if (bodies.length > 0) packs.push(makePart(bodies));
+  return packs;
+}
+
+/** Reads the parts held by packs. */
+export function readPacks(
+  digests: readonly string[],
+  source: PartSource,
+): Effect.Effect<PartBodies, ReadError> {
+  return Effect.flatMap(source.fetchChecked(digests), packs =>
+    Effect.try({
+      try: () => {
+        const bodies = new Map<string, string>();
+        for (const pack of packs.values()) {
+          for (const body of decodeJson(PackSchema, pack, 'a pack')) {
+            bodies.set(computeDigest(body), body);
+          }
+        }
+        return bodies;
+      },
+      catch: thrown =>
+        new ConfigurationError('a pack is unreadable', toError(thrown)),
+    }),
+  );
+}
+
+/** Parts in memory first, then from another source. */
+export class PackedPartSource extends PartSource {
+  constructor(
+    private readonly packed: PartBodies,
+    private readonly rest: PartSource,
+  ) {
+    super();
+  }
+
+  override fetch(
+    digests: readonly string[],
+  ): Effect.Effect<PartBodies, ReadError> {
+    const missing = digests.filter(digest => !this.packed.has(digest));
+    if (missing.length === 0) return Effect.succeed(this.packed);
+    return Effect.map(this.rest.fetch(missing), bodies => {
+      const found = new Map(bodies);
+      for (const digest of digests) {
+        const body = this.packed.get(digest);
+        if (body !== undefined) found.set(digest, body);
+      }
+      return found;
+    });
+  }
+}
--- /dev/null
+++ b/packages/platform/src/configuration/part_source.ts
@@ -0,0 +1,41 @@
+import {Effect} from 'effect';
+import type {PlatformError} from '../platform_error.js';
+import {ConfigurationError} from './configuration_error.js';
+import {computeDigest} from './digest.js';
+
+/** Failures of reading a configuration. */
+export type ReadError = PlatformError | ConfigurationError;
+
+/** Bodies of parts by their digests. */
+export type PartBodies = ReadonlyMap<string, string>;
+
+/** Where parts are read from: the object store, a peer, or memory. */
+export abstract class PartSource {
+  /** Fetches parts; absent ones are left out and nothing is trusted yet. */
+  abstract fetch(
+    digests: readonly string[],
+  ): Effect.Effect<PartBodies, ReadError>;
+
+  /** Fetches every one of the parts and checks its digest. */
+  fetchChecked(
+    digests: readonly string[],
+  ): Effect.Effect<PartBodies, ReadError> {
+    return Effect.flatMap(this.fetch(digests), bodies => {
+      for (const digest of digests) {
+        const body = bodies.get(digest);
+        const short = digest.slice(0, 12);
+        if (body === undefined) {
+          return Effect.fail(
+            new ConfigurationError(`part ${short} is missing`),
+          );
+        }
+        if (computeDigest(body) !== digest) {
+          return Effect.fail(
+            new ConfigurationError(`part ${short} does not match its digest`),
+          );
+        }
+      }
+      return Effect.succeed(bodies);
+    });
+  }
+}
--- /dev/null
+++ b/packages/questionnaire/src/answer_parts.ts
@@ -0,0 +1,63 @@
+import {Effect, Schema} from 'effect';
+import {decodeJson, toError} from '@greengagecross/common';
+import {
+  ConfigurationError,
+  makePart,
+  makeTree,
+  TreeReader,
+  type PartSet,
+  type PartSource,
+  type ReadError,
+} from '@greengagecross/platform';
+import {
+  AnswersSchema,
+  CustomerAnswersSchema,
+  type Answers,
+  type CustomerAnswers,
+} from './answers.js';
+import {sortAnswers} from './answer_entries.js';
+
+const AnswersRootSchema = Schema.Struct({
+  deployment: AnswersSchema.fields.deployment,
+  engines: AnswersSchema.fields.engines,
+  plainServices: AnswersSchema.fields.plainServices,
+  /** Digest of the root of the customers' tree. */
+  customers: Schema.NonEmptyString,
+});
+
+/** Splits answers into parts; the same each time. */
+export function makeAnswerParts(answers: Answers): PartSet {
+  const {deployment, engines, plainServices, customers} = sortAnswers(answers);
+  const tree = makeTree(customers, customer => customer.name);
+  const root = makePart({
+    deployment,
+    engines,
+    plainServices,
+    customers: tree.digest,
+  });
+  return {digest: root.digest, parts: [...tree.parts, root]};
+}
+
+/** Reads answers from their parts. */
+export function readAnswers(
+  digest: string,
+  source: PartSource,
+): Effect.Effect<Answers, ReadError> {
+  const trees = new TreeReader<CustomerAnswers>(CustomerAnswersSchema);
+  return Effect.gen(function* () {
+    const bodies = yield* source.fetchChecked([digest]);
+    const root = yield* parseRoot(bodies.get(digest) ?? '');
+    const tree = yield* trees.read(root.customers, source, undefined);
+    return sortAnswers({...root, customers: tree.list()});
+  });
+}
+
+function parseRoot(
+  body: string,
+): Effect.Effect<typeof AnswersRootSchema.Type, ConfigurationError> {
+  return Effect.try({
+    try: () => decodeJson(AnswersRootSchema, body, 'the answers'),
+    catch: thrown =>
+      new ConfigurationError('the answers are unreadable', toError(thrown)),
+  });
+}
--- a/packages/questionnaire/src/index.ts
+++ b/packages/questionnaire/src/index.ts
@@ -12,3 +12,4 @@
 export * from './interview.js';
 export * from './answer_text.js';
 export * from './update_answers.js';
+export * from './answer_parts.js';
--- a/packages/questionnaire/src/merge_answers.ts
+++ b/packages/questionnaire/src/merge_answers.ts
@@ -20,13 +20,14 @@
   readonly problems: readonly Problem[];
 }
 
-/** Merges two changes of the same base, answer by answer. */
+/** Merges two changes of the same base, answer by answer; no base is empty. */
 export function mergeAnswers(
-  base: Answers,
+  base: Answers | undefined,
   mine: Answers,
   theirs: Answers,
 ): MergeResult {
-  const from = listEntries(base);
+  const from =
+    base === undefined ? new Map<string, unknown>() : listEntries(base);
   const ours = listEntries(mine);
   const others = listEntries(theirs);
   const merged = new Map(others);
--- /dev/null
+++ b/packages/standins/src/operators/faulty_stores.ts
@@ -0,0 +1,139 @@
+import {Effect} from 'effect';
+import type {SeededRandom} from '@greengagecross/common';
+import {
+  ObjectStore,
+  PlatformError,
+  PlatformFailure,
+  TableService,
+  type TableRow,
+  type Transaction,
+  type TransactionResult,
+} from '@greengagecross/platform';
+import {TableState} from '../platform/table_state.js';
+
+const MAX_YIELDS = 4;
+
+/** Shares of calls that fail, 0 to 1. */
+export interface StoreFaultRates {
+  /** Calls that never arrive. */
+  readonly unreachable: number;
+  /** Calls that take effect, but whose reply is lost. */
+  readonly lost: number;
+  /** Transactions that take effect only after their caller gave up. */
+  readonly delayed: number;
+}
+
+/** No faults. */
+export const NO_STORE_FAULTS: StoreFaultRates = {
+  unreachable: 0,
+  lost: 0,
+  delayed: 0,
+};
+
+/** Brings faults about and interleaves calls, by a seed. */
+export class StoreFaultPlan {
+  rates: StoreFaultRates = NO_STORE_FAULTS;
+  isDown = false;
+  /** Calls after which the caller is killed; each kind once. */
+  killBeforeCall = Infinity;
+  killAfterCall = Infinity;
+  calls = 0;
+  private readonly late: (() => void)[] = [];
+
+  constructor(private readonly random: SeededRandom) {}
+
+  /** Runs a call with the planned faults. */
+  run<T>(
+    name: string,
+    isWrite: boolean,
+    call: () => T,
+  ): Effect.Effect<T, PlatformError> {
+    return Effect.gen({self: this}, function* () {
+      const yields = Math.floor(this.random.nextUnit() * MAX_YIELDS);
+      for (let at = 0; at < yields; at += 1) yield* Effect.yieldNow;
+      this.calls += 1;
+      const draw = this.random.nextUnit();
+      const {unreachable, lost, delayed} = this.rates;
+      if (this.calls === this.killBeforeCall) yield* Effect.interrupt;
+      if (this.isDown || draw < unreachable) {
+        yield* Effect.fail(
+          new PlatformError(PlatformFailure.UNREACHABLE, name),
+        );
+      }
+      const uncertain = new PlatformError(PlatformFailure.UNCERTAIN, name);
+      if (isWrite && draw < unreachable + delayed) {
+        this.late.push(call);
+        yield* Effect.fail(uncertain);
+      }
+      const result = call();
+      if (this.calls === this.killAfterCall) yield* Effect.interrupt;
+      if (draw < unreachable + delayed + lost) yield* Effect.fail(uncertain);
+      if (this.random.nextUnit() < delayed) this.applyLate();
+      return result;
+    });
+  }
+
+  /** Applies the calls that were held back. */
+  applyLate(): void {
+    for (const call of this.late.splice(0)) call();
+  }
+}
+
+/** A table service in memory, with faults. */
+export class FaultyTable extends TableService {
+  readonly state = new TableState();
+
+  constructor(private readonly plan: StoreFaultPlan) {
+    super();
+  }
+
+  override read(
+    keys: readonly string[],
+  ): Effect.Effect<readonly TableRow[], PlatformError> {
+    return this.plan.run('read', false, () => this.state.read(keys));
+  }
+
+  override list(
+    prefix: string,
+    after: string,
+    limit: number,
+  ): Effect.Effect<readonly TableRow[], PlatformError> {
+    return this.plan.run('list', false, () =>
+      this.state.list(prefix, after, limit),
+    );
+  }
+
+  override transact(
+    transaction: Transaction,
+  ): Effect.Effect<TransactionResult, PlatformError> {
+    return this.plan.run('transact', true, () =>
+      this.state.transact(transaction),
+    );
+  }
+}
+
+/** An object store in memory, with faults. */
+export class FaultyObjects extends ObjectStore {
+  readonly bodies = new Map<string, Buffer>();
+  writtenBytes = 0;
+  readBytes = 0;
+
+  constructor(private readonly plan: StoreFaultPlan) {
+    super();
+  }
+
+  override put(key: string, body: Buffer): Effect.Effect<void, PlatformError> {
+    return this.plan.run('put', true, () => {
+      this.writtenBytes += body.length;
+      this.bodies.set(key, body);
+    });
+  }
+
+  override get(key: string): Effect.Effect<Buffer | undefined, PlatformError> {
+    return this.plan.run('get', false, () => {
+      const body = this.bodies.get(key);
+      this.readBytes += body?.length ?? 0;
+      return body;
+    });
+  }
+}
