Follow configurations through outages, old stores and wrong parts

Cause: a follower took only what the store showed: a daemon that booted in an outage had nothing, one that booted on an old store served the past, and one that had not polled before an outage stayed behind.

Followers now ask peers where the store does not answer, shows less than a heartbeat told of, or holds wrong parts, and always before their first configuration. A newer revision in a heartbeat is fetched at once. The poll period grows with the fleet, to at most 200 polls a second for all. What cannot be confirmed is said in log, metric and dump, and kept.

follower.feature, 14 scenarios pass.

--- a/packages/daemon/src/configuration/configuration_view.ts
+++ b/packages/daemon/src/configuration/configuration_view.ts
@@ -5,6 +5,7 @@
 export class ConfigurationView {
   readonly revision: number;
   readonly digest: string;
+  private bodies: PartBodies | undefined;
 
   constructor(readonly accepted: AcceptedConfiguration) {
     this.revision = accepted.record.revision;
@@ -31,8 +32,9 @@
     return this.accepted.index.customers.count();
   }
 
-  /** Lists the bodies of its parts, to be given to peers. */
-  listBodies(): PartBodies {
-    return this.accepted.index.listBodies();
+  /** Gets the bodies of its parts, to be given to peers. */
+  getBodies(): PartBodies {
+    this.bodies ??= this.accepted.index.listBodies();
+    return this.bodies;
   }
 }
--- a/packages/daemon/src/control/state_dump.ts
+++ b/packages/daemon/src/control/state_dump.ts
@@ -2,6 +2,7 @@
 import type {EngineCount, Member} from '@greengagecross/common';
 import type {EngineLedger} from '@greengagecross/decisions';
 import type {ConfigurationFollower} from '../configuration/configuration_follower.js';
+import type {ConfigurationState} from '../configuration/configuration_state.js';
 import type {HostFollower} from '../hosts/host_follower.js';
 import type {MemberService} from '../members/member_service.js';
 
@@ -10,12 +11,7 @@
   readonly self: Member;
   readonly atMs: number;
   readonly uptimeMs: number;
-  readonly configuration: {
-    readonly revision: number;
-    readonly digest: string;
-    readonly customers: number;
-    readonly isCurrent: boolean;
-  };
+  readonly configuration: ConfigurationState;
   readonly hostListIsCurrent: boolean;
   readonly live: readonly Member[];
   readonly ownedEngines: readonly EngineCount[];
@@ -35,17 +31,11 @@
   /** Reads the state as it is now. */
   read(): Effect.Effect<DaemonState> {
     return Effect.map(Clock.currentTimeMillis, nowMs => {
-      const view = this.configuration.getView();
       return {
         self: this.members.getSelf(),
         atMs: nowMs,
         uptimeMs: nowMs - this.startedAtMs,
-        configuration: {
-          revision: view?.revision ?? 0,
-          digest: view?.digest ?? '',
-          customers: view?.countCustomers() ?? 0,
-          isCurrent: this.configuration.isCurrent(),
-        },
+        configuration: this.configuration.getState(),
         hostListIsCurrent: this.hosts.isCurrent(),
         live: this.members.listLive(nowMs),
         ownedEngines: this.ledger.listCounts(),
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -112,6 +112,9 @@
     return new DaemonMetrics({
       countLiveMembers: () => members.countLive(),
       getRevision: () => configuration.getView()?.revision ?? 0,
+      countRefusedConfigurations: () => configuration.countRefusals(),
+      getUnconfirmedSeconds: () =>
+        configuration.getUnconfirmedSeconds(Date.now()),
       countControlBytes: () =>
         this.controlServer.bytes.count() + controlClient.pool.bytes.count(),
       countInFlight: () => this.callerServer.countActive(),
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -2,3 +2,6 @@
 export * from './daemon.js';
 export * from './read_settings.js';
 export type {DaemonState} from './control/state_dump.js';
+export * from './configuration/configuration_follower.js';
+export * from './configuration/configuration_peers.js';
+export * from './configuration/configuration_state.js';
--- a/packages/daemon/src/metrics/daemon_metrics.ts
+++ b/packages/daemon/src/metrics/daemon_metrics.ts
@@ -7,6 +7,8 @@
 export interface GaugeReaders {
   readonly countLiveMembers: () => number;
   readonly getRevision: () => number;
+  readonly countRefusedConfigurations: () => number;
+  readonly getUnconfirmedSeconds: () => number;
   readonly countControlBytes: () => number;
   readonly countInFlight: () => number;
 }
@@ -39,6 +41,16 @@
       'Revision of the configuration in force; 0 before the first.',
       readers.getRevision,
     );
+    this.addGauge(
+      'greengagecross_configuration_refusals',
+      'Times that a configuration in the store was refused.',
+      readers.countRefusedConfigurations,
+    );
+    this.addGauge(
+      'greengagecross_configuration_unconfirmed_seconds',
+      'Time since the store last confirmed that it is the newest.',
+      readers.getUnconfirmedSeconds,
+    );
     this.addGauge(
       'greengagecross_control_bytes',
       'Bytes on control sockets since the start, headers included.',
--- a/packages/daemon/src/wiring/daemon_parts.ts
+++ b/packages/daemon/src/wiring/daemon_parts.ts
@@ -3,6 +3,7 @@
 import {
   DEFAULT_TUNING,
   findRendezvousHome,
+  hash32,
   TicketCodec,
   type DaemonSettings,
   type FleetKeys,
@@ -27,10 +28,12 @@
 import {ClaimSweeper} from '../claims/claim_sweeper.js';
 import {GroupCommit} from '../claims/group_commit.js';
 import {ConfigurationFollower} from '../configuration/configuration_follower.js';
+import {DaemonConfigurationPeers} from '../configuration/daemon_configuration_peers.js';
 import {HostFollower} from '../hosts/host_follower.js';
 import {MemberService} from '../members/member_service.js';
 import {PlacementService} from '../placement/placement_service.js';
 import {SlotBroker} from '../placement/slot_broker.js';
+import {listConfigurationPeers} from './list_configuration_peers.js';
 
 const SUSPECT_HEARTBEATS = 4;
 const FORGET_AFTER_MS = 60_000;
@@ -73,19 +76,16 @@
     );
     this.claims = new ClaimBook(this.commits);
     this.sweeper = new ClaimSweeper(this.table, () => this.isSweeper());
-    this.configuration = new ConfigurationFollower(
-      new ConfigurationStore(this.table, new HttpObjectStore(platform)),
-      this.tuning.configurationPollMs,
-    );
-    this.hosts = new HostFollower(
-      new HttpHostDirectory(platform),
-      this.tuning.hostListPollMs,
-    );
     const peers = new PeerClient(
       this.controlClient,
       keys.peer[0] ?? '',
       this.tuning.peerTimeoutMs,
     );
+    this.configuration = this.makeConfiguration(platform, peers);
+    this.hosts = new HostFollower(
+      new HttpHostDirectory(platform),
+      this.tuning.hostListPollMs,
+    );
     this.members = this.makeMembers(peers);
     this.broker = new SlotBroker(
       settings.id,
@@ -129,6 +129,25 @@
     );
   }
 
+  private makeConfiguration(
+    platform: PlatformCaller,
+    peers: PeerClient,
+  ): ConfigurationFollower {
+    const {id} = this.settings;
+    return new ConfigurationFollower(
+      new ConfigurationStore(this.table, new HttpObjectStore(platform)),
+      new DaemonConfigurationPeers(peers, nowMs =>
+        listConfigurationPeers(id, this.members, this.hosts, nowMs),
+      ),
+      {
+        pollMs: this.tuning.configurationPollMs,
+        seed: hash32(id),
+        countDaemons: () => this.members.countLive(),
+        isHostListKnown: () => this.hosts.isCurrent(),
+      },
+    );
+  }
+
   private makeMembers(peers: PeerClient): MemberService {
     const {heartbeatMs} = this.tuning;
     const table = new MemberTable(this.settings.id, {
--- /dev/null
+++ b/packages/daemon/src/wiring/list_configuration_peers.ts
@@ -0,0 +1,25 @@
+import type {ConfigurationPeer} from '../configuration/configuration_peers.js';
+import type {HostFollower} from '../hosts/host_follower.js';
+import type {MemberService} from '../members/member_service.js';
+
+/** Lists the other daemons, from heartbeats first and then the host list. */
+export function listConfigurationPeers(
+  selfId: string,
+  members: MemberService,
+  hosts: HostFollower,
+  nowMs: number,
+): ConfigurationPeer[] {
+  const peers = new Map<string, ConfigurationPeer>();
+  for (const host of hosts.listEntryHosts()) {
+    const address = {host: host.host, port: host.controlPort};
+    peers.set(host.id, {address, revision: 0});
+  }
+  for (const member of members.listLive(nowMs)) {
+    peers.set(member.id, {
+      address: member.controlAddress,
+      revision: member.configurationRevision,
+    });
+  }
+  peers.delete(selfId);
+  return [...peers.values()];
+}
--- a/packages/daemon/src/wiring/make_control_router.ts
+++ b/packages/daemon/src/wiring/make_control_router.ts
@@ -6,6 +6,7 @@
   PeerServer,
   ReleaseSlotSchema,
 } from '@greengagecross/peers';
+import {ConfigurationAnswers} from '../configuration/configuration_answers.js';
 import {ControlRouter, type DaemonOrders} from '../control/control_router.js';
 import {StateDump} from '../control/state_dump.js';
 import type {DaemonMetrics} from '../metrics/daemon_metrics.js';
@@ -43,5 +44,6 @@
       return {released: true};
     }),
   );
+  new ConfigurationAnswers(parts.configuration).addTo(peers);
   return peers;
 }
--- a/packages/peers/src/index.ts
+++ b/packages/peers/src/index.ts
@@ -4,3 +4,4 @@
 export * from './peer_messages.js';
 export * from './peer_client.js';
 export * from './peer_server.js';
+export * from './configuration_messages.js';
--- a/packages/peers/src/peer_method.ts
+++ b/packages/peers/src/peer_method.ts
@@ -3,4 +3,6 @@
   HEARTBEAT = 'member.heartbeat',
   ACQUIRE_SLOT = 'slot.acquire',
   RELEASE_SLOT = 'slot.release',
+  FETCH_REVISION = 'configuration.revision',
+  FETCH_PARTS = 'configuration.parts',
 }
--- a/packages/standins/src/operators/faulty_stores.ts
+++ b/packages/standins/src/operators/faulty_stores.ts
@@ -12,6 +12,7 @@
 import {TableState} from '../platform/table_state.js';
 
 const MAX_YIELDS = 4;
+const MAX_ROWS = 10_000;
 
 /** Shares of calls that fail, 0 to 1. */
 export interface StoreFaultRates {
@@ -82,6 +83,7 @@
 /** A table service in memory, with faults. */
 export class FaultyTable extends TableService {
   readonly state = new TableState();
+  private past: readonly TableRow[] | undefined;
 
   constructor(private readonly plan: StoreFaultPlan) {
     super();
@@ -90,7 +92,21 @@
   override read(
     keys: readonly string[],
   ): Effect.Effect<readonly TableRow[], PlatformError> {
-    return this.plan.run('read', false, () => this.state.read(keys));
+    return this.plan.run('read', false, () => {
+      const {past} = this;
+      if (past === undefined) return this.state.read(keys);
+      return past.filter(row => keys.includes(row.key));
+    });
+  }
+
+  /** Lists all rows as they stand, to be shown later. */
+  listAll(): readonly TableRow[] {
+    return this.state.list('', '', MAX_ROWS);
+  }
+
+  /** Shows readers these rows instead of those that stand. */
+  setPast(rows: readonly TableRow[] | undefined): void {
+    this.past = rows;
   }
 
   override list(
