--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -2,6 +2,9 @@
 export * from './daemon.js';
 export * from './read_settings.js';
 export type {DaemonState} from './control/state_dump.js';
+export * from './configuration/configuration_follower.js';
+export * from './configuration/configuration_peers.js';
+export * from './configuration/configuration_state.js';
 export * from './claims/claim_book.js';
 export * from './claims/claim_key.js';
 export * from './claims/claim_record.js';
