Place chats by ticket, leased slots and estimated cost

Slots are leases now, renewed in one call for each owner and told to a new owner within a tick. Owners add what other daemons report for the same engine, so two owners share one bound. A ticket names the earlier engine too. Waiting for the warm engine is weighed against the missing context's prefill.

--- a/packages/common/src/ticket/ticket.ts
+++ b/packages/common/src/ticket/ticket.ts
@@ -1,5 +1,15 @@
 import {Schema} from 'effect';
 
+/** An engine that answered an earlier turn and may still hold its context. */
+export const EarlierEngineSchema = Schema.Struct({
+  engine: Schema.NonEmptyString,
+  /** Size of the context then, in tokens. */
+  contextTokens: Schema.Int,
+});
+
+/** Decoded form of {@link EarlierEngineSchema}. */
+export type EarlierEngine = typeof EarlierEngineSchema.Type;
+
 /** Where a chat's context was last warm; the caller keeps it, signed. */
 export const TicketSchema = Schema.Struct({
   customer: Schema.NonEmptyString,
@@ -11,6 +21,8 @@
   contextTokens: Schema.Int,
   /** When the answer ended, in milliseconds since the epoch. */
   warmAtMs: Schema.Int,
+  /** The last other engine, if the chat has moved. */
+  earlier: Schema.optionalKey(EarlierEngineSchema),
 });
 
 /** Decoded form of {@link TicketSchema}. */
--- a/packages/daemon/src/callers/chat_attempt.ts
+++ b/packages/daemon/src/callers/chat_attempt.ts
@@ -15,7 +15,10 @@
   type Ticket,
   type TicketCodec,
 } from '@greengagecross/common';
-import type {RequestDeadline} from '@greengagecross/decisions';
+import {
+  findEarlierEngine,
+  type RequestDeadline,
+} from '@greengagecross/decisions';
 import {
   readBody,
   type HttpExchange,
@@ -148,6 +151,7 @@
     reply: OpenReply,
   ): string {
     const tokens = Number(reply.headers[BackendHeader.PROMPT_TOKENS] ?? 0);
+    const earlier = findEarlierEngine(job.ticket, call.server.id);
     return this.tickets.encode({
       customer: job.customer.id,
       chat: job.chat,
@@ -155,6 +159,7 @@
       engine: call.server.id,
       contextTokens: Number.isSafeInteger(tokens) ? tokens : 0,
       warmAtMs: Date.now(),
+      ...(earlier === undefined ? {} : {earlier}),
     });
   }
 }
--- a/packages/daemon/src/callers/chat_dispatcher.ts
+++ b/packages/daemon/src/callers/chat_dispatcher.ts
@@ -1,14 +1,17 @@
 import {Clock, Effect, Result} from 'effect';
 import {isKnownNotRun, type BackendError} from '@greengagecross/backend';
-import {
-  Logger,
-  Outcome,
-  RefusalReason,
-  type BackendServer,
-} from '@greengagecross/common';
-import type {RequestDeadline, RetryPolicy} from '@greengagecross/decisions';
-import type {PlacementService} from '../placement/placement_service.js';
-import type {Slot, SlotBroker} from '../placement/slot_broker.js';
+import {Logger, Outcome, RefusalReason} from '@greengagecross/common';
+import type {
+  RequestDeadline,
+  RetryPolicy,
+  ServiceTimes,
+} from '@greengagecross/decisions';
+import type {
+  PlacedServer,
+  PlacementService,
+} from '../placement/placement_service.js';
+import type {SlotBroker} from '../placement/slot_broker.js';
+import type {Slot} from '../placement/slot_keeper.js';
 import type {ChatAttempt, ChatJob} from './chat_attempt.js';
 import {makeChatKey} from './chat_key.js';
 import {
@@ -19,6 +22,9 @@
 import {makeNotRun, Refusal} from './refusal.js';
 
 const OVERLOAD_RETRY_MS = 1000;
+/** Times that engines are chosen anew while all are at their bound. */
+const MAX_ROUNDS = 5;
+const ROUND_MS = 250;
 const logger = new Logger('chats');
 
 /** Takes a chat request through engines until one has answered it whole. */
@@ -28,23 +34,28 @@
     private readonly broker: SlotBroker,
     private readonly attempts: ChatAttempt,
     private readonly retries: RetryPolicy,
+    private readonly times: ServiceTimes,
   ) {}
 
   /** Dispatches a job; a refusal says whether anything may have run. */
   dispatch(job: ChatJob): Effect.Effect<void, Refusal> {
     return Effect.gen({self: this}, function* () {
-      const servers = yield* this.placement.listServers(
-        job.service,
-        makeChatKey(job.customer.id, job.chat),
-        job.ticket,
-      );
-      if (servers.length === 0) yield* Effect.fail(makeNoBackend());
       const deadline = makeDeadline(job.exchange, job.service);
       this.retries.recordFirstTry(job.service.name);
       let failed: BackendError | undefined;
       let mayHaveRun = false;
       let attempts = 0;
-      for (const [index, server] of servers.entries()) {
+      let rounds = 1;
+      const queue = yield* this.listPlaced(job);
+      for (let index = 0; ; index += 1) {
+        const isRefused = failed === undefined && rounds < MAX_ROUNDS;
+        if (queue.length === 0 && isRefused) {
+          rounds += 1;
+          yield* Effect.sleep(ROUND_MS);
+          queue.push(...(yield* this.listPlaced(job)));
+        }
+        const placed = queue.shift();
+        if (placed === undefined) break;
         const leftMs = deadline.computeLeftMs(yield* Clock.currentTimeMillis);
         if (failed !== undefined) {
           const waitMs = this.chooseWaitMs(job, failed, attempts, leftMs);
@@ -54,7 +65,7 @@
           yield* Effect.fail(makeDeadlinePassed());
         }
         const attemptId = `${job.requestId}.${index}`;
-        const result = yield* this.runOn(job, server, attemptId, deadline);
+        const result = yield* this.runOn(job, placed, attemptId, deadline);
         if (result === undefined) continue;
         if (Result.isSuccess(result)) return;
         attempts += 1;
@@ -62,7 +73,7 @@
         mayHaveRun = mayHaveRun || !isKnownNotRun(failed.failure);
         logger.log('An attempt failed.', {
           request: job.requestId,
-          engine: server.id,
+          engine: placed.server.id,
           failure: failed.failure,
         });
       }
@@ -83,19 +94,41 @@
     return this.retries.chooseWaitMs({service, attempts, cost, leftMs});
   }
 
+  /** Chooses engines by the loads that are known now. */
+  private listPlaced(job: ChatJob): Effect.Effect<PlacedServer[], Refusal> {
+    const chatKey = makeChatKey(job.customer.id, job.chat);
+    const subject = {requestId: job.requestId, customer: job.customer.id};
+    return this.placement
+      .choose(job.service, chatKey, job.ticket, subject)
+      .pipe(
+        Effect.flatMap(placed =>
+          placed.length === 0
+            ? Effect.fail(makeNoBackend())
+            : Effect.succeed(placed),
+        ),
+      );
+  }
+
   /** Runs one attempt within a slot; undefined when no slot is free. */
   private runOn(
     job: ChatJob,
-    server: BackendServer,
+    {server, choice}: PlacedServer,
     attemptId: string,
     deadline: RequestDeadline,
   ): Effect.Effect<Result.Result<void, BackendError> | undefined> {
     return Effect.acquireUseRelease(
-      this.broker.acquire(server.id, attemptId),
-      slot =>
-        slot === undefined
-          ? Effect.undefined
-          : Effect.result(this.attempts.run(job, server, attemptId, deadline)),
+      this.broker.acquire(server.id, attemptId, choice.maxWaitMs),
+      slot => {
+        if (slot === undefined) return Effect.undefined;
+        this.placement.recordTaken(job.requestId, server.id);
+        const startMs = performance.now();
+        return this.attempts.run(job, server, attemptId, deadline).pipe(
+          Effect.tap(() =>
+            Effect.sync(() => this.times.record(performance.now() - startMs)),
+          ),
+          Effect.result,
+        );
+      },
       slot => this.releaseSlot(slot),
     );
   }
--- a/packages/daemon/src/control/control_router.ts
+++ b/packages/daemon/src/control/control_router.ts
@@ -3,6 +3,7 @@
 import type {HttpExchange} from '@greengagecross/http';
 import {PEER_PATH, type PeerServer} from '@greengagecross/peers';
 import type {DaemonMetrics} from '../metrics/daemon_metrics.js';
+import type {PlacementExplainer} from '../placement/placement_explainer.js';
 import type {StateDump} from './state_dump.js';
 
 const METRICS_TYPE = 'text/plain; version=0.0.4';
@@ -21,6 +22,7 @@
     private readonly peers: PeerServer,
     private readonly metrics: DaemonMetrics,
     private readonly dump: StateDump,
+    private readonly explainer: PlacementExplainer,
     private readonly operatorKeys: readonly string[],
     private readonly orders: DaemonOrders,
   ) {}
@@ -62,6 +64,8 @@
         return Effect.map(this.dump.read(), state =>
           exchange.sendJson(200, state),
         );
+      case 'GET /v1/explain':
+        return this.answerExplain(exchange);
       case 'POST /v1/drain':
         return Effect.sync(() => {
           this.orders.drain();
@@ -73,4 +77,18 @@
         );
     }
   }
+
+  private answerExplain(exchange: HttpExchange): Effect.Effect<void> {
+    const {query} = exchange;
+    const question = {
+      customer: query.get('customer') ?? '',
+      chat: query.get('chat') ?? '',
+      service: query.get('service') ?? '',
+      ticket: query.get('ticket') ?? '',
+    };
+    return Effect.map(this.explainer.explain(question), explanation => {
+      if (explanation !== undefined) exchange.sendJson(200, explanation);
+      else exchange.sendJson(404, {error: 'no such customer or service'});
+    });
+  }
 }
--- a/packages/daemon/src/placement/placement_service.ts
+++ b/packages/daemon/src/placement/placement_service.ts
@@ -1,62 +1,129 @@
 import {Clock, Effect} from 'effect';
-import type {
-  BackendServer,
-  Member,
-  Service,
-  Ticket,
+import {
+  hash32,
+  type BackendServer,
+  type Member,
+  type PlacementRecord,
+  type Service,
+  type Ticket,
 } from '@greengagecross/common';
-import type {PlacementPolicy} from '@greengagecross/decisions';
-import type {HostFollower} from '../hosts/host_follower.js';
-import type {MemberService} from '../members/member_service.js';
-import type {SlotBroker} from './slot_broker.js';
+import type {
+  DecisionLog,
+  PlacementChoice,
+  PlacementPolicy,
+  SlotAuthority,
+} from '@greengagecross/decisions';
+import type {EngineIndex} from './engine_index.js';
+import type {FleetView} from './fleet_view.js';
+
+/** A backend server to try for a request, and how long to wait there. */
+export interface PlacedServer {
+  readonly server: BackendServer;
+  readonly choice: PlacementChoice;
+}
+
+/** Whose chat is placed, for the record of decisions. */
+export interface PlacementSubject {
+  readonly requestId: string;
+  readonly customer: string;
+}
 
 /** Orders the backend servers of a service for a request. */
 export class PlacementService {
   constructor(
+    private readonly self: {
+      readonly id: string;
+      readonly availabilityZone: string;
+    },
     private readonly policy: PlacementPolicy,
-    private readonly broker: SlotBroker,
-    private readonly hosts: HostFollower,
-    private readonly members: MemberService,
+    private readonly authority: SlotAuthority,
+    private readonly index: EngineIndex,
+    private readonly view: FleetView,
+    private readonly decisions: DecisionLog,
   ) {}
 
-  /** Lists the backend servers to try for a chat, best first. */
-  listServers(
+  /** Chooses the engines to try for a chat, best first, and records why. */
+  choose(
     service: Service,
     chatKey: string,
     ticket: Ticket | undefined,
-  ): Effect.Effect<BackendServer[]> {
+    subject: PlacementSubject,
+  ): Effect.Effect<PlacedServer[]> {
     return Effect.map(Clock.currentTimeMillis, nowMs => {
-      const servers = new Map(
-        service.backendServers
-          .filter(server => !this.hosts.isLeaving(server.id))
-          .map(server => [server.id, server]),
-      );
-      const candidates = [...servers.values()].map(server => ({
-        id: server.id,
-        availabilityZone: server.availabilityZone,
-        inFlight: this.broker.countEngine(server.id, nowMs),
-      }));
-      const rules = service.placement;
-      return this.policy
-        .choose({chatKey, ticket, rules, nowMs}, candidates)
-        .flatMap(candidate => servers.get(candidate.id) ?? []);
+      const choices = this.listChoices(service.name, chatKey, ticket, nowMs);
+      this.decisions.add(hash32(chatKey), {
+        ...subject,
+        service: service.name,
+        atMs: nowMs,
+        ticketEngine: ticket?.engine ?? '',
+        choices,
+        takenBy: '',
+      });
+      return choices.flatMap(choice => {
+        const server = this.index.findServer(choice.engine);
+        return server === undefined ? [] : [{server, choice}];
+      });
     });
   }
 
+  /** Records which engine took a request. */
+  recordTaken(requestId: string, engine: string): void {
+    this.decisions.recordTaken(requestId, engine);
+  }
+
+  /** Lists a chat's last decisions on this daemon, newest first. */
+  listDecisions(customer: string, chatKey: string): PlacementRecord[] {
+    return this.decisions.listOfChat(customer, hash32(chatKey));
+  }
+
+  /** Lists the backend servers to try for a call that needs no slot. */
+  listServers(
+    service: Service,
+    chatKey: string,
+    ticket: Ticket | undefined,
+  ): Effect.Effect<BackendServer[]> {
+    return Effect.map(Clock.currentTimeMillis, nowMs =>
+      this.listChoices(service.name, chatKey, ticket, nowMs).flatMap(
+        choice => this.index.findServer(choice.engine) ?? [],
+      ),
+    );
+  }
+
+  /** Lists what would be chosen now, best first. */
+  listChoices(
+    service: string,
+    chatKey: string,
+    ticket: Ticket | undefined,
+    nowMs: number,
+  ): PlacementChoice[] {
+    const group = this.index.findByName(service, nowMs)?.group;
+    if (group === undefined) return [];
+    const {id, availabilityZone} = this.self;
+    const snapshot = this.view.getSnapshot(nowMs);
+    const usable = ticket?.service === service ? ticket : undefined;
+    return this.policy.choose(
+      {chatKey, ticket: usable, availabilityZone, nowMs},
+      group,
+      {
+        count: engine => this.authority.count(engine, snapshot),
+        isOwn: engine => this.view.findOwner(engine, nowMs).id === id,
+        bound: this.authority.computeBound(group, snapshot),
+      },
+    );
+  }
+
   /** Lists the daemons that a caller should try for a chat, best first. */
   listDaemons(
     service: Service | undefined,
     chatKey: string,
     ticket: Ticket | undefined,
   ): Effect.Effect<Member[]> {
-    return Effect.gen({self: this}, function* () {
-      const nowMs = yield* Clock.currentTimeMillis;
-      const live = this.members.listLive(nowMs);
+    return Effect.map(Clock.currentTimeMillis, nowMs => {
+      const live = [...this.view.listLive(nowMs)];
       if (service === undefined) return live;
-      const servers = yield* this.listServers(service, chatKey, ticket);
-      const first = servers[0];
+      const [first] = this.listChoices(service.name, chatKey, ticket, nowMs);
       if (first === undefined) return live;
-      const owner = this.broker.findOwner(first.id, nowMs);
+      const owner = this.view.findOwner(first.engine, nowMs);
       return [owner, ...live.filter(member => member.id !== owner.id)];
     });
   }
--- a/packages/daemon/src/placement/slot_broker.ts
+++ b/packages/daemon/src/placement/slot_broker.ts
@@ -1,116 +1,81 @@
 import {Clock, Effect} from 'effect';
 import {Schema} from 'effect';
-import type {Member, Service} from '@greengagecross/common';
-import {
-  computeLoadBound,
-  findEngineOwner,
-  type EngineLedger,
-} from '@greengagecross/decisions';
+import type {Member} from '@greengagecross/common';
+import type {SlotAuthority, EngineLedger} from '@greengagecross/decisions';
 import {
   PeerMethod,
   SlotAnswerSchema,
   type AcquireSlot,
   type PeerClient,
 } from '@greengagecross/peers';
-import type {ConfigurationFollower} from '../configuration/configuration_follower.js';
-import type {MemberService} from '../members/member_service.js';
+import type {EngineIndex} from './engine_index.js';
+import type {FleetView} from './fleet_view.js';
+import type {Slot, SlotKeeper} from './slot_keeper.js';
 
-/** Room for one request on one engine, until it is released. */
-export interface Slot {
-  readonly engine: string;
-  readonly slotId: string;
-  /** Daemon that counts it. */
-  readonly owner: Member;
-}
+const OWN_RETRY_MS = 20;
+const REMOTE_RETRY_MS = 200;
 
 /** Acquires slots from the daemons that count the engines' requests. */
 export class SlotBroker {
   constructor(
     private readonly selfId: string,
-    private readonly members: MemberService,
+    private readonly view: FleetView,
+    private readonly index: EngineIndex,
     private readonly ledger: EngineLedger,
+    private readonly authority: SlotAuthority,
+    private readonly keeper: SlotKeeper,
     private readonly peers: PeerClient,
-    private readonly configuration: ConfigurationFollower,
   ) {}
 
-  /** Acquires a slot, or gives undefined when the engine is at its bound. */
-  acquire(engine: string, slotId: string): Effect.Effect<Slot | undefined> {
+  /**
+   * Acquires a slot, or gives undefined when the engine is at its bound and
+   * stays there for `maxWaitMs`.
+   */
+  acquire(
+    engine: string,
+    slotId: string,
+    maxWaitMs: number,
+  ): Effect.Effect<Slot | undefined> {
     return Effect.gen({self: this}, function* () {
-      const nowMs = yield* Clock.currentTimeMillis;
-      const owner = this.findOwner(engine, nowMs);
-      const request = {engine, slotId, holder: this.selfId};
-      const granted =
-        owner.id === this.selfId
+      const untilMs = (yield* Clock.currentTimeMillis) + maxWaitMs;
+      for (;;) {
+        const nowMs = yield* Clock.currentTimeMillis;
+        const owner = this.view.findOwner(engine, nowMs);
+        const request = {engine, slotId, holder: this.selfId};
+        const isOwn = owner.id === this.selfId;
+        const granted = isOwn
           ? yield* this.answerAcquire(request)
           : yield* this.askOwner(owner, request);
-      return granted ? {engine, slotId, owner} : undefined;
+        if (granted) {
+          const slot = {engine, slotId, owner, renewedAtMs: nowMs};
+          this.keeper.add(slot);
+          return slot;
+        }
+        const retryMs = isOwn ? OWN_RETRY_MS : REMOTE_RETRY_MS;
+        if (nowMs + retryMs > untilMs) return undefined;
+        yield* Effect.sleep(retryMs);
+      }
     });
   }
 
-  /** Releases a slot; a lost release is made good when the holder leaves. */
+  /** Releases a slot; a release that is lost is made good by the lease. */
   release(slot: Slot): Effect.Effect<void> {
-    const {engine, slotId, owner} = slot;
-    if (owner.id === this.selfId) {
-      return Effect.sync(() => this.ledger.release(engine, slotId));
-    }
-    const params = {engine, slotId};
-    return this.peers
-      .send(
-        owner.controlAddress,
-        PeerMethod.RELEASE_SLOT,
-        params,
-        Schema.Unknown,
-      )
-      .pipe(Effect.ignore, Effect.forkDetach, Effect.asVoid);
+    return Effect.suspend(() => {
+      this.keeper.remove(slot.slotId);
+      return this.sendRelease(slot.owner, slot.engine, slot.slotId);
+    });
   }
 
   /** Grants or refuses a slot of an engine that this daemon owns. */
   answerAcquire(request: AcquireSlot): Effect.Effect<boolean> {
     return Effect.map(Clock.currentTimeMillis, nowMs => {
-      const service = this.findServiceOf(request.engine);
-      if (service === undefined) return false;
-      const bound = computeLoadBound(
-        this.countService(service, nowMs),
-        service.backendServers.length,
-        service.placement.maxLoadMultiple,
-      );
-      const {engine, slotId, holder} = request;
-      return this.ledger.acquire(engine, slotId, holder, bound);
+      const group = this.index.findByEngine(request.engine, nowMs)?.group;
+      if (group === undefined) return false;
+      const snapshot = this.view.getSnapshot(nowMs);
+      return this.authority.acquire(request, group, snapshot, nowMs);
     });
   }
 
-  /** Finds the daemon that counts an engine's requests. */
-  findOwner(engine: string, nowMs: number): Member {
-    const live = this.members.listLive(nowMs);
-    const id = findEngineOwner(
-      engine,
-      live.map(member => member.id),
-    );
-    return live.find(member => member.id === id) ?? this.members.getSelf();
-  }
-
-  /** Counts an engine's requests as its owner last told. */
-  countEngine(engine: string, nowMs: number): number {
-    const owner = this.findOwner(engine, nowMs);
-    if (owner.id === this.selfId) return this.ledger.count(engine);
-    const told = owner.engines.find(count => count.engine === engine);
-    return told?.inFlight ?? 0;
-  }
-
-  private countService(service: Service, nowMs: number): number {
-    return service.backendServers.reduce(
-      (total, server) => total + this.countEngine(server.id, nowMs),
-      0,
-    );
-  }
-
-  private findServiceOf(engine: string): Service | undefined {
-    const services = this.configuration.getView()?.listServices() ?? [];
-    return services.find(service =>
-      service.backendServers.some(server => server.id === engine),
-    );
-  }
-
   private askOwner(
     owner: Member,
     request: AcquireSlot,
@@ -124,9 +89,31 @@
       )
       .pipe(
         Effect.map(answer => answer.granted),
-        // An owner that cannot be asked may have granted the slot; it is
-        // released there when this daemon's request ends.
-        Effect.catch(() => Effect.succeed(false)),
+        // The owner may have granted it all the same.
+        Effect.catch(() =>
+          Effect.as(
+            this.sendRelease(owner, request.engine, request.slotId),
+            false,
+          ),
+        ),
       );
   }
+
+  private sendRelease(
+    owner: Member,
+    engine: string,
+    slotId: string,
+  ): Effect.Effect<void> {
+    if (owner.id === this.selfId) {
+      return Effect.sync(() => this.ledger.release(engine, slotId));
+    }
+    return this.peers
+      .send(
+        owner.controlAddress,
+        PeerMethod.RELEASE_SLOT,
+        {engine, slotId},
+        Schema.Unknown,
+      )
+      .pipe(Effect.ignore, Effect.forkDetach, Effect.asVoid);
+  }
 }
--- a/packages/daemon/src/wiring/daemon_parts.ts
+++ b/packages/daemon/src/wiring/daemon_parts.ts
@@ -9,9 +9,13 @@
   type Tuning,
 } from '@greengagecross/common';
 import {
+  CostPlacement,
+  DecisionLog,
   EngineLedger,
-  HomePlacement,
   MemberTable,
+  PlacementCosts,
+  ServiceTimes,
+  SlotAuthority,
 } from '@greengagecross/decisions';
 import {HttpClient} from '@greengagecross/http';
 import {PeerClient} from '@greengagecross/peers';
@@ -29,11 +33,16 @@
 import {ConfigurationFollower} from '../configuration/configuration_follower.js';
 import {HostFollower} from '../hosts/host_follower.js';
 import {MemberService} from '../members/member_service.js';
+import {EngineIndex} from '../placement/engine_index.js';
+import {FleetView} from '../placement/fleet_view.js';
+import {PlacementExplainer} from '../placement/placement_explainer.js';
 import {PlacementService} from '../placement/placement_service.js';
 import {SlotBroker} from '../placement/slot_broker.js';
+import {SLOT_LEASE_MS, SlotKeeper} from '../placement/slot_keeper.js';
 
 const SUSPECT_HEARTBEATS = 4;
 const FORGET_AFTER_MS = 60_000;
+const KEPT_DECISIONS = 5000;
 const MS_PER_SECOND = 1000;
 /** Claim transactions a second of all daemons together. */
 const FLEET_COMMITS_PER_SECOND = 300;
@@ -43,7 +52,8 @@
   readonly tuning: Tuning;
   readonly controlClient = new HttpClient();
   readonly backendClient = new HttpClient();
-  readonly ledger = new EngineLedger();
+  readonly ledger = new EngineLedger(SLOT_LEASE_MS);
+  readonly times = new ServiceTimes();
   readonly tickets: TicketCodec;
   readonly table: TableService;
   readonly commits: GroupCommit;
@@ -52,8 +62,12 @@
   readonly configuration: ConfigurationFollower;
   readonly hosts: HostFollower;
   readonly members: MemberService;
+  readonly fleet: FleetView;
+  readonly index: EngineIndex;
+  readonly keeper: SlotKeeper;
   readonly broker: SlotBroker;
   readonly placement: PlacementService;
+  readonly explainer: PlacementExplainer;
   readonly engines: HttpEngineClient;
   readonly workers: HttpServiceClient;
 
@@ -87,18 +101,33 @@
       this.tuning.peerTimeoutMs,
     );
     this.members = this.makeMembers(peers);
+    this.fleet = new FleetView(this.members);
+    this.index = new EngineIndex(this.configuration, this.hosts);
+    this.keeper = new SlotKeeper(settings.id, this.fleet, this.ledger, peers);
+    const authority = new SlotAuthority(settings.id, this.ledger);
     this.broker = new SlotBroker(
       settings.id,
-      this.members,
+      this.fleet,
+      this.index,
       this.ledger,
+      authority,
+      this.keeper,
       peers,
-      this.configuration,
     );
     this.placement = new PlacementService(
-      new HomePlacement(),
-      this.broker,
-      this.hosts,
-      this.members,
+      settings,
+      new CostPlacement(() => new PlacementCosts(this.times.getTimes())),
+      authority,
+      this.index,
+      this.fleet,
+      new DecisionLog(KEPT_DECISIONS),
+    );
+    this.explainer = new PlacementExplainer(
+      settings.id,
+      this.placement,
+      this.fleet,
+      this.configuration,
+      this.tickets,
     );
     const timeouts = {
       connectTimeoutMs: this.tuning.backendConnectTimeoutMs,
--- a/packages/daemon/src/wiring/make_caller_router.ts
+++ b/packages/daemon/src/wiring/make_caller_router.ts
@@ -37,7 +37,7 @@
   );
   const chats = new ChatHandler(
     authenticator,
-    new ChatDispatcher(placement, broker, attempts, retries),
+    new ChatDispatcher(placement, broker, attempts, retries, parts.times),
     tickets,
     new CustomerLimit(),
     members,
--- a/packages/daemon/src/wiring/make_control_router.ts
+++ b/packages/daemon/src/wiring/make_control_router.ts
@@ -5,6 +5,7 @@
   PeerMethod,
   PeerServer,
   ReleaseSlotSchema,
+  RenewSlotsSchema,
 } from '@greengagecross/peers';
 import {ControlRouter, type DaemonOrders} from '../control/control_router.js';
 import {StateDump} from '../control/state_dump.js';
@@ -25,11 +26,18 @@
     parts.startedAtMs,
   );
   const peers = makePeerServer(parts);
-  return new ControlRouter(peers, metrics, dump, parts.keys.operator, orders);
+  return new ControlRouter(
+    peers,
+    metrics,
+    dump,
+    parts.explainer,
+    parts.keys.operator,
+    orders,
+  );
 }
 
 function makePeerServer(parts: DaemonParts): PeerServer {
-  const {members, broker, ledger} = parts;
+  const {members, broker, keeper, ledger} = parts;
   const peers = new PeerServer(parts.keys.peer);
   peers.addMethod(PeerMethod.HEARTBEAT, HeartbeatSchema, heartbeat =>
     members.answerHeartbeat(heartbeat),
@@ -43,5 +51,8 @@
       return {released: true};
     }),
   );
+  peers.addMethod(PeerMethod.RENEW_SLOTS, RenewSlotsSchema, renewal =>
+    Effect.as(keeper.answerRenewal(renewal), {renewed: true}),
+  );
   return peers;
 }
--- /dev/null
+++ b/packages/decisions/src/placement/engine_group.ts
@@ -0,0 +1,35 @@
+import type {PlacementRules} from '@greengagecross/common';
+import {makeHashedIds, type HashedId} from './rendezvous_hash.js';
+
+/** An engine that takes new work. */
+export interface GroupEngine {
+  readonly id: string;
+  readonly availabilityZone: string;
+}
+
+/** The engines of one service that take new work, indexed once per list. */
+export class EngineGroup {
+  readonly ids: readonly string[];
+  readonly hashedIds: readonly HashedId[];
+  private readonly zones: ReadonlyMap<string, string>;
+
+  constructor(
+    readonly service: string,
+    readonly rules: PlacementRules,
+    engines: readonly GroupEngine[],
+  ) {
+    this.ids = engines.map(engine => engine.id);
+    this.hashedIds = makeHashedIds(this.ids);
+    this.zones = new Map(engines.map(e => [e.id, e.availabilityZone]));
+  }
+
+  /** Tells whether an engine is one of the group. */
+  has(engine: string): boolean {
+    return this.zones.has(engine);
+  }
+
+  /** Finds an engine's availability zone. */
+  findZone(engine: string): string | undefined {
+    return this.zones.get(engine);
+  }
+}
--- a/packages/decisions/src/placement/placement_policy.ts
+++ b/packages/decisions/src/placement/placement_policy.ts
@@ -1,10 +1,14 @@
-import type {PlacementRules, Ticket} from '@greengagecross/common';
+import type {EngineChoice, Ticket} from '@greengagecross/common';
+import type {EngineGroup} from './engine_group.js';
 
-/** An engine that may take a request, with what is known of its load. */
-export interface EngineCandidate {
-  readonly id: string;
-  readonly availabilityZone: string;
-  readonly inFlight: number;
+/** What is known of engines' load when a chat is placed. */
+export interface EngineLoads {
+  /** Counts an engine's requests in flight. */
+  readonly count: (engine: string) => number;
+  /** Tells whether this daemon counts the engine's requests itself. */
+  readonly isOwn: (engine: string) => boolean;
+  /** Most requests that an engine may carry now. */
+  readonly bound: number;
 }
 
 /** A chat that is to be placed. */
@@ -12,15 +16,22 @@
   /** Customer and chat; the same on every daemon. */
   readonly chatKey: string;
   readonly ticket: Ticket | undefined;
-  readonly rules: PlacementRules;
+  /** Zone that is preferred among engines otherwise equal. */
+  readonly availabilityZone: string;
   readonly nowMs: number;
 }
 
+/** An engine to try, and how long to wait there for a slot. */
+export interface PlacementChoice extends EngineChoice {
+  readonly maxWaitMs: number;
+}
+
 /** Decides the order in which engines are tried for a chat. */
 export abstract class PlacementPolicy {
-  /** Orders the candidates, best first. */
+  /** Orders a few of the group's engines, best first, each with its reason. */
   abstract choose(
     request: PlacementRequest,
-    candidates: readonly EngineCandidate[],
-  ): EngineCandidate[];
+    group: EngineGroup,
+    loads: EngineLoads,
+  ): PlacementChoice[];
 }
--- a/packages/peers/src/peer_messages.ts
+++ b/packages/peers/src/peer_messages.ts
@@ -31,3 +31,13 @@
   engine: Schema.NonEmptyString,
   slotId: Schema.NonEmptyString,
 });
+
+/** Parameters of {@link PeerMethod.RENEW_SLOTS}. */
+export const RenewSlotsSchema = Schema.Struct({
+  /** Daemon that uses the slots. */
+  holder: Schema.NonEmptyString,
+  slots: Schema.Array(ReleaseSlotSchema),
+});
+
+/** Decoded form of {@link RenewSlotsSchema}. */
+export type RenewSlots = typeof RenewSlotsSchema.Type;
--- a/packages/peers/src/peer_method.ts
+++ b/packages/peers/src/peer_method.ts
@@ -3,4 +3,5 @@
   HEARTBEAT = 'member.heartbeat',
   ACQUIRE_SLOT = 'slot.acquire',
   RELEASE_SLOT = 'slot.release',
+  RENEW_SLOTS = 'slot.renew',
 }
--- a/packages/standins/src/bench/main.ts
+++ b/packages/standins/src/bench/main.ts
@@ -5,6 +5,10 @@
 
 /** Benches by the name given on the command line. */
 const BENCHES: Readonly<Record<string, () => Promise<Bench>>> = {
+  decisions: async () => {
+    const {DecisionsBench} = await import('./decisions/decisions_bench.js');
+    return new DecisionsBench();
+  },
   members: () => import('./members/run_members.js'),
   retries: () => import('./retries/run_retries.js'),
 };
--- a/scripts/lint/function_verbs.mjs
+++ b/scripts/lint/function_verbs.mjs
@@ -55,6 +55,7 @@
   'relay',
   'release',
   'remove',
+  'renew',
   'report',
   'request',
   'resume',
