--- a/packages/daemon/src/wiring/make_control_router.ts
+++ b/packages/daemon/src/wiring/make_control_router.ts
@@ -6,6 +6,7 @@
   PeerServer,
   ProbeSchema,
   ReleaseSlotSchema,
+  RenewSlotsSchema,
 } from '@greengagecross/peers';
 import {ConfigurationAnswers} from '../configuration/configuration_answers.js';
 import {ControlRouter, type DaemonOrders} from '../control/control_router.js';
@@ -27,11 +28,18 @@
     parts.startedAtMs,
   );
   const peers = makePeerServer(parts);
-  return new ControlRouter(peers, metrics, dump, parts.keys.operator, orders);
+  return new ControlRouter(
+    peers,
+    metrics,
+    dump,
+    parts.explainer,
+    parts.keys.operator,
+    orders,
+  );
 }
 
 function makePeerServer(parts: DaemonParts): PeerServer {
-  const {members, broker, ledger} = parts;
+  const {members, broker, keeper, ledger} = parts;
   const peers = new PeerServer(parts.keys.peer);
   peers.addMethod(PeerMethod.HEARTBEAT, HeartbeatSchema, heartbeat =>
     members.answerHeartbeat(heartbeat),
@@ -49,5 +57,8 @@
     }),
   );
   new ConfigurationAnswers(parts.configuration).addTo(peers);
+  peers.addMethod(PeerMethod.RENEW_SLOTS, RenewSlotsSchema, renewal =>
+    Effect.as(keeper.answerRenewal(renewal), {renewed: true}),
+  );
   return peers;
 }
--- a/packages/peers/src/peer_method.ts
+++ b/packages/peers/src/peer_method.ts
@@ -6,4 +6,5 @@
   RELEASE_SLOT = 'slot.release',
   FETCH_REVISION = 'configuration.revision',
   FETCH_PARTS = 'configuration.parts',
+  RENEW_SLOTS = 'slot.renew',
 }
