Drive the membership in virtual time through its fault cases

A suspicion told by a third daemon holds after one heartbeat, in which its member can refute it; a daemon that finds itself suspected takes back what it alone suspected.

--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -8,3 +8,5 @@
 export * from './claims/claim_sweeper.js';
 export * from './claims/group_commit.js';
 export * from './claims/idempotency_key.js';
+export * from './hosts/host_follower.js';
+export * from './members/member_service.js';
--- a/packages/daemon/src/members/heartbeat_exchange.ts
+++ b/packages/daemon/src/members/heartbeat_exchange.ts
@@ -1,5 +1,5 @@
 import {Clock, Effect, Latch} from 'effect';
-import type {Address, Member} from '@greengagecross/common';
+import {MemberState, type Address, type Member} from '@greengagecross/common';
 import {LinkKnowledge, type MemberTable} from '@greengagecross/decisions';
 import {
   HeartbeatSchema,
@@ -114,12 +114,19 @@
       const {from, incarnation, members, statuses} = heartbeat;
       const link = this.getLink(from);
       link.observeIncarnation(incarnation);
-      const changes = members.map(member => this.observe(member, nowMs));
+      const own = this.self.getMember();
+      // Who was cut off does not know who else was.
+      const isTrusted = !this.table.isSuspect(from);
+      const changes = members
+        .filter(
+          ({id, state}) =>
+            isTrusted || id === own.id || state !== MemberState.SUSPECT,
+        )
+        .map(member => this.observe(member, nowMs));
       for (const status of statuses) this.table.observeStatus(status);
       this.table.recordHeard(from, nowMs);
       link.record(members, statuses);
-      const own = this.self.getMember();
-      const isEqual = heartbeat.tableHash === this.table.computeHash(own);
+      const isEqual = heartbeat.tableHash === this.computeHash();
       link.recordMatch(isEqual, this.listMembers());
       link.revision = heartbeat.highestRevision;
       const isNewerRevision = this.updateRevision(heartbeat.highestRevision);
@@ -130,9 +137,12 @@
   }
 
   private observe(member: Member, nowMs: number): boolean {
-    return member.id === this.self.getMember().id
-      ? this.self.observe(member)
-      : this.table.observe(member, nowMs);
+    if (member.id !== this.self.getMember().id) {
+      return this.table.observe(member, nowMs);
+    }
+    const isRefuted = this.self.observe(member);
+    if (isRefuted) this.table.removeOwnSuspicions();
+    return isRefuted;
   }
 
   private observeHosts({hosts}: Heartbeat, link: LinkKnowledge): boolean {
@@ -141,6 +151,10 @@
     return this.hosts.observeNews(hosts);
   }
 
+  private computeHash(): number {
+    return this.table.computeHash(this.self.getMember());
+  }
+
   private updateRevision(revision: number): boolean {
     if (revision <= this.highestRevision) return false;
     this.highestRevision = revision;
--- a/packages/daemon/src/members/member_service.ts
+++ b/packages/daemon/src/members/member_service.ts
@@ -104,8 +104,8 @@
   }
 
   /** Lists the daemons that take callers, this one included unless leaving. */
-  listLive(unusedNowMs?: number): Member[] {
-    const others = this.table.listLive();
+  listLive(nowMs: number): Member[] {
+    const others = this.table.listLive(nowMs);
     return this.getState() === MemberState.LIVE
       ? [this.getSelf(), ...others]
       : others;
@@ -113,8 +113,7 @@
 
   /** Counts the daemons that take callers, at least one. */
   countLive(): number {
-    const own = this.getState() === MemberState.LIVE ? 1 : 0;
-    return Math.max(1, own + this.table.listLive().length);
+    return Math.max(1, this.listLive(this.lastTickMs).length);
   }
 
   /** Counts this daemon and all it remembers, those just lost included. */
--- a/packages/daemon/src/wiring/daemon_parts.ts
+++ b/packages/daemon/src/wiring/daemon_parts.ts
@@ -133,6 +133,7 @@
     const {heartbeatMs} = this.tuning;
     const table = new MemberTable(this.settings.id, {
       forgetAfterMs: FORGET_AFTER_MS,
+      refuteMs: heartbeatMs,
     });
     return new MemberService(
       this.settings,
--- a/packages/decisions/src/members/member_table.ts
+++ b/packages/decisions/src/members/member_table.ts
@@ -18,12 +18,24 @@
   heardAtMs: number;
   /** When its state last changed here, in milliseconds of the local clock. */
   changedAtMs: number;
+  /** What holds until it has had time to refute that it is suspect. */
+  suspicion?: Suspicion;
+}
+
+/** A suspicion that its member may still refute. */
+interface Suspicion {
+  readonly stateBefore: MemberState;
+  readonly holdsFromMs: number;
+  /** Whether this daemon itself failed to reach the member. */
+  readonly isOwn: boolean;
 }
 
 /** Periods of the table, in milliseconds. */
 export interface MemberTableOptions {
   /** Time after which a member that nobody reaches is forgotten. */
   readonly forgetAfterMs: number;
+  /** Time that a member has to refute what a third daemon says. */
+  readonly refuteMs: number;
 }
 
 /** The daemons that one daemon knows of, and which of them it takes for live. */
@@ -55,6 +67,7 @@
     }
     this.observeStatus(news);
     if (!isNewerState(news, known.member)) return false;
+    this.updateSuspicion(known, news, nowMs + this.options.refuteMs, false);
     const isSameRun = news.incarnation === known.member.incarnation;
     const status = isSameRun ? toStatus(known.member) : {};
     known.member = {...news, ...status};
@@ -80,7 +93,30 @@
   setSuspect(id: string, nowMs: number): void {
     const known = this.entries.get(id);
     if (known === undefined) return;
-    this.observe({...known.member, state: MemberState.SUSPECT}, nowMs);
+    const news = {...known.member, state: MemberState.SUSPECT};
+    this.updateSuspicion(known, news, nowMs, true);
+    if (known.member.state === MemberState.SUSPECT) return;
+    known.member = news;
+    known.changedAtMs = nowMs;
+    this.version += 1;
+  }
+
+  /**
+   * Takes back what this daemon alone found: it was itself cut off, and those
+   * that it could not reach may be there.
+   */
+  removeOwnSuspicions(): void {
+    for (const entry of this.entries.values()) {
+      if (entry.suspicion?.isOwn !== true) continue;
+      entry.member = {...entry.member, state: entry.suspicion.stateBefore};
+      delete entry.suspicion;
+      this.version += 1;
+    }
+  }
+
+  /** Tells whether a member is suspected here. */
+  isSuspect(id: string): boolean {
+    return this.entries.get(id)?.member.state === MemberState.SUSPECT;
   }
 
   /** Finds a member that is still remembered. */
@@ -94,8 +130,10 @@
   }
 
   /** Lists members that stay and take callers; suspects are out. */
-  listLive(): Member[] {
-    return this.listKnown().filter(({state}) => state === MemberState.LIVE);
+  listLive(nowMs: number): Member[] {
+    return [...this.entries.values()]
+      .filter(entry => isLive(entry, nowMs))
+      .map(entry => entry.member);
   }
 
   /** Lists members that are there, joining and leaving ones included. */
@@ -134,6 +172,20 @@
     return (this.hash ^ hashState(self)) >>> 0;
   }
 
+  private updateSuspicion(
+    known: MemberEntry,
+    news: Member,
+    holdsFromMs: number,
+    isOwn: boolean,
+  ): void {
+    if (news.state !== MemberState.SUSPECT) {
+      delete known.suspicion;
+      return;
+    }
+    const stateBefore = known.suspicion?.stateBefore ?? known.member.state;
+    known.suspicion = {stateBefore, holdsFromMs, isOwn};
+  }
+
   private addEntry(member: Member, nowMs: number): void {
     const entry = {member, heardAtMs: nowMs, changedAtMs: nowMs};
     this.entries.set(member.id, entry);
@@ -144,3 +196,11 @@
 function hashState(member: Member): number {
   return hash32(makeStateKey(member));
 }
+
+function isLive({member, suspicion}: MemberEntry, nowMs: number): boolean {
+  if (member.state !== MemberState.SUSPECT) {
+    return member.state === MemberState.LIVE;
+  }
+  if (suspicion === undefined || nowMs >= suspicion.holdsFromMs) return false;
+  return suspicion.stateBefore === MemberState.LIVE;
+}
--- /dev/null
+++ b/packages/standins/src/bench/members/virtual_links.ts
@@ -0,0 +1,110 @@
+import {Effect, type Schema} from 'effect';
+import {
+  decodeDocument,
+  SeededRandom,
+  type Address,
+} from '@greengagecross/common';
+import {
+  HeartbeatSchema,
+  PeerCaller,
+  PeerError,
+  PeerMethod,
+  ProbeSchema,
+} from '@greengagecross/peers';
+import type {MemberNode} from './member_node.js';
+
+const ONE_WAY_MS = 1;
+const TIMEOUT_MS = 400;
+
+/** Links between members of one process, in virtual time. */
+export class VirtualLinks {
+  /** Share of messages that are lost, each way. */
+  lossShare = 0;
+  /** Tells whether messages from one member to another are dropped. */
+  isCut: (from: string, to: string) => boolean = () => false;
+  /** Members that neither send nor answer. */
+  readonly frozen = new Set<string>();
+  private readonly nodes = new Map<number, MemberNode>();
+  private readonly random: SeededRandom;
+
+  constructor(seed: number) {
+    this.random = new SeededRandom(seed);
+  }
+
+  /** Connects a member at its port. */
+  add(node: MemberNode): void {
+    this.nodes.set(node.plan.control.port, node);
+  }
+
+  /** Makes the caller of one member. */
+  makeCaller(from: string): PeerCaller {
+    return new VirtualCaller(this, from);
+  }
+
+  /** Finds the member at an address if it runs. */
+  find(address: Address): MemberNode | undefined {
+    const node = this.nodes.get(address.port);
+    return node?.isRunning() === true ? node : undefined;
+  }
+
+  /** Tells whether one message arrives. */
+  isDelivered(from: string, to: string): boolean {
+    if (this.frozen.has(from) || this.frozen.has(to)) return false;
+    if (this.isCut(from, to)) return false;
+    return this.lossShare === 0 || this.random.nextUnit() >= this.lossShare;
+  }
+}
+
+/** Calls other members of the process. */
+class VirtualCaller extends PeerCaller {
+  constructor(
+    private readonly links: VirtualLinks,
+    private readonly from: string,
+  ) {
+    super();
+  }
+
+  override send<S extends Schema.ConstraintDecoder<unknown>>(
+    address: Address,
+    method: PeerMethod,
+    params: object,
+    result: S,
+  ): Effect.Effect<S['Type'], PeerError> {
+    const failed = new PeerError(method, `${address.port}`);
+    return Effect.gen({self: this}, function* () {
+      yield* Effect.sleep(ONE_WAY_MS);
+      const node = this.links.find(address);
+      if (node === undefined) return yield* Effect.fail(failed);
+      const to = node.plan.id;
+      if (!this.links.isDelivered(this.from, to)) return yield* Effect.never;
+      const answer = yield* answerCall(node, method, params);
+      yield* Effect.sleep(ONE_WAY_MS);
+      if (!this.links.isDelivered(to, this.from)) return yield* Effect.never;
+      return decodeDocument(result, toMessage(answer), method);
+    }).pipe(
+      Effect.timeoutOrElse({
+        duration: TIMEOUT_MS,
+        orElse: () => Effect.fail(failed),
+      }),
+    );
+  }
+}
+
+/** Answers as the daemon's control listener does. */
+function answerCall(
+  node: MemberNode,
+  method: PeerMethod,
+  params: object,
+): Effect.Effect<unknown> {
+  if (method === PeerMethod.PROBE) {
+    const probe = decodeDocument(ProbeSchema, toMessage(params), method);
+    return node.service.answerProbe(probe);
+  }
+  const heartbeat = decodeDocument(HeartbeatSchema, toMessage(params), method);
+  return node.service.answerHeartbeat(heartbeat);
+}
+
+/** Copies as a message on a socket would. */
+function toMessage(value: unknown): unknown {
+  return JSON.parse(JSON.stringify(value));
+}
