Find silent connections of every kind within a bound

Cause: silence was the socket's idle timeout. A slow caller makes the relay pause the engine's stream, so no byte came and a healthy engine looked silent. A call that gave up before that timeout (peers) left the other idle connections in the pool, and a caller that stopped reading was kept for good.

Bytes are now compared four times in the limit, only while they are wanted; silence closes the idle connections to that address; a listener closes callers that take nothing of their answers. Bytes that are no request get an answer with the outcome not-run. Idle connections are dropped before the other end's announced time is over.

Ruled out: TCP keep-alive alone, whose number and interval of probes Node cannot set.

--- /dev/null
+++ b/packages/http/src/answer_malformed.ts
@@ -0,0 +1,33 @@
+import {STATUS_CODES} from 'node:http';
+import type {Socket} from 'node:net';
+import type {OutgoingHeaders} from './outgoing_request.js';
+
+const STATUS_BY_CODE: Readonly<Record<string, number>> = {
+  HPE_HEADER_OVERFLOW: 431,
+  HPE_CHUNK_EXTENSIONS_OVERFLOW: 413,
+  ERR_HTTP_REQUEST_TIMEOUT: 408,
+};
+const DEFAULT_STATUS = 400;
+
+/** Answers bytes that are no HTTP request, then closes the connection. */
+export function answerMalformed(
+  socket: Socket,
+  error: Error & {readonly code?: string},
+  headers: OutgoingHeaders = {},
+): void {
+  if (!socket.writable || socket.destroyed) {
+    socket.destroy();
+    return;
+  }
+  const status = STATUS_BY_CODE[error.code ?? ''] ?? DEFAULT_STATUS;
+  const reason = STATUS_CODES[status] ?? '';
+  const body = JSON.stringify({error: {message: reason}});
+  const lines = [
+    `HTTP/1.1 ${status} ${reason}`,
+    ...Object.entries(headers).map(([name, value]) => `${name}: ${value}`),
+    'content-type: application/json',
+    `content-length: ${Buffer.byteLength(body)}`,
+    'connection: close',
+  ];
+  socket.end(`${lines.join('\r\n')}\r\n\r\n${body}`, () => socket.destroy());
+}
--- a/packages/http/src/connection_pool.ts
+++ b/packages/http/src/connection_pool.ts
@@ -5,6 +5,8 @@
 
 const MAX_IDLE_SOCKETS_PER_ORIGIN = 64;
 const KEEP_ALIVE_PROBE_MS = 1000;
+/** A shorter time that the other end announces takes its place. */
+const MAX_IDLE_MS = 10_000;
 
 type ConnectionCallback = (error: Error | null, stream: Duplex) => void;
 
@@ -18,6 +20,7 @@
       keepAliveMsecs: KEEP_ALIVE_PROBE_MS,
       maxFreeSockets: MAX_IDLE_SOCKETS_PER_ORIGIN,
       scheduling: 'lifo',
+      timeout: MAX_IDLE_MS,
     });
   }
 
--- a/packages/http/src/http_client.ts
+++ b/packages/http/src/http_client.ts
@@ -9,8 +9,11 @@
 import type {OutgoingRequest} from './outgoing_request.js';
 import {readBody} from './read_body.js';
 import {RequestPhase} from './request_phase.js';
+import {SilenceWatch} from './silence_watch.js';
 
 const DEFAULT_MAX_REPLY_BYTES = 16 * 1024 * 1024;
+/** Share of the silence limit after which an abandoned wait is suspect. */
+const SUSPECT_SHARE = 0.5;
 
 /** Sends requests over kept connections and tells how far a failed one came. */
 export class HttpClient {
@@ -50,7 +53,7 @@
         resume(Effect.fail(tracker.makeError(error))),
       );
       sending.once('close', () => resume(Effect.fail(tracker.makeError())));
-      signal.addEventListener('abort', () => sending.destroy());
+      signal.addEventListener('abort', () => tracker.onAborted());
     });
   }
 
@@ -78,6 +81,8 @@
   private phase = RequestPhase.NOT_SENT;
   private failure = HttpFailure.CONNECT;
   private connectTimer: NodeJS.Timeout | undefined;
+  private sentAtMs = Number.POSITIVE_INFINITY;
+  private hasReply = false;
 
   constructor(
     private readonly sending: ClientRequest,
@@ -86,6 +91,9 @@
   ) {
     sending.once('socket', socket => this.onSocket(socket));
     sending.once('close', () => clearTimeout(this.connectTimer));
+    sending.once('response', () => {
+      this.hasReply = true;
+    });
   }
 
   makeError(cause?: Error): HttpError {
@@ -93,30 +101,44 @@
     return new HttpError(this.failure, this.phase, target, cause);
   }
 
+  /** Ends the request; one that waited long leaves no old connections. */
+  onAborted(): void {
+    const waitedMs = performance.now() - this.sentAtMs;
+    const isLong = waitedMs > this.outgoing.silenceMs * SUSPECT_SHARE;
+    if (isLong && !this.hasReply) this.closeIdle();
+    this.sending.destroy();
+  }
+
   private onSocket(socket: Socket): void {
     if (!socket.connecting) {
-      this.onConnected();
+      this.onConnected(socket);
       return;
     }
     this.connectTimer = setTimeout(
       () => this.sending.destroy(),
       this.outgoing.connectTimeoutMs,
     );
-    socket.once('connect', () => this.onConnected());
+    socket.once('connect', () => this.onConnected(socket));
   }
 
-  private onConnected(): void {
+  private onConnected(socket: Socket): void {
     clearTimeout(this.connectTimer);
     this.phase = RequestPhase.MAYBE_SENT;
     this.failure = HttpFailure.CLOSED;
-    this.sending.setTimeout(this.outgoing.silenceMs, () => this.onSilent());
+    this.sentAtMs = performance.now();
+    const {silenceMs} = this.outgoing;
+    new SilenceWatch(this.sending, socket, silenceMs, () => this.onSilent());
   }
 
   private onSilent(): void {
     this.failure = HttpFailure.SILENT;
+    this.closeIdle();
+    this.sending.destroy(new Error('no byte arrived in time'));
+  }
+
+  /** Idle connections of that age may be as dead as the silent one. */
+  private closeIdle(): void {
     const {host, port} = this.outgoing.address;
-    // Other idle connections of that age may be as dead as this one.
     this.pool.closeIdle(host, port);
-    this.sending.destroy(new Error('no byte arrived in time'));
   }
 }
--- a/packages/http/src/http_server.ts
+++ b/packages/http/src/http_server.ts
@@ -10,10 +10,13 @@
   type Scope,
 } from 'effect';
 import {formatAddress, Logger, type Address} from '@greengagecross/common';
+import {answerMalformed} from './answer_malformed.js';
+import {CallerConnection} from './caller_connection.js';
 import {HttpError} from './http_error.js';
 import {HttpExchange} from './http_exchange.js';
 import {HttpFailure} from './http_failure.js';
 import {RequestPhase} from './request_phase.js';
+import type {OutgoingHeaders} from './outgoing_request.js';
 import {SocketBytes} from './socket_bytes.js';
 
 /** Answers one exchange; a defect is answered with status 500. */
@@ -28,8 +31,15 @@
   readonly headersTimeoutMs: number;
   /** How long a caller may take to send a whole request, in milliseconds. */
   readonly requestTimeoutMs: number;
+  /** How long a caller may read nothing of its answer, in milliseconds. */
+  readonly stallTimeoutMs?: number;
+  /** Headers of the answer to a request that cannot be parsed. */
+  readonly buildMalformedHeaders?: () => OutgoingHeaders;
 }
 
+const SETTLE_MS = 1000;
+const CHECKS_PER_LIMIT = 4;
+const DEFAULT_STALL_MS = 60_000;
 const MAX_HEADER_BYTES = 16 * 1024;
 const logger = new Logger('http');
 
@@ -38,7 +48,8 @@
   readonly bytes = new SocketBytes();
   private readonly server: Server;
   private readonly idle = Latch.makeUnsafe(true);
-  private readonly queues = new Map<Socket, Queue.Queue<HttpExchange>>();
+  private readonly connections = new Map<Socket, CallerConnection>();
+  private readonly closed = Deferred.makeUnsafe<void>();
   private active = 0;
   private isClosing = false;
 
@@ -51,8 +62,10 @@
       keepAliveTimeout: options.keepAliveMs,
       headersTimeout: options.headersTimeoutMs,
       requestTimeout: options.requestTimeoutMs,
-      connectionsCheckingInterval: options.headersTimeoutMs,
+      connectionsCheckingInterval: options.headersTimeoutMs / CHECKS_PER_LIMIT,
       noDelay: true,
+      keepAlive: true,
+      keepAliveInitialDelay: options.keepAliveMs,
     });
   }
 
@@ -70,22 +83,34 @@
         runFiber(socket, this.runConnection(socket));
       });
       this.server.on('request', (request, response) => {
-        const queue = this.queues.get(request.socket);
-        if (queue === undefined) return;
-        Queue.offerUnsafe(queue, new HttpExchange(request, response));
+        const exchange = new HttpExchange(request, response);
+        this.connections.get(request.socket)?.add(exchange);
       });
+      this.server.on('clientError', (error, stream) =>
+        this.onMalformed(error, stream as Socket),
+      );
+      yield* Effect.forkScoped(this.watchStalls());
       yield* Effect.acquireRelease(this.listen(), () => this.closeNow());
     });
   }
 
-  /** Stops accepting, then waits until every exchange in flight has ended. */
+  /**
+   * Stops accepting, then waits until every exchange has ended and every
+   * connection is closed. A request that was half received is still answered.
+   */
   stop(): Effect.Effect<void> {
     return Effect.gen({self: this}, function* () {
       this.isClosing = true;
-      this.server.close();
-      this.server.closeIdleConnections();
-      yield* this.idle.await;
-      this.server.closeIdleConnections();
+      if (this.server.listening) {
+        this.server.close(() => Deferred.doneUnsafe(this.closed, Effect.void));
+      }
+      do {
+        const settled = Effect.andThen(
+          this.idle.await,
+          Effect.sleep(SETTLE_MS),
+        );
+        yield* Effect.raceFirst(Deferred.await(this.closed), settled);
+      } while (this.active > 0);
     });
   }
 
@@ -94,6 +119,11 @@
     this.isClosing = true;
   }
 
+  /** Tells whether new connections are accepted. */
+  isListening(): boolean {
+    return this.server.listening;
+  }
+
   /** Counts the exchanges in flight. */
   countActive(): number {
     return this.active;
@@ -130,9 +160,13 @@
     return Effect.gen({self: this}, function* () {
       const queue = yield* Queue.unbounded<HttpExchange>();
       const closed = yield* Deferred.make<void>();
-      this.queues.set(socket, queue);
+      const {keepAliveMs} = this.options;
+      this.connections.set(
+        socket,
+        new CallerConnection(socket, queue, keepAliveMs),
+      );
       socket.once('close', () => {
-        this.queues.delete(socket);
+        this.connections.delete(socket);
         Deferred.doneUnsafe(closed, Effect.void);
       });
       const serve = Effect.forever(
@@ -142,6 +176,31 @@
     });
   }
 
+  private onMalformed(error: Error, socket: Socket): void {
+    const connection = this.connections.get(socket);
+    // The answer in flight ends whole; nothing more is read after it.
+    if (connection?.isAnswering() === true) return;
+    if (connection?.hasBegunAnswer() === true) {
+      socket.destroy();
+      return;
+    }
+    answerMalformed(socket, error, this.options.buildMalformedHeaders?.());
+  }
+
+  /** Closes connections whose callers stopped reading their answers. */
+  private watchStalls(): Effect.Effect<never> {
+    const limitMs = this.options.stallTimeoutMs ?? DEFAULT_STALL_MS;
+    const check = Effect.sync(() => {
+      const nowMs = performance.now();
+      for (const connection of this.connections.values()) {
+        connection.closeIfStalled(nowMs, limitMs);
+      }
+    });
+    return Effect.forever(
+      Effect.andThen(Effect.sleep(limitMs / CHECKS_PER_LIMIT), check),
+    );
+  }
+
   private handle(exchange: HttpExchange): Effect.Effect<void> {
     this.active += 1;
     this.idle.closeUnsafe();
