Stop a daemon without cutting a request

Cause: the listener closed directoryKeepMs after the signal although a peer may give out the old address up to a heartbeat later, idle kept connections were closed under their callers, a new daemon announced itself before it had a configuration, a host shown as leaving was ignored, and a new owner of an engine began to count at zero.

The daemon now tells its peers first, serves on for as long as anything it promised holds, then closes and waits for the longest deadline. A second signal ends what is in flight, and says so. A daemon is joining until it can answer. Counts add the share that an engine's earlier owner still holds.

--- a/packages/daemon/src/callers/answer_refusal.ts
+++ b/packages/daemon/src/callers/answer_refusal.ts
@@ -1,4 +1,9 @@
-import {HeaderName, type Outcome} from '@greengagecross/common';
+import {
+  HeaderName,
+  makeRequestId,
+  Outcome,
+  RefusalReason,
+} from '@greengagecross/common';
 import type {HttpExchange, OutgoingHeaders} from '@greengagecross/http';
 import type {Refusal} from './refusal.js';
 
@@ -35,6 +40,14 @@
   exchange.sendJson(refusal.status, {error}, headers);
 }
 
+/** Builds the headers that go with the answer to bytes that are no request. */
+export function buildMalformedHeaders(): OutgoingHeaders {
+  return {
+    ...buildOutcomeHeaders(Outcome.NOT_RUN, makeRequestId()),
+    [HeaderName.REASON]: RefusalReason.BAD_REQUEST,
+  };
+}
+
 function buildRetryAfter(retryAfterMs: number | undefined): OutgoingHeaders {
   if (retryAfterMs === undefined) return {};
   const seconds = Math.max(1, Math.ceil(retryAfterMs / MS_PER_SECOND));
--- a/packages/daemon/src/callers/caller_router.ts
+++ b/packages/daemon/src/callers/caller_router.ts
@@ -5,7 +5,7 @@
 import {answerRefusal} from './answer_refusal.js';
 import type {ChatHandler} from './chat_handler.js';
 import type {DirectoryHandler} from './directory_handler.js';
-import {makeNotRun, type Refusal} from './refusal.js';
+import {makeCut, makeNotRun, type Refusal} from './refusal.js';
 import {SERVICE_PREFIX, type ServiceHandler} from './service_handler.js';
 
 /** Sends each caller's request to its handler and its refusal to the caller. */
@@ -15,6 +15,7 @@
     private readonly chats: ChatHandler,
     private readonly services: ServiceHandler,
     private readonly metrics: DaemonMetrics,
+    private readonly cut: Effect.Effect<void>,
   ) {}
 
   /** Answers one request on the callers' listener. */
@@ -25,7 +26,7 @@
       const kind = findKind(exchange);
       let outcome = Outcome.COMPLETE;
       let reason = '';
-      yield* this.dispatch(kind, exchange, requestId).pipe(
+      yield* this.dispatchUntilCut(kind, exchange, requestId).pipe(
         Effect.catch(refusal =>
           Effect.sync(() => {
             outcome = refusal.outcome;
@@ -39,6 +40,18 @@
     });
   }
 
+  /** A chat's stream is ended by its handler, which knows how far it came. */
+  private dispatchUntilCut(
+    kind: RequestKind,
+    exchange: HttpExchange,
+    requestId: string,
+  ): Effect.Effect<void, Refusal> {
+    const dispatched = this.dispatch(kind, exchange, requestId);
+    if (kind === RequestKind.CHAT) return dispatched;
+    const cut = Effect.flatMap(this.cut, () => Effect.fail(makeCut()));
+    return Effect.raceFirst(dispatched, cut);
+  }
+
   private dispatch(
     kind: RequestKind,
     exchange: HttpExchange,
--- a/packages/daemon/src/callers/chat_handler.ts
+++ b/packages/daemon/src/callers/chat_handler.ts
@@ -20,7 +20,7 @@
 import type {ChatJob} from './chat_attempt.js';
 import type {ChatDispatcher} from './chat_dispatcher.js';
 import {readRequest} from './read_request.js';
-import {makeNotRun, type Refusal} from './refusal.js';
+import {makeCut, makeNotRun, type Refusal} from './refusal.js';
 
 const LIMIT_RETRY_MS = 1000;
 
@@ -32,6 +32,7 @@
     private readonly tickets: TicketCodec,
     private readonly limit: CustomerLimit,
     private readonly members: MemberService,
+    private readonly cut: Effect.Effect<void>,
   ) {}
 
   /** Answers POST /v1/chat/completions. */
@@ -108,6 +109,7 @@
   /** A stream that has begun can only tell its refusal in its last event. */
   private dispatchAndFinish(job: ChatJob): Effect.Effect<void, Refusal> {
     return this.dispatcher.dispatch(job).pipe(
+      Effect.raceFirst(Effect.flatMap(this.cut, () => Effect.fail(makeCut()))),
       Effect.catch(refusal => {
         if (job.stream?.isStarted() !== true) return Effect.fail(refusal);
         const {outcome, reason} = refusal;
--- a/packages/daemon/src/callers/refusal.ts
+++ b/packages/daemon/src/callers/refusal.ts
@@ -1,4 +1,4 @@
-import {LayerError, Outcome, type RefusalReason} from '@greengagecross/common';
+import {LayerError, Outcome, RefusalReason} from '@greengagecross/common';
 
 /** A request that ends without a whole answer, as its caller is told. */
 export class Refusal extends LayerError {
@@ -23,3 +23,13 @@
 ): Refusal {
   return new Refusal(Outcome.NOT_RUN, reason, status, message, retryAfterMs);
 }
+
+/** Makes the refusal of a request that this daemon's stop ends. */
+export function makeCut(): Refusal {
+  return new Refusal(
+    Outcome.UNKNOWN,
+    RefusalReason.STOPPING,
+    503,
+    'this daemon had to stop before the request ended',
+  );
+}
--- a/packages/daemon/src/control/control_router.ts
+++ b/packages/daemon/src/control/control_router.ts
@@ -12,6 +12,8 @@
   /** Starts a graceful stop. */
   readonly drain: () => void;
   readonly isReady: () => boolean;
+  /** Tells whether the daemon's own loops still turn. */
+  readonly isAlive: () => boolean;
 }
 
 /** Answers peers, operators and probes on the control listener. */
@@ -31,7 +33,7 @@
       case PEER_PATH:
         return this.peers.handle(exchange);
       case '/healthz':
-        return Effect.sync(() => exchange.sendJson(200, {alive: true}));
+        return Effect.sync(() => this.answerAlive(exchange));
       case '/readyz':
         return Effect.sync(() => this.answerReady(exchange));
       case '/metrics':
@@ -44,6 +46,11 @@
     }
   }
 
+  private answerAlive(exchange: HttpExchange): void {
+    const alive = this.orders.isAlive();
+    exchange.sendJson(alive ? 200 : 503, {alive});
+  }
+
   private answerReady(exchange: HttpExchange): void {
     const ready = this.orders.isReady();
     exchange.sendJson(ready ? 200 : 503, {ready});
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -1,6 +1,7 @@
 import {Clock, Deferred, Effect, type Scope} from 'effect';
 import {
   Logger,
+  MemberState,
   type Address,
   type DaemonSettings,
   type FleetKeys,
@@ -10,36 +11,49 @@
   type ExchangeHandler,
   type HttpError,
 } from '@greengagecross/http';
+import {buildMalformedHeaders} from './callers/answer_refusal.js';
 import {DaemonMetrics} from './metrics/daemon_metrics.js';
+import {GracefulStop} from './stopping/graceful_stop.js';
 import {DaemonParts} from './wiring/daemon_parts.js';
 import {makeCallerRouter} from './wiring/make_caller_router.js';
 import {makeControlRouter} from './wiring/make_control_router.js';
 
-const KEEP_ALIVE_MS = 15_000;
+const MIN_KEEP_ALIVE_MS = 1000;
+const CONTROL_KEEP_ALIVE_MS = 15_000;
 const HEADERS_TIMEOUT_MS = 10_000;
+const JOIN_CHECK_MS = 50;
 const logger = new Logger('daemon');
 
 /** One daemon, from its start to its graceful stop. */
 export class Daemon {
   private readonly parts: DaemonParts;
   private readonly stopRequested = Deferred.makeUnsafe<void>();
+  private readonly cutRequested = Deferred.makeUnsafe<void>();
   private readonly callerServer: HttpServer;
   private readonly controlServer: HttpServer;
-  private isStopping = false;
 
   constructor(settings: DaemonSettings, keys: FleetKeys, startedAtMs: number) {
     this.parts = new DaemonParts(settings, keys, startedAtMs);
     const metrics = this.makeMetrics();
-    const callers = makeCallerRouter(this.parts, metrics);
+    const callers = makeCallerRouter(
+      this.parts,
+      metrics,
+      Deferred.await(this.cutRequested),
+    );
     const control = makeControlRouter(this.parts, metrics, {
       drain: () => this.stop(),
       isReady: () => this.isReady(),
+      isAlive: () => this.isAlive(),
     });
-    this.callerServer = this.makeServer(settings.callerListener, exchange =>
-      callers.handle(exchange),
+    this.callerServer = this.makeServer(
+      settings.callerListener,
+      this.computeKeepAliveMs(),
+      exchange => callers.handle(exchange),
     );
-    this.controlServer = this.makeServer(settings.controlListener, exchange =>
-      control.handle(exchange),
+    this.controlServer = this.makeServer(
+      settings.controlListener,
+      CONTROL_KEEP_ALIVE_MS,
+      exchange => control.handle(exchange),
     );
   }
 
@@ -48,6 +62,12 @@
     Deferred.doneUnsafe(this.stopRequested, Effect.void);
   }
 
+  /** Ends the requests in flight, each told so, and then stops. */
+  stopNow(): void {
+    this.stop();
+    Deferred.doneUnsafe(this.cutRequested, Effect.void);
+  }
+
   /** Runs until a stop was asked for and every request has ended. */
   run(): Effect.Effect<void, HttpError> {
     return Effect.scoped(
@@ -71,7 +91,8 @@
       yield* Effect.forkScoped(parts.claims.run());
       yield* Effect.forkScoped(parts.sweeper.run());
       yield* this.callerServer.start();
-      parts.members.setLive();
+      yield* Effect.forkScoped(this.runJoining());
+      yield* Effect.forkScoped(this.watchOwnHost());
       const {id, callerListener, controlListener} = parts.settings;
       logger.log('The daemon listens.', {
         id,
@@ -81,31 +102,61 @@
     });
   }
 
-  /**
-   * Leaves in order: peers stop naming this daemon, answers of the directory
-   * that name it run out, then the listener closes and requests end.
-   */
+  /** Announces this daemon once it can answer callers. */
+  private runJoining(): Effect.Effect<void> {
+    const {configuration, members, hosts, tuning} = this.parts;
+    return Effect.gen(function* () {
+      const endMs = Date.now() + 2 * tuning.platformTimeoutMs;
+      const isWaiting = (): boolean =>
+        configuration.getView() === undefined ||
+        (!hosts.isCurrent() && Date.now() < endMs);
+      while (isWaiting()) yield* Effect.sleep(JOIN_CHECK_MS);
+      members.setLive();
+    });
+  }
+
+  /** A host that the platform is about to take away is a planned stop. */
+  private watchOwnHost(): Effect.Effect<void> {
+    const {hosts, settings, tuning} = this.parts;
+    return Effect.gen({self: this}, function* () {
+      while (!hosts.isLeaving(settings.id)) {
+        yield* Effect.sleep(tuning.hostListPollMs);
+      }
+      this.stop();
+    });
+  }
+
   private finish(): Effect.Effect<void> {
-    const {settings, tuning, members} = this.parts;
+    const {settings, members} = this.parts;
+    const graceful = new GracefulStop(
+      this.parts,
+      this.callerServer,
+      this.computeKeepAliveMs(),
+    );
     return Effect.gen({self: this}, function* () {
-      this.isStopping = true;
       members.setLeaving();
-      this.callerServer.setClosing();
       logger.log('The daemon is leaving.', {id: settings.id});
-      yield* Effect.sleep(tuning.directoryKeepMs);
-      yield* this.callerServer
-        .stop()
-        .pipe(Effect.timeoutOption(tuning.stopGraceMs));
-      logger.log('The daemon stops.', {
-        id: settings.id,
-        cut: this.callerServer.countActive(),
-      });
+      const cut = Deferred.await(this.cutRequested);
+      yield* Effect.raceFirst(graceful.run(), cut);
+      const left = this.callerServer.countActive();
+      this.stopNow();
+      yield* graceful.finishCut();
+      logger.log('The daemon stops.', {id: settings.id, cut: left});
     });
   }
 
   private isReady(): boolean {
     const hasView = this.parts.configuration.getView() !== undefined;
-    return hasView && !this.isStopping;
+    return hasView && this.parts.members.getState() === MemberState.LIVE;
+  }
+
+  private isAlive(): boolean {
+    return this.parts.members.isTicking(Date.now());
+  }
+
+  /** Callers may use a kept connection as long as a directory answer. */
+  private computeKeepAliveMs(): number {
+    return Math.max(MIN_KEEP_ALIVE_MS, this.parts.tuning.directoryKeepMs);
   }
 
   private makeMetrics(): DaemonMetrics {
@@ -119,12 +170,18 @@
     });
   }
 
-  private makeServer(address: Address, handler: ExchangeHandler): HttpServer {
+  private makeServer(
+    address: Address,
+    keepAliveMs: number,
+    handler: ExchangeHandler,
+  ): HttpServer {
     const options = {
       address,
-      keepAliveMs: KEEP_ALIVE_MS,
+      keepAliveMs,
       headersTimeoutMs: HEADERS_TIMEOUT_MS,
       requestTimeoutMs: this.parts.tuning.callerSilenceMs,
+      stallTimeoutMs: this.parts.tuning.callerSilenceMs,
+      buildMalformedHeaders,
     };
     return new HttpServer(options, handler);
   }
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -34,8 +34,14 @@
 async function runMain(): Promise<void> {
   const {settings, keys} = readStartSettings();
   const daemon = await Effect.runPromise(makeDaemon(settings, keys));
-  process.on('SIGTERM', () => daemon.stop());
-  process.on('SIGINT', () => daemon.stop());
+  const onSignal = (): void => {
+    if (isAsked) daemon.stopNow();
+    isAsked = true;
+    daemon.stop();
+  };
+  let isAsked = false;
+  process.on('SIGTERM', onSignal);
+  process.on('SIGINT', onSignal);
   const exit = await Effect.runPromiseExit(daemon.run());
   if (Exit.isSuccess(exit)) process.exit(0);
   logger.log('The daemon failed.', {cause: String(exit.cause)});
--- a/packages/daemon/src/members/member_service.ts
+++ b/packages/daemon/src/members/member_service.ts
@@ -111,6 +111,11 @@
       : others;
   }
 
+  /** Lists the other daemons that are there, leaving ones included. */
+  listOthers(): Member[] {
+    return this.table.listHeard();
+  }
+
   /** Counts the daemons that take callers, at least one. */
   countLive(): number {
     const own = this.getState() === MemberState.LIVE ? 1 : 0;
--- a/packages/daemon/src/placement/placement_service.ts
+++ b/packages/daemon/src/placement/placement_service.ts
@@ -51,7 +51,7 @@
   ): Effect.Effect<Member[]> {
     return Effect.gen({self: this}, function* () {
       const nowMs = yield* Clock.currentTimeMillis;
-      const live = this.members.listLive(nowMs);
+      const live = this.listTakingCallers(nowMs);
       if (service === undefined) return live;
       const servers = yield* this.listServers(service, chatKey, ticket);
       const first = servers[0];
@@ -60,4 +60,10 @@
       return [owner, ...live.filter(member => member.id !== owner.id)];
     });
   }
+
+  /** A daemon that leaves alone still serves callers until it stops. */
+  private listTakingCallers(nowMs: number): Member[] {
+    const live = this.members.listLive(nowMs);
+    return live.length > 0 ? live : [this.members.getSelf()];
+  }
 }
--- a/packages/daemon/src/placement/slot_broker.ts
+++ b/packages/daemon/src/placement/slot_broker.ts
@@ -75,7 +75,8 @@
         service.placement.maxLoadMultiple,
       );
       const {engine, slotId, holder} = request;
-      return this.ledger.acquire(engine, slotId, holder, bound);
+      const elsewhere = this.countElsewhere(engine);
+      return this.ledger.acquire(engine, slotId, holder, bound - elsewhere);
     });
   }
 
@@ -89,12 +90,21 @@
     return live.find(member => member.id === id) ?? this.members.getSelf();
   }
 
-  /** Counts an engine's requests as its owner last told. */
-  countEngine(engine: string, nowMs: number): number {
-    const owner = this.findOwner(engine, nowMs);
-    if (owner.id === this.selfId) return this.ledger.count(engine);
-    const told = owner.engines.find(count => count.engine === engine);
-    return told?.inFlight ?? 0;
+  /** Counts an engine's requests; other daemons' share is as last told. */
+  countEngine(engine: string, unusedNowMs?: number): number {
+    return this.ledger.count(engine) + this.countElsewhere(engine);
+  }
+
+  /**
+   * Counts what other daemons hold of an engine. Beside its owner that is one
+   * which owned it earlier and still has requests of that time.
+   */
+  private countElsewhere(engine: string): number {
+    return this.members
+      .listOthers()
+      .flatMap(member => member.engines)
+      .filter(count => count.engine === engine)
+      .reduce((total, count) => total + count.inFlight, 0);
   }
 
   private countService(service: Service, nowMs: number): number {
--- a/packages/daemon/src/wiring/make_caller_router.ts
+++ b/packages/daemon/src/wiring/make_caller_router.ts
@@ -1,3 +1,4 @@
+import type {Effect} from 'effect';
 import {hash32, SeededRandom} from '@greengagecross/common';
 import {
   BudgetedRetries,
@@ -20,6 +21,8 @@
 export function makeCallerRouter(
   parts: DaemonParts,
   metrics: DaemonMetrics,
+  /** Completes when what is in flight must end. */
+  cut: Effect.Effect<void>,
 ): CallerRouter {
   const {placement, broker, tickets, workers, members} = parts;
   const authenticator = new Authenticator(parts.configuration);
@@ -41,11 +44,12 @@
     tickets,
     new CustomerLimit(),
     members,
+    cut,
   );
   const services = new ServiceHandler(
     authenticator,
     new RepeatableDispatcher(placement, workers, retries),
     new OnceDispatcher(placement, workers, parts.claims),
   );
-  return new CallerRouter(directory, chats, services, metrics);
+  return new CallerRouter(directory, chats, services, metrics, cut);
 }
--- a/packages/standins/src/callers/caller_verdict.ts
+++ b/packages/standins/src/callers/caller_verdict.ts
@@ -14,6 +14,8 @@
   readonly told: Outcome | undefined;
   /** Whether the answer was whole and the request's own. */
   readonly isOwnWhole: boolean;
+  /** Why it was refused or cut short, as told. */
+  readonly reason: string;
   readonly requestId: string;
   /** Caller's id of the work; the same on every resend. */
   readonly workId: string;
--- a/packages/standins/src/callers/fleet_caller.ts
+++ b/packages/standins/src/callers/fleet_caller.ts
@@ -26,6 +26,7 @@
 const NOTHING_TOLD: Told = {
   outcome: undefined,
   isOwnWhole: false,
+  reason: '',
   requestId: '',
   ticket: undefined,
   firstTokenMs: 0,
@@ -62,6 +63,7 @@
         kind: request.kind,
         told: told.outcome,
         isOwnWhole: told.isOwnWhole,
+        reason: told.reason,
         requestId: told.requestId,
         workId: request.workId,
         ticket: told.ticket,
--- a/packages/standins/src/callers/read_told.ts
+++ b/packages/standins/src/callers/read_told.ts
@@ -39,6 +39,7 @@
   const {headers} = reply;
   return {
     outcome: headers[HeaderName.OUTCOME] as Outcome | undefined,
+    reason: String(headers[HeaderName.REASON] ?? ''),
     requestId: String(headers[HeaderName.REQUEST_ID] ?? ''),
     ticket: headers[HeaderName.TICKET] as string | undefined,
   };
@@ -82,6 +83,7 @@
         Effect.succeed({
           ...readHeaders(reply),
           outcome: closing?.outcome,
+          reason: closing?.reason ?? '',
           isOwnWhole: content === whole,
           ticket: closing?.ticket,
           firstTokenMs,
--- a/packages/standins/src/callers/told.ts
+++ b/packages/standins/src/callers/told.ts
@@ -4,6 +4,8 @@
 export interface Told {
   readonly outcome: Outcome | undefined;
   readonly isOwnWhole: boolean;
+  /** Why it was refused or cut short, if it was. */
+  readonly reason: string;
   readonly requestId: string;
   readonly ticket: string | undefined;
   readonly firstTokenMs: number;
