--- a/packages/standins/src/fleet/child.ts
+++ b/packages/standins/src/fleet/child.ts
@@ -1,6 +1,13 @@
 import {spawn, type ChildProcess} from 'node:child_process';
 import {createWriteStream} from 'node:fs';
 
+const running = new Set<ChildProcess>();
+
+// A runner that fails must leave no process behind.
+process.once('exit', () => {
+  for (const child of running) child.kill('SIGKILL');
+});
+
 /** One process that a runner started, with its log in a file. */
 export class Child {
   private readonly process: ChildProcess;
@@ -15,11 +22,13 @@
     this.process = spawn(process.execPath, [script, ...args], {
       stdio: ['ignore', 'pipe', 'pipe'],
     });
+    running.add(this.process);
     const log = createWriteStream(logFile, {flags: 'a'});
     this.process.stdout?.pipe(log, {end: false});
     this.process.stderr?.pipe(log, {end: false});
     this.ended = new Promise(resolve => {
       this.process.once('exit', code => {
+        running.delete(this.process);
         log.end();
         resolve(code);
       });
