--- a/packages/decisions/src/placement/cost_placement.ts
+++ b/packages/decisions/src/placement/cost_placement.ts
@@ -103,6 +103,12 @@
     : PlacementReason.WAIT_WARM;
 }
 
+interface LoadedEngine {
+  readonly engine: string;
+  /** Requests in flight, and under one more for the distance. */
+  readonly load: number;
+}
+
 /** Lists the ticket's earlier engine, a home, then a few by their load. */
 function listOthers(
   request: PlacementRequest,
@@ -110,21 +116,16 @@
   loads: EngineLoads,
 ): string[] {
   const {ticket} = request;
-  const probed = listProbed(request, group);
-  const home = findHome(probed.slice(0, HOME_COUNT), loads);
-  const byLoad = probed
-    .map(engine => ({
-      engine,
-      load:
-        loads.count(engine) + computeDistance(request, group, loads, engine),
-    }))
-    .sort((a, b) => a.load - b.load)
-    .map(({engine}) => engine);
+  const probed = listProbed(request, group).map(engine => ({
+    engine,
+    load: loads.count(engine) + computeDistance(request, group, loads, engine),
+  }));
+  const [home] = sortByLoad(probed.slice(0, HOME_COUNT));
   const earlier = ticket?.earlier?.engine;
   const listed = new Set<string>();
   if (earlier !== undefined && group.has(earlier)) listed.add(earlier);
-  if (home !== undefined) listed.add(home);
-  for (const engine of byLoad) listed.add(engine);
+  if (home !== undefined && home.load < loads.bound) listed.add(home.engine);
+  for (const {engine} of sortByLoad(probed)) listed.add(engine);
   if (ticket !== undefined) listed.delete(ticket.engine);
   return [...listed];
 }
@@ -145,17 +146,8 @@
   return probed.list();
 }
 
-/** Finds the less loaded of two homes, if it is under its bound. */
-function findHome(
-  homes: readonly string[],
-  loads: EngineLoads,
-): string | undefined {
-  const [first, second] = homes;
-  if (first === undefined) return undefined;
-  const isSecondFreer =
-    second !== undefined && loads.count(second) < loads.count(first);
-  const home = isSecondFreer ? second : first;
-  return loads.count(home) < loads.bound ? home : undefined;
+function sortByLoad(engines: readonly LoadedEngine[]): LoadedEngine[] {
+  return [...engines].sort((a, b) => a.load - b.load);
 }
 
 /** Computes a distance under one request, which only breaks ties of load. */
--- a/packages/peers/src/peer_messages.ts
+++ b/packages/peers/src/peer_messages.ts
@@ -32,6 +32,9 @@
   slotId: Schema.NonEmptyString,
 });
 
+/** Decoded form of {@link ReleaseSlotSchema}. */
+export type ReleaseSlot = typeof ReleaseSlotSchema.Type;
+
 /** Parameters of {@link PeerMethod.RENEW_SLOTS}. */
 export const RenewSlotsSchema = Schema.Struct({
   /** Daemon that uses the slots. */
