--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -72,6 +72,7 @@
       yield* Effect.forkScoped(parts.claims.run());
       yield* Effect.forkScoped(parts.sweeper.run());
       yield* this.callerServer.start();
+      parts.members.setLive();
       const {id, callerListener, controlListener} = parts.settings;
       logger.log('The daemon listens.', {
         id,
@@ -113,6 +114,9 @@
     return new DaemonMetrics({
       countLiveMembers: () => members.countLive(),
       getRevision: () => configuration.getView()?.revision ?? 0,
+      countRefusedConfigurations: () => configuration.countRefusals(),
+      getUnconfirmedSeconds: () =>
+        configuration.getUnconfirmedSeconds(Date.now()),
       countControlBytes: () =>
         this.controlServer.bytes.count() + controlClient.pool.bytes.count(),
       countInFlight: () => this.callerServer.countActive(),
--- a/packages/daemon/src/wiring/make_control_router.ts
+++ b/packages/daemon/src/wiring/make_control_router.ts
@@ -4,9 +4,11 @@
   HeartbeatSchema,
   PeerMethod,
   PeerServer,
+  ProbeSchema,
   ReleaseSlotSchema,
   RenewSlotsSchema,
 } from '@greengagecross/peers';
+import {ConfigurationAnswers} from '../configuration/configuration_answers.js';
 import {ControlRouter, type DaemonOrders} from '../control/control_router.js';
 import {StateDump} from '../control/state_dump.js';
 import type {DaemonMetrics} from '../metrics/daemon_metrics.js';
@@ -42,6 +44,9 @@
   peers.addMethod(PeerMethod.HEARTBEAT, HeartbeatSchema, heartbeat =>
     members.answerHeartbeat(heartbeat),
   );
+  peers.addMethod(PeerMethod.PROBE, ProbeSchema, probe =>
+    members.answerProbe(probe),
+  );
   peers.addMethod(PeerMethod.ACQUIRE_SLOT, AcquireSlotSchema, request =>
     Effect.map(broker.answerAcquire(request), granted => ({granted})),
   );
@@ -51,6 +56,7 @@
       return {released: true};
     }),
   );
+  new ConfigurationAnswers(parts.configuration).addTo(peers);
   peers.addMethod(PeerMethod.RENEW_SLOTS, RenewSlotsSchema, renewal =>
     Effect.as(keeper.answerRenewal(renewal), {renewed: true}),
   );
--- a/packages/peers/src/peer_method.ts
+++ b/packages/peers/src/peer_method.ts
@@ -1,7 +1,10 @@
 /** Methods that daemons call on each other over JSON-RPC. */
 export enum PeerMethod {
   HEARTBEAT = 'member.heartbeat',
+  PROBE = 'member.probe',
   ACQUIRE_SLOT = 'slot.acquire',
   RELEASE_SLOT = 'slot.release',
+  FETCH_REVISION = 'configuration.revision',
+  FETCH_PARTS = 'configuration.parts',
   RENEW_SLOTS = 'slot.renew',
 }
