--- a/packages/daemon/src/placement/placement_service.ts
+++ b/packages/daemon/src/placement/placement_service.ts
@@ -7,11 +7,12 @@
   type Service,
   type Ticket,
 } from '@greengagecross/common';
-import type {
-  DecisionLog,
-  PlacementChoice,
-  PlacementPolicy,
-  SlotAuthority,
+import {
+  toEngineChoice,
+  type DecisionLog,
+  type PlacementChoice,
+  type PlacementPolicy,
+  type SlotAuthority,
 } from '@greengagecross/decisions';
 import type {EngineIndex} from './engine_index.js';
 import type {FleetView} from './fleet_view.js';
@@ -56,7 +57,7 @@
         service: service.name,
         atMs: nowMs,
         ticketEngine: ticket?.engine ?? '',
-        choices,
+        choices: choices.map(toEngineChoice),
         takenBy: '',
       });
       return choices.flatMap(choice => {
