Check that each event and reply is the attempt's own and whole

The relay took the end of a stream at any index, so a stream that had lost its last tokens looked complete; it took events that named another completion, and a resumed reply whose id was another's. A whole reply was not read at all, and one without a length that was cut short passed for whole. A not-run word was believed without the attempt's id beside it. Each event must now bear the attempt's completion id and the next index, and the end must follow a finish reason; whole replies are parsed; replies of plain services need a length.

--- a/packages/backend/src/http_engine_client.ts
+++ b/packages/backend/src/http_engine_client.ts
@@ -120,7 +120,7 @@
       .pipe(
         Effect.mapError(error => toBackendError(id, error)),
         Effect.flatMap(reply => {
-          const refusal = findRefusal(id, reply);
+          const refusal = findRefusal(call, reply);
           if (refusal === undefined) return Effect.succeed(reply);
           reply.stream.resume();
           return Effect.fail(refusal);
--- a/packages/backend/src/http_service_client.ts
+++ b/packages/backend/src/http_service_client.ts
@@ -1,8 +1,10 @@
 import {Effect} from 'effect';
 import type {HttpClient, HttpReply} from '@greengagecross/http';
 import type {BackendCall} from './backend_call.js';
-import type {BackendError} from './backend_error.js';
+import {BackendError} from './backend_error.js';
+import {BackendFailure} from './backend_failure.js';
 import {buildCallHeaders, type BackendTimeouts} from './http_engine_client.js';
+import {isOwnWholeReply} from './is_own_whole_reply.js';
 import {ServiceClient, type ServiceRequest} from './service_client.js';
 import {findRefusal, toBackendError} from './to_backend_error.js';
 
@@ -32,10 +34,11 @@
       .pipe(
         Effect.mapError(error => toBackendError(id, error)),
         Effect.flatMap(reply => {
-          const refusal = findRefusal(id, reply);
-          return refusal === undefined
+          const refusal = findRefusal(call, reply);
+          if (refusal !== undefined) return Effect.fail(refusal);
+          return isOwnWholeReply(call, request.method, reply)
             ? Effect.succeed(reply)
-            : Effect.fail(refusal);
+            : Effect.fail(new BackendError(BackendFailure.BROKEN, id));
         }),
       );
   }
--- a/packages/backend/src/to_backend_error.ts
+++ b/packages/backend/src/to_backend_error.ts
@@ -4,6 +4,7 @@
   type HttpError,
   type OpenReply,
 } from '@greengagecross/http';
+import type {BackendCall} from './backend_call.js';
 import {BackendError} from './backend_error.js';
 import {BackendFailure} from './backend_failure.js';
 import {BackendHeader} from './backend_headers.js';
@@ -25,12 +26,20 @@
   return new BackendError(failure, backendId, error);
 }
 
-/** Reads a reply's own word that the request did not run, if it says so. */
+/**
+ * Reads a reply's own word that the request did not run, if it says so.
+ *
+ * The word counts only beside the attempt's own id: it may be another's.
+ */
 export function findRefusal(
-  backendId: string,
+  call: BackendCall,
   reply: Pick<OpenReply, 'headers'>,
 ): BackendError | undefined {
   if (reply.headers[BackendHeader.NOT_RUN] !== 'true') return undefined;
+  const backendId = call.server.id;
+  if (reply.headers[BackendHeader.REQUEST_ID] !== call.attemptId) {
+    return new BackendError(BackendFailure.BROKEN, backendId);
+  }
   const failure =
     reply.headers[BackendHeader.LEAVING] === 'true'
       ? BackendFailure.LEAVING
--- a/packages/daemon/src/callers/chat_attempt.ts
+++ b/packages/daemon/src/callers/chat_attempt.ts
@@ -3,6 +3,7 @@
   BackendError,
   BackendFailure,
   BackendHeader,
+  isKnownNotRun,
   type BackendCall,
   type EngineClient,
 } from '@greengagecross/backend';
@@ -21,6 +22,8 @@
   type OpenReply,
 } from '@greengagecross/http';
 import type {ChatStream} from '../relay/chat_stream.js';
+import {isWholeCompletion} from '../relay/is_whole_completion.js';
+import {StreamCheck} from '../relay/stream_check.js';
 import {buildOutcomeHeaders} from './answer_refusal.js';
 
 const MAX_REPLY_BYTES = 16 * 1024 * 1024;
@@ -73,10 +76,20 @@
       }
       yield* this.relayStream(job, job.stream, call, reply);
     }).pipe(
-      Effect.onInterrupt(() => Effect.forkDetach(this.engines.cancel(call))),
+      Effect.tapError(error =>
+        isKnownNotRun(error.failure) ? Effect.void : this.cancel(call),
+      ),
+      Effect.onInterrupt(() => this.cancel(call)),
     );
   }
 
+  /** Asks the engine to stop; it may be gone. */
+  private cancel(call: BackendCall): Effect.Effect<void> {
+    return this.engines
+      .cancel(call)
+      .pipe(Effect.ignore, Effect.forkDetach, Effect.asVoid);
+  }
+
   private relayWhole(
     job: ChatJob,
     call: BackendCall,
@@ -86,6 +99,12 @@
       Effect.mapError(
         error => new BackendError(BackendFailure.CUT, call.server.id, error),
       ),
+      Effect.filterOrFail(
+        body =>
+          reply.status !== 200 ||
+          isWholeCompletion(body.toString(), call.attemptId),
+        () => new BackendError(BackendFailure.BROKEN, call.server.id),
+      ),
       Effect.map(body => {
         const headers = {
           ...buildOutcomeHeaders(Outcome.COMPLETE, job.requestId),
@@ -104,23 +123,25 @@
     first: OpenReply,
   ): Effect.Effect<void, BackendError> {
     const {id} = call.server;
+    const check = new StreamCheck(call.attemptId);
     const resume = (
       failed: BackendError,
       left: number,
     ): Effect.Effect<void, BackendError> => {
       const isCut = failed.failure === BackendFailure.CUT;
       if (!isCut || left === 0) return Effect.fail(failed);
-      return this.engines.resume(call, stream.getLastIndex()).pipe(
+      return this.engines.resume(call, check.getLastIndex()).pipe(
+        Effect.tap(reply => checkOwn(reply, call)),
         Effect.mapError(() => failed),
         Effect.flatMap(reply =>
           reply.status === 200
-            ? stream.relay(reply.stream, id)
+            ? stream.relay(reply.stream, id, check)
             : Effect.fail(failed),
         ),
         Effect.catch(error => resume(error, left - 1)),
       );
     };
-    return stream.relay(first.stream, id).pipe(
+    return stream.relay(first.stream, id, check).pipe(
       Effect.catch(error => resume(error, MAX_RESUMES)),
       Effect.map(() => {
         const {requestId} = job;
--- a/packages/daemon/src/relay/chat_stream.ts
+++ b/packages/daemon/src/relay/chat_stream.ts
@@ -1,10 +1,12 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {Effect} from 'effect';
-import {createParser, type EventSourceMessage} from 'eventsource-parser';
+import {createParser} from 'eventsource-parser';
 import {BackendError, BackendFailure} from '@greengagecross/backend';
 import {OUTCOME_EVENT, type OutcomeEvent} from '@greengagecross/common';
+import {EventVerdict, type StreamCheck} from './stream_check.js';
 
 const DONE = '[DONE]';
+const MAX_EVENT_CHARACTERS = 1024 * 1024;
 
 /**
  * One caller's stream of server-sent events, relayed whole event by event.
@@ -13,7 +15,6 @@
  * a resumed stream with no event twice or missing.
  */
 export class ChatStream {
-  private lastIndex = -1;
   private hasStarted = false;
 
   constructor(
@@ -26,15 +27,15 @@
     return this.hasStarted;
   }
 
-  /** Index of the last event relayed; -1 before the first. */
-  getLastIndex(): number {
-    return this.lastIndex;
-  }
-
-  /** Relays an engine's stream until it says that it is done. */
+  /**
+   * Relays an engine's stream until it says that it is done.
+   *
+   * @param check the attempt's own, kept over its connections.
+   */
   relay(
     stream: IncomingMessage,
     backendId: string,
+    check: StreamCheck,
   ): Effect.Effect<void, BackendError> {
     return Effect.callback<void, BackendError>(resume => {
       let isEnded = false;
@@ -42,16 +43,31 @@
         if (isEnded) return;
         isEnded = true;
         stream.off('data', onData);
-        stream.resume();
         resume(result);
       };
-      const fail = (failure: BackendFailure, cause?: Error): void =>
+      const fail = (failure: BackendFailure, cause?: Error): void => {
         end(Effect.fail(new BackendError(failure, backendId, cause)));
+        stream.destroy();
+      };
       const parser = createParser({
+        maxBufferSize: MAX_EVENT_CHARACTERS,
+        onError: error => fail(BackendFailure.BROKEN, error),
         onEvent: event => {
           if (isEnded) return;
-          if (event.data === DONE) end(Effect.void);
-          else if (!this.write(event)) fail(BackendFailure.BROKEN);
+          switch (check.accept(event)) {
+            case EventVerdict.RELAY:
+              this.write(check.getLastIndex(), event.data);
+              break;
+            case EventVerdict.SKIP:
+              break;
+            case EventVerdict.DONE:
+              end(Effect.void);
+              stream.resume();
+              break;
+            case EventVerdict.BROKEN:
+              fail(BackendFailure.BROKEN);
+              break;
+          }
         },
       });
       const onData = (chunk: string): void => {
@@ -79,15 +95,9 @@
     this.response.end(`${done}event: ${OUTCOME_EVENT}\ndata: ${data}\n\n`);
   }
 
-  /** Writes one event unless it was written before; false after a gap. */
-  private write(event: EventSourceMessage): boolean {
-    const index = event.id === undefined ? this.lastIndex + 1 : +event.id;
-    if (index <= this.lastIndex) return true;
-    if (index !== this.lastIndex + 1) return false;
+  private write(index: number, data: string): void {
     this.start();
-    this.lastIndex = index;
-    this.response.write(`id: ${index}\ndata: ${event.data}\n\n`);
-    return true;
+    this.response.write(`id: ${index}\ndata: ${data}\n\n`);
   }
 
   private start(): void {
--- /dev/null
+++ b/packages/daemon/src/relay/is_whole_completion.ts
@@ -0,0 +1,21 @@
+import {Schema} from 'effect';
+import {makeCompletionId} from './stream_check.js';
+
+const isCompletion = Schema.is(
+  Schema.Struct({
+    id: Schema.NonEmptyString,
+    choices: Schema.Array(
+      Schema.Struct({finish_reason: Schema.NonEmptyString}),
+    ).check(Schema.isMinLength(1)),
+  }),
+);
+
+/** Tells whether a body is the whole completion of an attempt. */
+export function isWholeCompletion(body: string, attemptId: string): boolean {
+  try {
+    const parsed: unknown = JSON.parse(body);
+    return isCompletion(parsed) && parsed.id === makeCompletionId(attemptId);
+  } catch {
+    return false;
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/relay/stream_check.ts
@@ -0,0 +1,85 @@
+import {Schema} from 'effect';
+import type {EventSourceMessage} from 'eventsource-parser';
+
+const DONE = '[DONE]';
+const INDEX = /^\d{1,9}$/;
+
+/** What becomes of one event of an engine's stream. */
+export enum EventVerdict {
+  RELAY = 'relay',
+  /** It was relayed before. */
+  SKIP = 'skip',
+  /** The answer is whole. */
+  DONE = 'done',
+  /** It cannot belong to this answer at this place. */
+  BROKEN = 'broken',
+}
+
+/** The parts of a chunk that tell whose it is and whether it is the last. */
+const ChunkSchema = Schema.Struct({
+  id: Schema.NonEmptyString,
+  choices: Schema.Array(
+    Schema.Struct({
+      finish_reason: Schema.optionalKey(Schema.NullOr(Schema.NonEmptyString)),
+    }),
+  ),
+});
+
+const isChunk = Schema.is(ChunkSchema);
+
+/** Makes the completion id that an engine gives an attempt's answer. */
+export function makeCompletionId(attemptId: string): string {
+  return `chatcmpl-${attemptId}`;
+}
+
+/**
+ * Checks one attempt's events: each must bear the attempt's completion id and
+ * the next index, and the end must follow a finish reason.
+ */
+export class StreamCheck {
+  private lastIndex = -1;
+  private hasFinishReason = false;
+  private readonly completionId: string;
+
+  constructor(attemptId: string) {
+    this.completionId = makeCompletionId(attemptId);
+  }
+
+  /** Index of the last event relayed; -1 before the first. */
+  getLastIndex(): number {
+    return this.lastIndex;
+  }
+
+  /** Checks the next event and counts it when it is to be relayed. */
+  accept(event: EventSourceMessage): EventVerdict {
+    const {id = '', data} = event;
+    if (event.event !== undefined || !INDEX.test(id)) {
+      return EventVerdict.BROKEN;
+    }
+    const index = Number(id);
+    const chunk = data === DONE ? undefined : parseChunk(data);
+    if (data !== DONE && chunk?.id !== this.completionId) {
+      return EventVerdict.BROKEN;
+    }
+    if (index <= this.lastIndex) return EventVerdict.SKIP;
+    if (index !== this.lastIndex + 1) return EventVerdict.BROKEN;
+    if (chunk === undefined) {
+      return this.hasFinishReason ? EventVerdict.DONE : EventVerdict.BROKEN;
+    }
+    this.lastIndex = index;
+    const isLast = chunk.choices.some(
+      choice => typeof choice.finish_reason === 'string',
+    );
+    this.hasFinishReason = this.hasFinishReason || isLast;
+    return EventVerdict.RELAY;
+  }
+}
+
+function parseChunk(data: string): typeof ChunkSchema.Type | undefined {
+  try {
+    const parsed: unknown = JSON.parse(data);
+    return isChunk(parsed) ? parsed : undefined;
+  } catch {
+    return undefined;
+  }
+}
--- a/packages/standins/src/backends/engine_server.ts
+++ b/packages/standins/src/backends/engine_server.ts
@@ -133,6 +133,7 @@
         yield* Effect.sleep(profile.msPerToken);
         generation.add(makeChunk(generation.attemptId, token));
       }
+      generation.add(makeChunk(generation.attemptId, '', 'stop'));
       generation.add('[DONE]');
       record.isFinished = true;
       this.cache.set(
@@ -216,16 +217,22 @@
     503,
     {error: 'not run'},
     {
+      [BackendHeader.REQUEST_ID]:
+        exchange.getHeader(BackendHeader.REQUEST_ID) ?? '',
       [BackendHeader.NOT_RUN]: 'true',
       ...(isLeaving ? {[BackendHeader.LEAVING]: 'true'} : {}),
     },
   );
 }
 
-function makeChunk(attemptId: string, content: string): string {
+function makeChunk(
+  attemptId: string,
+  content: string,
+  finishReason: string | null = null,
+): string {
   return JSON.stringify({
     id: `chatcmpl-${attemptId}`,
     object: 'chat.completion.chunk',
-    choices: [{index: 0, delta: {content}, finish_reason: null}],
+    choices: [{index: 0, delta: {content}, finish_reason: finishReason}],
   });
 }
