--- a/packages/daemon/src/callers/chat_attempt.ts
+++ b/packages/daemon/src/callers/chat_attempt.ts
@@ -1,4 +1,4 @@
-import {Effect} from 'effect';
+import {Clock, Effect} from 'effect';
 import {
   BackendError,
   BackendFailure,
@@ -16,6 +16,10 @@
   type Ticket,
   type TicketCodec,
 } from '@greengagecross/common';
+import {
+  findEarlierEngine,
+  type RequestDeadline,
+} from '@greengagecross/decisions';
 import {
   readBody,
   type HttpExchange,
@@ -54,15 +58,25 @@
     job: ChatJob,
     server: BackendServer,
     attemptId: string,
+    deadline: RequestDeadline,
   ): Effect.Effect<void, BackendError> {
-    const call: BackendCall = {
+    const base = {
       server,
       attemptId,
       customer: job.customer.id,
       chat: job.chat,
       priority: job.service.priority,
-      deadlineMs: job.service.deadlineMs,
     };
+    return Effect.flatMap(Clock.currentTimeMillis, nowMs =>
+      this.runCall(job, {...base, deadlineMs: deadline.computeLeftMs(nowMs)}),
+    );
+  }
+
+  private runCall(
+    job: ChatJob,
+    call: BackendCall,
+  ): Effect.Effect<void, BackendError> {
+    const {server} = call;
     return Effect.gen({self: this}, function* () {
       const reply = yield* this.engines.open(call, job.body);
       yield* checkOwn(reply, call);
@@ -158,6 +172,7 @@
     reply: OpenReply,
   ): string {
     const tokens = Number(reply.headers[BackendHeader.PROMPT_TOKENS] ?? 0);
+    const earlier = findEarlierEngine(job.ticket, call.server.id);
     return this.tickets.encode({
       customer: job.customer.id,
       chat: job.chat,
@@ -165,6 +180,7 @@
       engine: call.server.id,
       contextTokens: Number.isSafeInteger(tokens) ? tokens : 0,
       warmAtMs: Date.now(),
+      ...(earlier === undefined ? {} : {earlier}),
     });
   }
 }
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -2,6 +2,9 @@
 export * from './daemon.js';
 export * from './read_settings.js';
 export type {DaemonState} from './control/state_dump.js';
+export * from './configuration/configuration_follower.js';
+export * from './configuration/configuration_peers.js';
+export * from './configuration/configuration_state.js';
 export * from './claims/claim_book.js';
 export * from './claims/claim_key.js';
 export * from './claims/claim_record.js';
@@ -17,3 +20,6 @@
 export * from './relay/stream_check.js';
 export type {PlacementService} from './placement/placement_service.js';
 export type {SlotBroker} from './placement/slot_broker.js';
+export * from './orders/order_holder.js';
+export * from './hosts/host_follower.js';
+export * from './members/member_service.js';
--- a/packages/daemon/src/wiring/daemon_parts.ts
+++ b/packages/daemon/src/wiring/daemon_parts.ts
@@ -3,15 +3,22 @@
 import {
   DEFAULT_TUNING,
   findRendezvousHome,
+  hash32,
   TicketCodec,
   type DaemonSettings,
   type FleetKeys,
   type Tuning,
 } from '@greengagecross/common';
 import {
+  computePollMs,
+  CostPlacement,
+  DecisionLog,
   EngineLedger,
-  HomePlacement,
   MemberTable,
+  RingNeighbours,
+  PlacementCosts,
+  ServiceTimes,
+  SlotAuthority,
 } from '@greengagecross/decisions';
 import {HttpClient} from '@greengagecross/http';
 import {PeerClient} from '@greengagecross/peers';
@@ -27,13 +34,19 @@
 import {ClaimSweeper} from '../claims/claim_sweeper.js';
 import {GroupCommit} from '../claims/group_commit.js';
 import {ConfigurationFollower} from '../configuration/configuration_follower.js';
+import {DaemonConfigurationPeers} from '../configuration/daemon_configuration_peers.js';
 import {HostFollower} from '../hosts/host_follower.js';
 import {MemberService} from '../members/member_service.js';
+import {EngineIndex} from '../placement/engine_index.js';
+import {FleetView} from '../placement/fleet_view.js';
+import {PlacementExplainer} from '../placement/placement_explainer.js';
 import {PlacementService} from '../placement/placement_service.js';
 import {SlotBroker} from '../placement/slot_broker.js';
+import {listConfigurationPeers} from './list_configuration_peers.js';
+import {SLOT_LEASE_MS, SlotKeeper} from '../placement/slot_keeper.js';
 
-const SUSPECT_HEARTBEATS = 4;
 const FORGET_AFTER_MS = 60_000;
+const KEPT_DECISIONS = 5000;
 const MS_PER_SECOND = 1000;
 /** Claim transactions a second of all daemons together. */
 const FLEET_COMMITS_PER_SECOND = 300;
@@ -43,7 +56,8 @@
   readonly tuning: Tuning;
   readonly controlClient = new HttpClient();
   readonly backendClient = new HttpClient();
-  readonly ledger = new EngineLedger();
+  readonly ledger = new EngineLedger(SLOT_LEASE_MS);
+  readonly times = new ServiceTimes();
   readonly tickets: TicketCodec;
   readonly table: TableService;
   readonly commits: GroupCommit;
@@ -52,8 +66,12 @@
   readonly configuration: ConfigurationFollower;
   readonly hosts: HostFollower;
   readonly members: MemberService;
+  readonly fleet: FleetView;
+  readonly index: EngineIndex;
+  readonly keeper: SlotKeeper;
   readonly broker: SlotBroker;
   readonly placement: PlacementService;
+  readonly explainer: PlacementExplainer;
   readonly engines: HttpEngineClient;
   readonly workers: HttpServiceClient;
 
@@ -73,32 +91,43 @@
     );
     this.claims = new ClaimBook(this.commits);
     this.sweeper = new ClaimSweeper(this.table, () => this.isSweeper());
-    this.configuration = new ConfigurationFollower(
-      new ConfigurationStore(this.table, new HttpObjectStore(platform)),
-      this.tuning.configurationPollMs,
-    );
-    this.hosts = new HostFollower(
-      new HttpHostDirectory(platform),
-      this.tuning.hostListPollMs,
-    );
     const peers = new PeerClient(
       this.controlClient,
       keys.peer[0] ?? '',
       this.tuning.peerTimeoutMs,
     );
+    this.configuration = this.makeConfiguration(platform, peers);
+    this.hosts = new HostFollower(new HttpHostDirectory(platform), () =>
+      computePollMs(this.tuning.hostListPollMs, this.members.countRemembered()),
+    );
     this.members = this.makeMembers(peers);
+    this.fleet = new FleetView(this.members);
+    this.index = new EngineIndex(this.configuration, this.hosts);
+    this.keeper = new SlotKeeper(settings.id, this.fleet, this.ledger, peers);
+    const authority = new SlotAuthority(settings.id, this.ledger);
     this.broker = new SlotBroker(
       settings.id,
-      this.members,
+      this.fleet,
+      this.index,
       this.ledger,
+      authority,
+      this.keeper,
       peers,
-      this.configuration,
     );
     this.placement = new PlacementService(
-      new HomePlacement(),
-      this.broker,
-      this.hosts,
-      this.members,
+      settings,
+      new CostPlacement(() => new PlacementCosts(this.times.getTimes())),
+      authority,
+      this.index,
+      this.fleet,
+      new DecisionLog(KEPT_DECISIONS),
+    );
+    this.explainer = new PlacementExplainer(
+      settings.id,
+      this.placement,
+      this.fleet,
+      this.configuration,
+      this.tickets,
     );
     const timeouts = {
       connectTimeoutMs: this.tuning.backendConnectTimeoutMs,
@@ -129,11 +158,30 @@
     );
   }
 
+  private makeConfiguration(
+    platform: PlatformCaller,
+    peers: PeerClient,
+  ): ConfigurationFollower {
+    const {id} = this.settings;
+    return new ConfigurationFollower(
+      new ConfigurationStore(this.table, new HttpObjectStore(platform)),
+      new DaemonConfigurationPeers(peers, nowMs =>
+        listConfigurationPeers(id, this.members, this.hosts, nowMs),
+      ),
+      {
+        pollMs: this.tuning.configurationPollMs,
+        seed: hash32(id),
+        countDaemons: () => this.members.countLive(),
+        isHostListKnown: () => this.hosts.isCurrent(),
+      },
+    );
+  }
+
   private makeMembers(peers: PeerClient): MemberService {
     const {heartbeatMs} = this.tuning;
     const table = new MemberTable(this.settings.id, {
-      suspectAfterMs: heartbeatMs * SUSPECT_HEARTBEATS,
       forgetAfterMs: FORGET_AFTER_MS,
+      refuteMs: heartbeatMs,
     });
     return new MemberService(
       this.settings,
@@ -146,6 +194,7 @@
         configurationRevision: this.configuration.getView()?.revision ?? 0,
         engines: this.ledger.listCounts(),
       }),
+      new RingNeighbours(),
     );
   }
 }
--- a/packages/daemon/src/wiring/make_control_router.ts
+++ b/packages/daemon/src/wiring/make_control_router.ts
@@ -4,8 +4,11 @@
   HeartbeatSchema,
   PeerMethod,
   PeerServer,
+  ProbeSchema,
   ReleaseSlotSchema,
+  RenewSlotsSchema,
 } from '@greengagecross/peers';
+import {ConfigurationAnswers} from '../configuration/configuration_answers.js';
 import {ControlRouter, type DaemonOrders} from '../control/control_router.js';
 import {StateDump} from '../control/state_dump.js';
 import type {DaemonMetrics} from '../metrics/daemon_metrics.js';
@@ -25,15 +28,25 @@
     parts.startedAtMs,
   );
   const peers = makePeerServer(parts);
-  return new ControlRouter(peers, metrics, dump, parts.keys.operator, orders);
+  return new ControlRouter(
+    peers,
+    metrics,
+    dump,
+    parts.explainer,
+    parts.keys.operator,
+    orders,
+  );
 }
 
 function makePeerServer(parts: DaemonParts): PeerServer {
-  const {members, broker, ledger} = parts;
+  const {members, broker, keeper, ledger} = parts;
   const peers = new PeerServer(parts.keys.peer);
   peers.addMethod(PeerMethod.HEARTBEAT, HeartbeatSchema, heartbeat =>
     members.answerHeartbeat(heartbeat),
   );
+  peers.addMethod(PeerMethod.PROBE, ProbeSchema, probe =>
+    members.answerProbe(probe),
+  );
   peers.addMethod(PeerMethod.ACQUIRE_SLOT, AcquireSlotSchema, request =>
     Effect.map(broker.answerAcquire(request), granted => ({granted})),
   );
@@ -43,5 +56,9 @@
       return {released: true};
     }),
   );
+  new ConfigurationAnswers(parts.configuration).addTo(peers);
+  peers.addMethod(PeerMethod.RENEW_SLOTS, RenewSlotsSchema, renewal =>
+    Effect.as(keeper.answerRenewal(renewal), {renewed: true}),
+  );
   return peers;
 }
