--- a/packages/standins/src/promises/chat_rig.ts
+++ b/packages/standins/src/promises/chat_rig.ts
@@ -22,7 +22,7 @@
   type PlacementService,
   type SlotBroker,
 } from '@greengagecross/daemon';
-import {RetryBudget} from '@greengagecross/decisions';
+import type {RetryPolicy, ServiceTimes} from '@greengagecross/decisions';
 import {HttpClient, HttpServer, type HttpExchange} from '@greengagecross/http';
 import type {StandinChatBody} from '../backends/expected_answer.js';
 import type {CallerRequest} from '../callers/caller_request.js';
@@ -56,7 +56,14 @@
       ...engine,
       availabilityZone: 'zone',
     };
-    const placement = {listServers: () => Effect.succeed([server])};
+    const placement = {
+      choose: () => Effect.succeed([{server, choice: {maxWaitMs: 0}}]),
+      recordTaken: () => undefined,
+    };
+    const retries = {
+      recordFirstTry: () => undefined,
+      chooseWaitMs: () => undefined,
+    };
     const broker = {
       acquire: (id: string, slotId: string) =>
         Effect.succeed({engine: id, slotId}),
@@ -69,7 +76,8 @@
         new HttpEngineClient(this.engines, timeouts),
         new TicketCodec(['ticket-key-of-this-rig']),
       ),
-      new RetryBudget(),
+      retries as unknown as RetryPolicy,
+      {record: () => undefined} as unknown as ServiceTimes,
     );
   }
 
