--- a/packages/client/src/client_context.ts
+++ b/packages/client/src/client_context.ts
@@ -9,6 +9,7 @@
 } from '@greengagecross/platform';
 import {readClientSettings, readInputFile} from './client_settings.js';
 import {DaemonCaller} from './daemon_caller.js';
+import {FleetReader} from './fleet/fleet_reader.js';
 
 const PLATFORM_TIMEOUT_MS = 3000;
 
@@ -18,6 +19,7 @@
   readonly store: ConfigurationStore;
   readonly hosts: HostDirectory;
   readonly daemons: DaemonCaller;
+  readonly fleet: FleetReader;
   private readonly client = new HttpClient();
 
   constructor(settingsFile: string) {
@@ -35,6 +37,11 @@
     );
     this.hosts = new HttpHostDirectory(caller);
     this.daemons = new DaemonCaller(this.client, key.trim());
+    this.fleet = new FleetReader(
+      this.hosts,
+      this.daemons,
+      settings.daemons ?? [],
+    );
   }
 
   /** Closes the connections. */
--- a/packages/client/src/client_settings.ts
+++ b/packages/client/src/client_settings.ts
@@ -11,6 +11,8 @@
   platform: AddressSchema,
   /** File with the operator key on its first line. */
   keyFile: Schema.NonEmptyString,
+  /** Control addresses of daemons, asked when the host list does not answer. */
+  daemons: Schema.optionalKey(Schema.Array(AddressSchema)),
 });
 
 /** Decoded form of {@link ClientSettingsSchema}. */
--- a/packages/client/src/commands/accept.ts
+++ b/packages/client/src/commands/accept.ts
@@ -92,7 +92,7 @@
     }
     const output = formatReport(report);
     if (!args.wait) return output;
-    const watcher = new RevisionWatcher(context.hosts, context.daemons);
+    const watcher = new RevisionWatcher(context.fleet);
     const wait = yield* watcher.wait(report.revision);
     return {
       value: {...report, daemons: wait.daemons},
--- /dev/null
+++ b/packages/client/src/commands/dump.ts
@@ -0,0 +1,55 @@
+import {defineCommand} from 'citty';
+import {Effect} from 'effect';
+import {ClientError} from '../client_error.js';
+import {ExitCode} from '../exit_code.js';
+import type {ClientContext} from '../client_context.js';
+import type {DaemonHost} from '../fleet/fleet_reader.js';
+import {COMMON_ARGS, runCommand} from '../run_command.js';
+
+/** `greengagecross dump`: the whole state of one daemon. */
+export const dumpCommand = defineCommand({
+  meta: {
+    name: 'dump',
+    description:
+      "Print a daemon's whole state, without customers' text or secrets.",
+  },
+  args: {
+    ...COMMON_ARGS,
+    daemon: {
+      type: 'string',
+      description: 'Id of the daemon.',
+      required: true,
+    },
+  },
+  run: ({args}) =>
+    runCommand(args, context =>
+      Effect.gen(function* () {
+        const host = yield* findDaemon(context, args.daemon);
+        const state = yield* context.daemons.send(
+          host.control,
+          'GET',
+          '/v1/dump',
+        );
+        return {value: state, lines: [JSON.stringify(state, null, 2)]};
+      }),
+    ),
+});
+
+/** Finds a daemon of the fleet by its id. */
+export function findDaemon(
+  context: ClientContext,
+  id: string,
+): Effect.Effect<DaemonHost, Error> {
+  return Effect.flatMap(context.fleet.listHosts(), ({hosts}) => {
+    const host = hosts.find(daemon => daemon.id === id);
+    if (host !== undefined) return Effect.succeed(host);
+    const names = hosts.slice(0, 10).map(daemon => daemon.id);
+    return Effect.fail(
+      new ClientError(
+        ExitCode.BAD_INPUT,
+        `there is no daemon ${id}`,
+        `Name one of the fleet, such as ${names.join(', ')}.`,
+      ),
+    );
+  });
+}
--- a/packages/client/src/commands/plan.ts
+++ b/packages/client/src/commands/plan.ts
@@ -88,8 +88,9 @@
   const sentences = changes.flatMap(change => describeEffect(change) ?? []);
   const moved = after === undefined ? [] : listMoves(before, after);
   const effects = [...new Set([...moved, ...sentences])];
-  if (before === undefined)
-    {return ['The fleet starts to serve these services.'];}
+  if (before === undefined) {
+    return ['The fleet starts to serve these services.'];
+  }
   if (effects.length > 0) return effects.slice(0, MAX_SHOWN_CHANGES);
   return ['No chat moves and nothing more is refused.'];
 }
--- a/packages/client/src/commands/status.ts
+++ b/packages/client/src/commands/status.ts
@@ -1,12 +1,21 @@
 import {defineCommand} from 'citty';
-import {Effect, Result} from 'effect';
-import {HostRole} from '@greengagecross/platform';
+import {Clock, Effect, Result} from 'effect';
+import {HostState} from '@greengagecross/platform';
 import type {ClientContext} from '../client_context.js';
+import {ExitCode} from '../exit_code.js';
 import {COMMON_ARGS, runCommand, type CommandOutput} from '../run_command.js';
+import {checkPromises} from '../status/check_promises.js';
+import type {FleetView} from '../status/fleet_view.js';
+import {formatStatus} from '../status/format_status.js';
+import {PromiseState} from '../status/promise_state.js';
 
-/** `greengagecross status`: how the fleet is. */
+/** `greengagecross status`: whether every promise holds now. */
 export const statusCommand = defineCommand({
-  meta: {name: 'status', description: 'Show how the fleet is.'},
+  meta: {
+    name: 'status',
+    description:
+      'Show whether every promise holds now, what is degraded, since when, and what to do. Exit codes: 0 all hold, 4 some do not.',
+  },
   args: COMMON_ARGS,
   run: ({args}) => runCommand(args, readStatus),
 });
@@ -15,27 +24,48 @@
   context: ClientContext,
 ): Effect.Effect<CommandOutput, Error> {
   return Effect.gen(function* () {
-    const list = yield* context.hosts.fetch();
-    const entries = list.hosts.filter(host => host.role === HostRole.ENTRY);
-    const daemons = yield* Effect.forEach(
-      entries,
-      host => {
-        const address = {host: host.host, port: host.controlPort};
-        return Effect.map(
-          Effect.result(context.daemons.send(address, 'GET', '/v1/dump')),
-          result => ({
-            id: host.id,
-            answers: Result.isSuccess(result),
-            state: Result.isSuccess(result) ? result.success : undefined,
-          }),
-        );
-      },
-      {concurrency: 16},
-    );
-    const lines = daemons.map(
-      daemon =>
-        `${daemon.id}  ${daemon.answers ? 'answers' : 'does not answer'}`,
-    );
-    return {value: {daemons}, lines};
+    const view = yield* readView(context);
+    const promises = checkPromises(view);
+    const isHeld = promises.every(({state}) => state === PromiseState.HOLDS);
+    const isColoured =
+      process.stdout.isTTY && (process.env['NO_COLOR'] ?? '') === '';
+    const daemons = view.readings.map(({id, report, error}) => ({
+      id,
+      answers: report !== undefined,
+      revision: report?.configuration.revision,
+      error,
+    }));
+    return {
+      value: {isHeld, promises, daemons},
+      lines: formatStatus(view, promises, isColoured),
+      exitCode: isHeld ? ExitCode.OK : ExitCode.INCOMPLETE,
+    };
+  });
+}
+
+function readView(context: ClientContext): Effect.Effect<FleetView, Error> {
+  return Effect.gen(function* () {
+    const {hosts, isFromHostList} = yield* context.fleet.listHosts();
+    const readings = yield* context.fleet.read(hosts);
+    const current = yield* Effect.result(context.store.readCurrent());
+    const record = Result.isSuccess(current) ? current.success : undefined;
+    const isStoreUp = Result.isSuccess(current);
+    const list = yield* Effect.option(context.hosts.fetch());
+    const leaving =
+      list._tag === 'None'
+        ? []
+        : list.value.hosts.filter(host => host.state === HostState.LEAVING);
+    const accepted =
+      record === undefined
+        ? undefined
+        : yield* Effect.option(context.store.readServices(record));
+    return {
+      atMs: yield* Clock.currentTimeMillis,
+      readings,
+      isHostListUp: isFromHostList,
+      storeRevision: isStoreUp ? (record?.revision ?? 0) : undefined,
+      services: accepted?._tag === 'Some' ? accepted.value : [],
+      leaving: leaving.map(host => host.id),
+    };
   });
 }
--- a/packages/client/src/fleet/daemon_report.ts
+++ b/packages/client/src/fleet/daemon_report.ts
@@ -1,9 +1,20 @@
 import {Schema} from 'effect';
-import {MemberSchema} from '@greengagecross/common';
+import {
+  AddressSchema,
+  EngineCountSchema,
+  MemberState,
+} from '@greengagecross/common';
+
+const ReportedMemberSchema = Schema.Struct({
+  id: Schema.NonEmptyString,
+  state: Schema.Enum(MemberState),
+  availabilityZone: Schema.NonEmptyString,
+  controlAddress: AddressSchema,
+});
 
 /** What operators' commands read of a daemon's dump. */
 export const DaemonReportSchema = Schema.Struct({
-  self: MemberSchema,
+  self: ReportedMemberSchema,
   atMs: Schema.Int,
   uptimeMs: Schema.Int,
   configuration: Schema.Struct({
@@ -14,8 +25,8 @@
     refusedSinceMs: Schema.optionalKey(Schema.Finite),
   }),
   hostListIsCurrent: Schema.Boolean,
-  live: Schema.Array(Schema.Struct({id: Schema.NonEmptyString})),
-  ownedEngines: Schema.Array(Schema.Unknown),
+  live: Schema.Array(ReportedMemberSchema),
+  ownedEngines: Schema.Array(EngineCountSchema),
   memoryBytes: Schema.Finite,
 });
 
--- a/packages/client/src/fleet/revision_watcher.ts
+++ b/packages/client/src/fleet/revision_watcher.ts
@@ -1,8 +1,6 @@
 import {Clock, Effect} from 'effect';
-import type {HostDirectory} from '@greengagecross/platform';
-import type {DaemonCaller} from '../daemon_caller.js';
-import {printProgress} from '../progress.js';
-import {FleetReader, type DaemonReading} from './fleet_reader.js';
+import {printProgress, removeProgress} from '../progress.js';
+import type {DaemonReading, FleetReader} from './fleet_reader.js';
 
 const WAIT_LIMIT_MS = 5000;
 const CHECK_MS = 250;
@@ -22,17 +20,13 @@
 
 /** Waits until a revision is in force on every live daemon. */
 export class RevisionWatcher {
-  private readonly reader: FleetReader;
-
-  constructor(hosts: HostDirectory, daemons: DaemonCaller) {
-    this.reader = new FleetReader(hosts, daemons);
-  }
+  constructor(private readonly reader: FleetReader) {}
 
   /** Waits until every daemon that answers has it, or for the stated 5 s. */
   wait(revision: number): Effect.Effect<RevisionWait, Error> {
     return Effect.gen({self: this}, function* () {
       const startMs = yield* Clock.currentTimeMillis;
-      const hosts = yield* this.reader.listHosts();
+      const {hosts} = yield* this.reader.listHosts();
       const readings = new Map<string, DaemonReading>();
       let open = hosts;
       let elapsedMs = 0;
@@ -48,6 +42,7 @@
         );
         yield* Effect.sleep(CHECK_MS);
       }
+      removeProgress();
       return makeWait(revision, [...readings.values()], elapsedMs);
     });
   }
--- /dev/null
+++ b/packages/client/src/status/check_promises.ts
@@ -0,0 +1,182 @@
+import {MemberState, ServiceKind, type Service} from '@greengagecross/common';
+import {PromiseState, type PromiseReport} from './promise_state.js';
+import type {FleetView} from './fleet_view.js';
+
+const MAX_NAMED = 4;
+/** Requests below which a multiple of the mean says nothing. */
+const MIN_MEAN_IN_FLIGHT = 1;
+
+/** Checks each promise against what was read of the fleet. */
+export function checkPromises(view: FleetView): PromiseReport[] {
+  return [
+    checkDaemons(view),
+    checkConfiguration(view),
+    ...listEngineGroups(view).map(service => checkLoad(view, service)),
+    checkPlatform(view),
+    checkLeaving(view),
+  ];
+}
+
+/** Lists one service for each set of engines; kinds of work share them. */
+function listEngineGroups(view: FleetView): Service[] {
+  const groups = new Map<string, Service>();
+  for (const service of view.services) {
+    if (service.kind !== ServiceKind.ENGINE) continue;
+    const ids = service.backendServers.map(server => server.id).join('\n');
+    if (!groups.has(ids)) groups.set(ids, service);
+  }
+  return [...groups.values()];
+}
+
+function checkDaemons(view: FleetView): PromiseReport {
+  const {readings} = view;
+  const silent = readings.filter(reading => reading.report === undefined);
+  const stopping = readings.filter(
+    reading => reading.report?.self.state === MemberState.LEAVING,
+  );
+  const name = 'daemons answer';
+  const count = `${readings.length - silent.length} of ${readings.length}`;
+  const leaving = stopping.length > 0 ? `, ${stopping.length} stopping` : '';
+  if (silent.length === 0 && readings.length > 0) {
+    return {name, state: PromiseState.HOLDS, detail: `${count}${leaving}`};
+  }
+  return {
+    name,
+    state: PromiseState.DEGRADED,
+    detail: `${count}; silent: ${formatNames(silent.map(r => r.id))}`,
+    advice: 'Replace the silent hosts: docs/operations/host_lost.md',
+  };
+}
+
+function checkConfiguration(view: FleetView): PromiseReport {
+  const name = 'configuration';
+  const reports = view.readings.flatMap(({report}) => report ?? []);
+  const refused = reports.filter(
+    report => report.configuration.refused !== undefined,
+  );
+  const revisions = reports.map(report => report.configuration.revision);
+  const newest = Math.max(view.storeRevision ?? 0, ...revisions, 0);
+  const behind = reports.filter(
+    report => report.configuration.revision < newest,
+  );
+  const [first] = refused;
+  if (first !== undefined) {
+    return {
+      name,
+      state: PromiseState.DEGRADED,
+      detail: `refused by ${formatNames(refused.map(r => r.self.id))}: ${first.configuration.refused}`,
+      ...toSince(refused.map(r => r.configuration.refusedSinceMs)),
+      advice:
+        'Accept the answers again: docs/operations/configuration_refused.md',
+    };
+  }
+  if (behind.length > 0) {
+    return {
+      name,
+      state: PromiseState.DEGRADED,
+      detail: `revision ${newest} is missing on ${formatNames(behind.map(r => r.self.id))}`,
+      ...toSince(behind.map(r => r.configuration.notCurrentSinceMs)),
+      advice: 'Wait 5 s and look again; then restart these daemons one by one.',
+    };
+  }
+  const unconfirmed = reports.filter(r => !r.configuration.isCurrent);
+  if (unconfirmed.length > 0) {
+    return {
+      name,
+      state: PromiseState.UNKNOWN,
+      detail: `revision ${newest} everywhere, but the store does not confirm it`,
+      ...toSince(unconfirmed.map(r => r.configuration.notCurrentSinceMs)),
+      advice: 'See docs/operations/platform_outage.md; serving goes on.',
+    };
+  }
+  const detail = `revision ${newest} on ${reports.length} of ${reports.length}`;
+  return {name, state: PromiseState.HOLDS, detail};
+}
+
+function checkLoad(view: FleetView, service: Service): PromiseReport {
+  const name = `even load: ${service.name}`;
+  const counts = new Map(service.backendServers.map(({id}) => [id, 0]));
+  for (const {report} of view.readings) {
+    for (const {engine, inFlight} of report?.ownedEngines ?? []) {
+      const counted = counts.get(engine);
+      if (counted !== undefined) counts.set(engine, counted + inFlight);
+    }
+  }
+  const total = [...counts.values()].reduce((sum, count) => sum + count, 0);
+  const mean = total / Math.max(1, counts.size);
+  const [busiest, most] = [...counts].reduce(
+    (top, entry) => (entry[1] > top[1] ? entry : top),
+    ['', 0],
+  );
+  const {maxLoadMultiple} = service.placement;
+  if (mean < MIN_MEAN_IN_FLIGHT) {
+    const detail = `${total} in flight, at most ${most} on one engine`;
+    return {name, state: PromiseState.HOLDS, detail};
+  }
+  const multiple = most / mean;
+  const detail = `busiest ${busiest} at ${multiple.toFixed(2)} of the mean, bound ${maxLoadMultiple}`;
+  // One request of rounding is allowed on each engine.
+  if (most <= mean * maxLoadMultiple + 1) {
+    return {name, state: PromiseState.HOLDS, detail};
+  }
+  return {
+    name,
+    state: PromiseState.DEGRADED,
+    detail,
+    advice: `Look again in 10 s; then: greengagecross dump --json, and docs/operations/placement.md`,
+  };
+}
+
+function checkPlatform(view: FleetView): PromiseReport {
+  const name = 'at most once';
+  if (view.storeRevision !== undefined) {
+    return {
+      name,
+      state: PromiseState.HOLDS,
+      detail: 'the table service answers; claims can be made',
+    };
+  }
+  const since = view.readings.map(
+    ({report}) => report?.configuration.notCurrentSinceMs,
+  );
+  return {
+    name,
+    state: PromiseState.DEGRADED,
+    detail: 'the table service is down; what may not be repeated is refused',
+    ...toSince(since),
+    advice: 'Call who runs the platform: docs/operations/platform_outage.md',
+  };
+}
+
+function checkLeaving(view: FleetView): PromiseReport {
+  const name = 'leaving servers';
+  const lagging = view.readings.flatMap(({report}) =>
+    report === undefined || report.hostListIsCurrent ? [] : [report.self.id],
+  );
+  const leaving =
+    view.leaving.length === 0 ? 'none' : formatNames(view.leaving);
+  if (view.isHostListUp && lagging.length === 0) {
+    return {name, state: PromiseState.HOLDS, detail: leaving};
+  }
+  return {
+    name,
+    state: PromiseState.UNKNOWN,
+    detail: view.isHostListUp
+      ? `the host list is not read by ${formatNames(lagging)}`
+      : 'the host list does not answer',
+    advice: 'Take no server away before it answers again.',
+  };
+}
+
+function toSince(
+  times: readonly (number | undefined)[],
+): {readonly sinceMs: number} | Record<string, never> {
+  const known = times.filter(time => time !== undefined);
+  return known.length === 0 ? {} : {sinceMs: Math.min(...known)};
+}
+
+function formatNames(names: readonly string[]): string {
+  const shown = names.slice(0, MAX_NAMED).join(', ');
+  const more = names.length - MAX_NAMED;
+  return more > 0 ? `${shown} and ${more} more` : shown;
+}
--- a/packages/platform/src/configuration/configuration_reader.ts
+++ b/packages/platform/src/configuration/configuration_reader.ts
@@ -5,6 +5,7 @@
   ServiceSchema,
   toError,
   type Customer,
+  type Service,
 } from '@greengagecross/common';
 import {ConfigurationError} from './configuration_error.js';
 import {ConfigurationIndex, type ServicePart} from './configuration_index.js';
@@ -19,6 +20,19 @@
 export class ConfigurationReader {
   private readonly trees = new TreeReader<Customer>(CustomerSchema);
 
+  /** Reads the services of the configuration with a root digest. */
+  readServices(
+    digest: string,
+    source: PartSource,
+  ): Effect.Effect<readonly Service[], ReadError> {
+    return Effect.gen(function* () {
+      const bodies = yield* source.fetchChecked([digest]);
+      const root = yield* parseRoot(bodies.get(digest) ?? '');
+      const parts = yield* readServices(root, source, undefined);
+      return parts.map(part => part.service);
+    });
+  }
+
   /**
    * Reads the configuration with a root digest.
    *
--- a/packages/platform/src/configuration/configuration_store.ts
+++ b/packages/platform/src/configuration/configuration_store.ts
@@ -1,5 +1,5 @@
 import {Effect, type Schema} from 'effect';
-import {decodeJson, toError} from '@greengagecross/common';
+import {decodeJson, toError, type Service} from '@greengagecross/common';
 import type {ObjectStore} from '../object_store.js';
 import type {PlatformError} from '../platform_error.js';
 import type {TableRow} from '../table_row.js';
@@ -69,6 +69,13 @@
     });
   }
 
+  /** Reads the services of a record only. */
+  readServices(
+    record: ConfigurationRevision,
+  ): Effect.Effect<readonly Service[], ReadError> {
+    return this.reader.readServices(record.digest, this.parts);
+  }
+
   /** Makes the source of a record's answers. */
   makeAnswersSource(
     record: ConfigurationRevision,
--- a/packages/questionnaire/src/answer_entries.ts
+++ b/packages/questionnaire/src/answer_entries.ts
@@ -1,5 +1,5 @@
-import {decodeDocument} from '@greengagecross/common';
-import {AnswersSchema, type Answers} from './answers.js';
+import {decodeDocument, type BackendServer} from '@greengagecross/common';
+import {AnswersSchema, type Answers, type EngineAnswers} from './answers.js';
 
 const ASKED = 'asked';
 const LISTED_FIELDS: ReadonlySet<string> = new Set(['servers', 'otherWork']);
@@ -69,7 +69,37 @@
 
 /** Puts a document's lists into the order of names. */
 export function sortAnswers(answers: Answers): Answers {
-  return makeAnswers(listEntries(answers));
+  const {deployment, engines, plainServices, customers} = answers;
+  return {
+    deployment,
+    engines: sortByName(engines.map(sortEngine)),
+    plainServices: sortByName(
+      plainServices.map(service => ({
+        ...service,
+        servers: sortServers(service.servers),
+      })),
+    ),
+    customers: sortByName(customers),
+  };
+}
+
+function sortEngine(engine: EngineAnswers): EngineAnswers {
+  const {otherWork} = engine;
+  return {
+    ...engine,
+    servers: sortServers(engine.servers),
+    ...(otherWork === undefined ? {} : {otherWork: sortByName(otherWork)}),
+  };
+}
+
+function sortServers(servers: readonly BackendServer[]): BackendServer[] {
+  return [...servers].sort((a, b) => (a.id < b.id ? -1 : 1));
+}
+
+function sortByName<T extends {readonly name: string}>(
+  items: readonly T[],
+): T[] {
+  return [...items].sort((a, b) => (a.name < b.name ? -1 : 1));
 }
 
 function makeSubject(group: string, name: string): Record<string, unknown> {
--- a/packages/questionnaire/src/index.ts
+++ b/packages/questionnaire/src/index.ts
@@ -13,3 +13,4 @@
 export * from './answer_text.js';
 export * from './update_answers.js';
 export * from './answer_parts.js';
+export * from './find_origin.js';
--- a/packages/standins/src/bench/main.ts
+++ b/packages/standins/src/bench/main.ts
@@ -5,6 +5,7 @@
 
 /** Benches by the name given on the command line. */
 const BENCHES: Readonly<Record<string, () => Promise<Bench>>> = {
+  configuration: () => import('../operators/run_configuration.js'),
   members: () => import('./members/run_members.js'),
   retries: () => import('./retries/run_retries.js'),
 };
