--- a/packages/client/src/commands/accept.ts
+++ b/packages/client/src/commands/accept.ts
@@ -29,6 +29,11 @@
     type: 'string',
     description: 'Id of the operation, to send it again.',
   },
+  rewrite: {
+    type: 'boolean',
+    description: 'Write every part again, also when no answer differs.',
+    default: false,
+  },
   wait: {
     type: 'boolean',
     description: 'Wait until every live daemon has the revision.',
@@ -64,6 +69,7 @@
           operationId: args.operation ?? makeRequestId(),
           operator: context.operator,
           reason: args.reason,
+          isRewrite: args.rewrite,
         };
         return yield* acceptChange(context, request, args);
       }),
--- a/packages/client/src/commands/rollback.ts
+++ b/packages/client/src/commands/rollback.ts
@@ -47,6 +47,7 @@
           operationId: args.operation ?? makeRequestId(),
           operator: context.operator,
           reason: args.reason || `back to revision ${to}`,
+          isRewrite: args.rewrite,
         };
         return yield* acceptChange(context, request, args);
       }),
--- a/packages/client/src/status/check_promises.ts
+++ b/packages/client/src/status/check_promises.ts
@@ -11,12 +11,29 @@
   return [
     checkDaemons(view),
     checkConfiguration(view),
-    ...listEngineGroups(view).map(service => checkLoad(view, service)),
+    ...checkLoads(view),
     checkPlatform(view),
     checkLeaving(view),
   ];
 }
 
+function checkLoads(view: FleetView): PromiseReport[] {
+  if (view.services.length > 0) {
+    const groups = listEngineGroups(view);
+    return groups.map(service => checkLoad(view, service));
+  }
+  const advice =
+    view.storeRevision === 0 ? 'docs/operations/first_start.md' : undefined;
+  return [
+    {
+      name: 'even load',
+      state: PromiseState.UNKNOWN,
+      detail: 'the services of the newest revision cannot be read',
+      ...(advice === undefined ? {} : {advice}),
+    },
+  ];
+}
+
 /** Lists one service for each set of engines; kinds of work share them. */
 function listEngineGroups(view: FleetView): Service[] {
   const groups = new Map<string, Service>();
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -67,10 +67,12 @@
       yield* Effect.forkScoped(parts.configuration.run());
       yield* Effect.forkScoped(parts.hosts.run());
       yield* Effect.forkScoped(parts.members.run());
+      yield* Effect.forkScoped(parts.keeper.run());
       yield* Effect.forkScoped(parts.commits.run());
       yield* Effect.forkScoped(parts.claims.run());
       yield* Effect.forkScoped(parts.sweeper.run());
       yield* this.callerServer.start();
+      parts.members.setLive();
       const {id, callerListener, controlListener} = parts.settings;
       logger.log('The daemon listens.', {
         id,
--- a/packages/standins/src/fleet/fleet.ts
+++ b/packages/standins/src/fleet/fleet.ts
@@ -1,9 +1,13 @@
-import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {mkdtempSync, readFileSync, rmSync, writeFileSync} from 'node:fs';
 import {createRequire} from 'node:module';
 import {tmpdir} from 'node:os';
 import {dirname, join} from 'node:path';
 import {fileURLToPath} from 'node:url';
-import type {BackendServer, DaemonSettings} from '@greengagecross/common';
+import type {
+  Address,
+  BackendServer,
+  DaemonSettings,
+} from '@greengagecross/common';
 import type {Host} from '@greengagecross/platform';
 import type {RunRecord} from '../backends/run_record.js';
 import type {StandinFaults} from '../faults.js';
@@ -89,9 +93,7 @@
     this.write(file, settings);
     const args = ['--settings', this.findFile(file)];
     this.startChild(daemon.id, DAEMON_SCRIPT, args);
-    await waitUntil(`${daemon.id} ready`, START_LIMIT_MS, () =>
-      isAnswering(daemon.control, '/readyz'),
-    );
+    await this.waitStarted(daemon.id, daemon.control, '/readyz');
   }
 
   /** Starts one backend server again, or for the first time. */
@@ -195,9 +197,21 @@
     address: {readonly host: string; readonly port: number},
   ): Promise<void> {
     const path = name === 'platform' ? '/observe/counts' : '/observe/load';
-    await waitUntil(`${name} answers`, START_LIMIT_MS, () =>
-      isAnswering({host: address.host, port: address.port}, path),
-    );
+    const {host, port} = address;
+    await this.waitStarted(name, {host, port}, path);
+  }
+
+  /** Waits for a process to answer; throws with its log if it ends. */
+  private async waitStarted(
+    name: string,
+    address: Address,
+    path: string,
+  ): Promise<void> {
+    await waitUntil(`${name} answers`, START_LIMIT_MS, () => {
+      if (this.getChild(name).isRunning()) return isAnswering(address, path);
+      const log = readFileSync(this.findFile(`${name}.log`), 'utf8');
+      throw new Error(`${name} ended at its start: ${log}`);
+    });
   }
 
   private startStandin(
