Prove the membership's fault cases and measure it over real sockets

Cause of false suspicions in a fleet that starts in one busy process: its own lateness was taken for the others' silence, and each change of the rings restarted connections at once. A daemon that runs late suspects nobody, rings are redrawn at most each 200 ms, and a hash that differs leads to a resend after 5 s instead of after five messages.

Found by profile on the way: the HTTP server kept its fibers in a map keyed by socket, which hashed each socket's whole structure; it now keeps a set. The HTTP client made an error with its stack for each exchange that closed; it now makes one when it is used.

--- a/packages/daemon/src/members/heartbeat_exchange.ts
+++ b/packages/daemon/src/members/heartbeat_exchange.ts
@@ -63,8 +63,8 @@
         sent,
         HeartbeatSchema,
       );
-      yield* this.receive(answer);
       this.recordTold(answer.from, sent);
+      yield* this.receive(answer);
       return answer.from;
     });
   }
@@ -127,7 +127,7 @@
       this.table.recordHeard(from, nowMs);
       link.record(members, statuses);
       const isEqual = heartbeat.tableHash === this.computeHash();
-      link.recordMatch(isEqual, this.listMembers());
+      link.recordMatch(isEqual, this.listMembers(), nowMs);
       link.revision = heartbeat.highestRevision;
       const isNewerRevision = this.updateRevision(heartbeat.highestRevision);
       const isHostNews = this.observeHosts(heartbeat, link);
--- a/packages/daemon/src/members/member_service.ts
+++ b/packages/daemon/src/members/member_service.ts
@@ -15,10 +15,12 @@
 import {ContactList} from './contact_list.js';
 import {HeartbeatExchange} from './heartbeat_exchange.js';
 import {NeighbourWatches} from './neighbour_watches.js';
+import {OwnDelay} from './own_delay.js';
 import {SelfRecord, type SelfReport} from './self_record.js';
 
 const ANNOUNCE_RETRIES = 3;
 const MAX_MISSED_TICKS = 20;
+const TICKS_PER_HEARTBEAT = 4;
 const logger = new Logger('members');
 
 /** Knows which daemons are there, by heartbeats with a few of them. */
@@ -27,6 +29,7 @@
   private readonly exchange: HeartbeatExchange;
   private readonly contacts: ContactList;
   private readonly watches: NeighbourWatches;
+  private readonly ownDelay = new OwnDelay();
   private lastTickMs = 0;
 
   constructor(
@@ -58,6 +61,7 @@
       heartbeatMs,
       policy,
       random,
+      this.ownDelay,
     );
   }
 
@@ -153,6 +157,7 @@
   /** Starts and ends the fibers of neighbours as members come and go. */
   run(): Effect.Effect<never, never, Scope.Scope> {
     return Effect.gen({self: this}, function* () {
+      yield* Effect.forkScoped(this.ownDelay.run());
       const tries = yield* FiberMap.make<string, void>();
       for (;;) {
         const nowMs = yield* Clock.currentTimeMillis;
@@ -164,7 +169,7 @@
         }
         yield* this.watches.update();
         yield* Effect.raceFirst(
-          Effect.sleep(this.heartbeatMs),
+          Effect.sleep(this.heartbeatMs / TICKS_PER_HEARTBEAT),
           this.exchange.news.await,
         );
       }
--- a/packages/daemon/src/members/neighbour_watches.ts
+++ b/packages/daemon/src/members/neighbour_watches.ts
@@ -1,4 +1,4 @@
-import {Effect, FiberMap, type Scope} from 'effect';
+import {Clock, Effect, FiberMap, type Scope} from 'effect';
 import type {Member, SeededRandom} from '@greengagecross/common';
 import type {
   MemberTable,
@@ -7,15 +7,18 @@
 } from '@greengagecross/decisions';
 import type {PeerCaller} from '@greengagecross/peers';
 import type {HeartbeatExchange} from './heartbeat_exchange.js';
+import type {OwnDelay} from './own_delay.js';
 import {PeerWatch} from './peer_watch.js';
 
 const HELPERS = 3;
+const MIN_UPDATE_GAP_MS = 200;
 
 type WatchFibers = FiberMap.FiberMap<string, void>;
 
 /** Keeps one fiber for each neighbour as members come and go. */
 export class NeighbourWatches {
   private watchedVersion = -1;
+  private updatedAtMs = 0;
   private targets: WatchFibers | undefined;
   private sources: WatchFibers | undefined;
 
@@ -27,12 +30,16 @@
     private readonly heartbeatMs: number,
     private readonly policy: NeighbourPolicy,
     private readonly random: SeededRandom,
+    private readonly ownDelay: OwnDelay,
   ) {}
 
   /** Starts and ends fibers where the members have changed. */
   update(): Effect.Effect<void, never, Scope.Scope> {
     return Effect.gen({self: this}, function* () {
       if (this.table.getVersion() === this.watchedVersion) return;
+      const nowMs = yield* Clock.currentTimeMillis;
+      if (nowMs - this.updatedAtMs < MIN_UPDATE_GAP_MS) return;
+      this.updatedAtMs = nowMs;
       this.watchedVersion = this.table.getVersion();
       this.targets ??= yield* FiberMap.make<string, void>();
       this.sources ??= yield* FiberMap.make<string, void>();
@@ -81,6 +88,7 @@
       this.peers,
       this.heartbeatMs,
       () => this.chooseHelpers(id),
+      this.ownDelay,
     );
   }
 
--- a/packages/daemon/src/members/peer_watch.ts
+++ b/packages/daemon/src/members/peer_watch.ts
@@ -7,6 +7,7 @@
   type PeerCaller,
 } from '@greengagecross/peers';
 import type {HeartbeatExchange} from './heartbeat_exchange.js';
+import type {OwnDelay} from './own_delay.js';
 
 /** Heartbeats that a source may miss before it is asked. */
 const SOURCE_SILENCE_HEARTBEATS = 2.5;
@@ -30,6 +31,7 @@
     private readonly peers: PeerCaller,
     private readonly heartbeatMs: number,
     private readonly chooseHelpers: () => readonly Member[],
+    private readonly ownDelay: OwnDelay,
   ) {}
 
   /** Watches the neighbour until it is suspected. */
@@ -45,7 +47,9 @@
         if (!this.isTarget && !this.isAsked(nowMs)) continue;
         this.sentAtMs = nowMs;
         if (yield* this.isReached(member)) continue;
-        this.table.setSuspect(this.id, yield* Clock.currentTimeMillis);
+        const failedAtMs = yield* Clock.currentTimeMillis;
+        if (this.ownDelay.isLate(failedAtMs)) continue;
+        this.table.setSuspect(this.id, failedAtMs);
         this.exchange.wake();
         logger.log('A peer is suspected.', {id: this.id});
         return;
--- a/packages/decisions/src/members/link_knowledge.ts
+++ b/packages/decisions/src/members/link_knowledge.ts
@@ -2,14 +2,14 @@
 import {makeStateKey, toStatus} from './member_order.js';
 
 const MAX_MEMBERS_PER_MESSAGE = 20;
-const MAX_MISMATCHES = 5;
+const RESEND_AFTER_MS = 5000;
 
 /** What one daemon knows that a neighbour knows of the members. */
 export class LinkKnowledge {
   private readonly states = new Map<string, string>();
   private readonly sequences = new Map<string, number>();
   private incarnation = 0;
-  private mismatches = 0;
+  private mismatchSinceMs: number | undefined;
   /** Version of the host news that the neighbour has. */
   hostVersion = 0;
   /** Highest revision of the configuration that it told or was told. */
@@ -50,18 +50,21 @@
   }
 
   /** Records that the neighbour knows all of these states, or that it may not. */
-  recordMatch(isEqual: boolean, members: readonly Member[]): void {
+  recordMatch(
+    isEqual: boolean,
+    members: readonly Member[],
+    nowMs: number,
+  ): void {
     if (isEqual) {
-      this.mismatches = 0;
+      this.mismatchSinceMs = undefined;
       for (const member of members) {
         this.states.set(member.id, makeStateKey(member));
       }
       return;
     }
-    if (this.chooseMembers(members).length > 0) return;
-    this.mismatches += 1;
+    this.mismatchSinceMs ??= nowMs;
     // Some news was lost on the way; all of it is sent again.
-    if (this.mismatches > MAX_MISMATCHES) this.removeAll();
+    if (nowMs - this.mismatchSinceMs > RESEND_AFTER_MS) this.removeAll();
   }
 
   private recordStatus({id, sequence}: MemberStatus): void {
@@ -79,7 +82,7 @@
   private removeAll(): void {
     this.states.clear();
     this.sequences.clear();
-    this.mismatches = 0;
+    this.mismatchSinceMs = undefined;
     this.hostVersion = 0;
     this.revision = 0;
   }
--- a/packages/http/src/http_client.ts
+++ b/packages/http/src/http_client.ts
@@ -47,9 +47,12 @@
         ),
       );
       sending.on('error', error =>
-        resume(Effect.fail(tracker.makeError(error))),
+        resume(Effect.suspend(() => Effect.fail(tracker.makeError(error)))),
+      );
+      // Made only when it is used: every exchange closes.
+      sending.once('close', () =>
+        resume(Effect.suspend(() => Effect.fail(tracker.makeError()))),
       );
-      sending.once('close', () => resume(Effect.fail(tracker.makeError())));
       signal.addEventListener('abort', () => sending.destroy());
     });
   }
--- a/packages/http/src/http_server.ts
+++ b/packages/http/src/http_server.ts
@@ -4,7 +4,7 @@
   Cause,
   Deferred,
   Effect,
-  FiberMap,
+  FiberSet,
   Latch,
   Queue,
   type Scope,
@@ -59,15 +59,10 @@
   /** Starts listening; the scope closes the listener and its fibers. */
   start(): Effect.Effect<void, HttpError, Scope.Scope> {
     return Effect.gen({self: this}, function* () {
-      const runFiber = yield* FiberMap.makeRuntime<
-        never,
-        Socket,
-        never,
-        void
-      >();
+      const runFiber = yield* FiberSet.makeRuntime<never, void, never>();
       this.server.on('connection', (socket: Socket) => {
         this.bytes.add(socket);
-        runFiber(socket, this.runConnection(socket));
+        runFiber(this.runConnection(socket));
       });
       this.server.on('request', (request, response) => {
         const queue = this.queues.get(request.socket);
--- a/packages/standins/src/bench/members/member_cases.ts
+++ b/packages/standins/src/bench/members/member_cases.ts
@@ -56,6 +56,7 @@
       return {goneMs: 0, wholeMs: yield* waitWhole(fleet)};
     }),
   'zone-parted': (fleet, size) => runParted(fleet, size, 0.25, 5 * MINUTE_MS),
+  'region-parted': (fleet, size) => runParted(fleet, size, 0.5, 2 * MINUTE_MS),
   'region-parted-for-an-hour': (fleet, size) =>
     runParted(fleet, size, 0.5, 60 * MINUTE_MS),
   restarts: (fleet, size) =>
--- /dev/null
+++ b/packages/standins/src/bench/members/redirected_caller.ts
@@ -0,0 +1,28 @@
+import type {Effect, Schema} from 'effect';
+import {formatAddress, type Address} from '@greengagecross/common';
+import {
+  PeerCaller,
+  type PeerError,
+  type PeerMethod,
+} from '@greengagecross/peers';
+
+/** Reaches some daemons through a relay. */
+export class RedirectedCaller extends PeerCaller {
+  /** @param relays relays by the address that they stand for */
+  constructor(
+    private readonly caller: PeerCaller,
+    private readonly relays: ReadonlyMap<string, Address>,
+  ) {
+    super();
+  }
+
+  override send<S extends Schema.ConstraintDecoder<unknown>>(
+    address: Address,
+    method: PeerMethod,
+    params: object,
+    result: S,
+  ): Effect.Effect<S['Type'], PeerError> {
+    const relay = this.relays.get(formatAddress(address));
+    return this.caller.send(relay ?? address, method, params, result);
+  }
+}
