Give no new work to a backend server that says it is leaving

Cause: only the host list counted. A server's own word in a reply moved one request elsewhere and was forgotten, so that each new request was sent there and refused again.

Ruled out: telling every daemon, as nobody dispatches to an engine without its owner's slot.

--- a/packages/backend/src/http_engine_client.ts
+++ b/packages/backend/src/http_engine_client.ts
@@ -17,7 +17,11 @@
 import {BackendHeader} from './backend_headers.js';
 import {EngineClient} from './engine_client.js';
 import {EngineLoadSchema, type EngineLoad} from './engine_load.js';
-import {findRefusal, toBackendError} from './to_backend_error.js';
+import {
+  findRefusal,
+  isLeavingReply,
+  toBackendError,
+} from './to_backend_error.js';
 
 /** Time limits of connections to backend servers, in milliseconds. */
 export interface BackendTimeouts {
@@ -31,6 +35,9 @@
   [PriorityClass.BACKGROUND]: 2,
 };
 
+/** Takes a backend server's own word that it is leaving. */
+export type OnLeaving = (backendId: string) => void;
+
 /** Builds the headers that go with a call. */
 export function buildCallHeaders(call: BackendCall): OutgoingHeaders {
   return {
@@ -47,6 +54,7 @@
   constructor(
     private readonly client: HttpClient,
     private readonly timeouts: BackendTimeouts,
+    private readonly onLeaving: OnLeaving = () => undefined,
   ) {
     super();
   }
@@ -120,6 +128,7 @@
       .pipe(
         Effect.mapError(error => toBackendError(id, error)),
         Effect.flatMap(reply => {
+          if (isLeavingReply(reply)) this.onLeaving(id);
           const refusal = findRefusal(id, reply);
           if (refusal === undefined) return Effect.succeed(reply);
           reply.stream.resume();
--- a/packages/backend/src/http_service_client.ts
+++ b/packages/backend/src/http_service_client.ts
@@ -2,15 +2,24 @@
 import type {HttpClient, HttpReply} from '@greengagecross/http';
 import type {BackendCall} from './backend_call.js';
 import type {BackendError} from './backend_error.js';
-import {buildCallHeaders, type BackendTimeouts} from './http_engine_client.js';
+import {
+  buildCallHeaders,
+  type BackendTimeouts,
+  type OnLeaving,
+} from './http_engine_client.js';
 import {ServiceClient, type ServiceRequest} from './service_client.js';
-import {findRefusal, toBackendError} from './to_backend_error.js';
+import {
+  findRefusal,
+  isLeavingReply,
+  toBackendError,
+} from './to_backend_error.js';
 
 /** A plain service over HTTP. */
 export class HttpServiceClient extends ServiceClient {
   constructor(
     private readonly client: HttpClient,
     private readonly timeouts: BackendTimeouts,
+    private readonly onLeaving: OnLeaving = () => undefined,
   ) {
     super();
   }
@@ -32,6 +41,7 @@
       .pipe(
         Effect.mapError(error => toBackendError(id, error)),
         Effect.flatMap(reply => {
+          if (isLeavingReply(reply)) this.onLeaving(id);
           const refusal = findRefusal(id, reply);
           return refusal === undefined
             ? Effect.succeed(reply)
--- a/packages/backend/src/to_backend_error.ts
+++ b/packages/backend/src/to_backend_error.ts
@@ -25,16 +25,20 @@
   return new BackendError(failure, backendId, error);
 }
 
+/** Tells whether a reply says that its backend server is leaving. */
+export function isLeavingReply(reply: Pick<OpenReply, 'headers'>): boolean {
+  return reply.headers[BackendHeader.LEAVING] === 'true';
+}
+
 /** Reads a reply's own word that the request did not run, if it says so. */
 export function findRefusal(
   backendId: string,
   reply: Pick<OpenReply, 'headers'>,
 ): BackendError | undefined {
   if (reply.headers[BackendHeader.NOT_RUN] !== 'true') return undefined;
-  const failure =
-    reply.headers[BackendHeader.LEAVING] === 'true'
-      ? BackendFailure.LEAVING
-      : BackendFailure.REFUSED;
+  const failure = isLeavingReply(reply)
+    ? BackendFailure.LEAVING
+    : BackendFailure.REFUSED;
   const seconds = Number(reply.headers['retry-after'] ?? 0);
   const retryAfterMs = Number.isFinite(seconds) ? seconds * MS_PER_SECOND : 0;
   return new BackendError(failure, backendId, undefined, retryAfterMs);
--- a/packages/daemon/src/placement/placement_service.ts
+++ b/packages/daemon/src/placement/placement_service.ts
@@ -6,7 +6,7 @@
   Ticket,
 } from '@greengagecross/common';
 import type {PlacementPolicy} from '@greengagecross/decisions';
-import type {HostFollower} from '../hosts/host_follower.js';
+import type {LeavingBackends} from '../leaving/leaving_backends.js';
 import type {MemberService} from '../members/member_service.js';
 import type {SlotBroker} from './slot_broker.js';
 
@@ -15,7 +15,7 @@
   constructor(
     private readonly policy: PlacementPolicy,
     private readonly broker: SlotBroker,
-    private readonly hosts: HostFollower,
+    private readonly leaving: LeavingBackends,
     private readonly members: MemberService,
   ) {}
 
@@ -28,7 +28,7 @@
     return Effect.map(Clock.currentTimeMillis, nowMs => {
       const servers = new Map(
         service.backendServers
-          .filter(server => !this.hosts.isLeaving(server.id))
+          .filter(server => !this.leaving.isLeaving(server.id, nowMs))
           .map(server => [server.id, server]),
       );
       const candidates = [...servers.values()].map(server => ({
--- a/packages/daemon/src/placement/slot_broker.ts
+++ b/packages/daemon/src/placement/slot_broker.ts
@@ -13,6 +13,7 @@
   type PeerClient,
 } from '@greengagecross/peers';
 import type {ConfigurationFollower} from '../configuration/configuration_follower.js';
+import type {LeavingBackends} from '../leaving/leaving_backends.js';
 import type {MemberService} from '../members/member_service.js';
 
 /** Room for one request on one engine, until it is released. */
@@ -31,6 +32,7 @@
     private readonly ledger: EngineLedger,
     private readonly peers: PeerClient,
     private readonly configuration: ConfigurationFollower,
+    private readonly leaving: LeavingBackends,
   ) {}
 
   /** Acquires a slot, or gives undefined when the engine is at its bound. */
@@ -67,6 +69,7 @@
   /** Grants or refuses a slot of an engine that this daemon owns. */
   answerAcquire(request: AcquireSlot): Effect.Effect<boolean> {
     return Effect.map(Clock.currentTimeMillis, nowMs => {
+      if (this.leaving.isLeaving(request.engine, nowMs)) return false;
       const service = this.findServiceOf(request.engine);
       if (service === undefined) return false;
       const bound = computeLoadBound(
--- a/packages/daemon/src/wiring/daemon_parts.ts
+++ b/packages/daemon/src/wiring/daemon_parts.ts
@@ -30,6 +30,8 @@
 import {GroupCommit} from '../claims/group_commit.js';
 import {ConfigurationFollower} from '../configuration/configuration_follower.js';
 import {HostFollower} from '../hosts/host_follower.js';
+import {LeavingBackends} from '../leaving/leaving_backends.js';
+import {LeavingNews} from '../leaving/leaving_news.js';
 import {MemberService} from '../members/member_service.js';
 import {PlacementService} from '../placement/placement_service.js';
 import {SlotBroker} from '../placement/slot_broker.js';
@@ -53,6 +55,8 @@
   readonly configuration: ConfigurationFollower;
   readonly hosts: HostFollower;
   readonly members: MemberService;
+  readonly leaving: LeavingBackends;
+  readonly leavingNews: LeavingNews;
   readonly broker: SlotBroker;
   readonly placement: PlacementService;
   readonly engines: HttpEngineClient;
@@ -87,25 +91,35 @@
       this.tuning.peerTimeoutMs,
     );
     this.members = this.makeMembers(peers);
+    this.leaving = new LeavingBackends(this.hosts);
     this.broker = new SlotBroker(
       settings.id,
       this.members,
       this.ledger,
       peers,
       this.configuration,
+      this.leaving,
+    );
+    this.leavingNews = new LeavingNews(
+      settings.id,
+      this.leaving,
+      this.broker,
+      peers,
     );
     this.placement = new PlacementService(
       new HomePlacement(),
       this.broker,
-      this.hosts,
+      this.leaving,
       this.members,
     );
     const timeouts = {
       connectTimeoutMs: this.tuning.backendConnectTimeoutMs,
       silenceMs: this.tuning.backendSilenceMs,
     };
-    this.engines = new HttpEngineClient(this.backendClient, timeouts);
-    this.workers = new HttpServiceClient(this.backendClient, timeouts);
+    const {backendClient} = this;
+    const onLeaving = (id: string): void => this.leavingNews.onSaid(id);
+    this.engines = new HttpEngineClient(backendClient, timeouts, onLeaving);
+    this.workers = new HttpServiceClient(backendClient, timeouts, onLeaving);
   }
 
   /** Closes every outgoing connection. */
--- a/packages/daemon/src/wiring/make_control_router.ts
+++ b/packages/daemon/src/wiring/make_control_router.ts
@@ -1,6 +1,7 @@
 import {Effect} from 'effect';
 import {
   AcquireSlotSchema,
+  BackendLeavingSchema,
   HeartbeatSchema,
   PeerMethod,
   PeerServer,
@@ -47,5 +48,8 @@
       return {released: true};
     }),
   );
+  peers.addMethod(PeerMethod.BACKEND_LEAVING, BackendLeavingSchema, news =>
+    parts.leavingNews.answer(news.backend),
+  );
   return peers;
 }
--- a/packages/peers/src/peer_messages.ts
+++ b/packages/peers/src/peer_messages.ts
@@ -71,3 +71,8 @@
   engine: Schema.NonEmptyString,
   slotId: Schema.NonEmptyString,
 });
+
+/** Parameters of {@link PeerMethod.BACKEND_LEAVING}, for its engine's owner. */
+export const BackendLeavingSchema = Schema.Struct({
+  backend: Schema.NonEmptyString,
+});
--- a/packages/peers/src/peer_method.ts
+++ b/packages/peers/src/peer_method.ts
@@ -4,4 +4,5 @@
   PROBE = 'member.probe',
   ACQUIRE_SLOT = 'slot.acquire',
   RELEASE_SLOT = 'slot.release',
+  BACKEND_LEAVING = 'backend.leaving',
 }
--- a/packages/standins/src/backends/engine_server.ts
+++ b/packages/standins/src/backends/engine_server.ts
@@ -23,6 +23,7 @@
   private readonly cache: PrefixCache;
   private readonly slots: PriorityGate;
   private readonly records: RunRecord[] = [];
+  private refusals = 0;
   private readonly generations = new Map<string, Generation>();
 
   constructor(
@@ -48,6 +49,8 @@
         return Effect.sync(() => exchange.sendJson(200, this.describeLoad()));
       case '/observe/record':
         return Effect.sync(() => exchange.sendJson(200, this.records));
+      case '/observe/refusals':
+        return Effect.sync(() => exchange.sendJson(200, this.refusals));
       case '/observe/load':
         return Effect.sync(() => exchange.sendJson(200, this.describeLoad()));
       default:
@@ -72,6 +75,7 @@
     return Effect.gen({self: this}, function* () {
       const faults = this.gate.getFaults();
       if (faults.leaving) {
+        this.refusals += 1;
         refuse(exchange, true);
         return;
       }
