--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -87,6 +87,7 @@
       yield* Effect.forkScoped(parts.configuration.run());
       yield* Effect.forkScoped(parts.hosts.run());
       yield* Effect.forkScoped(parts.members.run());
+      yield* Effect.forkScoped(parts.keeper.run());
       yield* Effect.forkScoped(parts.commits.run());
       yield* Effect.forkScoped(parts.claims.run());
       yield* Effect.forkScoped(parts.sweeper.run());
@@ -164,6 +165,9 @@
     return new DaemonMetrics({
       countLiveMembers: () => members.countLive(),
       getRevision: () => configuration.getView()?.revision ?? 0,
+      countRefusedConfigurations: () => configuration.countRefusals(),
+      getUnconfirmedSeconds: () =>
+        configuration.getUnconfirmedSeconds(Date.now()),
       countControlBytes: () =>
         this.controlServer.bytes.count() + controlClient.pool.bytes.count(),
       countInFlight: () => this.callerServer.countActive(),
--- a/packages/daemon/src/leaving/leaving_news.ts
+++ b/packages/daemon/src/leaving/leaving_news.ts
@@ -1,6 +1,6 @@
 import {Clock, Effect, Schema} from 'effect';
 import {PeerMethod, type PeerClient} from '@greengagecross/peers';
-import type {SlotBroker} from '../placement/slot_broker.js';
+import type {FleetView} from '../placement/fleet_view.js';
 import type {LeavingBackends} from './leaving_backends.js';
 
 const TELL_RETRIES = 2;
@@ -10,7 +10,7 @@
   constructor(
     private readonly selfId: string,
     private readonly leaving: LeavingBackends,
-    private readonly broker: SlotBroker,
+    private readonly fleet: FleetView,
     private readonly peers: PeerClient,
   ) {}
 
@@ -32,7 +32,7 @@
     return Effect.gen({self: this}, function* () {
       const nowMs = yield* Clock.currentTimeMillis;
       if (!this.leaving.record(id, nowMs)) return;
-      const owner = this.broker.findOwner(id, nowMs);
+      const owner = this.fleet.findOwner(id, nowMs);
       if (owner.id === this.selfId) return;
       const params = {backend: id};
       yield* this.peers
--- a/packages/peers/src/index.ts
+++ b/packages/peers/src/index.ts
@@ -5,3 +5,4 @@
 export * from './peer_caller.js';
 export * from './peer_client.js';
 export * from './peer_server.js';
+export * from './configuration_messages.js';
--- a/packages/peers/src/peer_messages.ts
+++ b/packages/peers/src/peer_messages.ts
@@ -72,6 +72,16 @@
   slotId: Schema.NonEmptyString,
 });
 
+/** Parameters of {@link PeerMethod.RENEW_SLOTS}. */
+export const RenewSlotsSchema = Schema.Struct({
+  /** Daemon that uses the slots. */
+  holder: Schema.NonEmptyString,
+  slots: Schema.Array(ReleaseSlotSchema),
+});
+
+/** Decoded form of {@link RenewSlotsSchema}. */
+export type RenewSlots = typeof RenewSlotsSchema.Type;
+
 /** Parameters of {@link PeerMethod.BACKEND_LEAVING}, for its engine's owner. */
 export const BackendLeavingSchema = Schema.Struct({
   backend: Schema.NonEmptyString,
