--- a/packages/backend/src/to_backend_error.ts
+++ b/packages/backend/src/to_backend_error.ts
@@ -26,6 +26,19 @@
   return new BackendError(failure, backendId, error);
 }
 
+/**
+ * Tells whether a reply says that its backend server is leaving.
+ *
+ * The word counts only beside the attempt's own id: it may be another's.
+ */
+export function isLeavingReply(
+  call: BackendCall,
+  reply: Pick<OpenReply, 'headers'>,
+): boolean {
+  if (reply.headers[BackendHeader.REQUEST_ID] !== call.attemptId) return false;
+  return reply.headers[BackendHeader.LEAVING] === 'true';
+}
+
 /**
  * Reads a reply's own word that the request did not run, if it says so.
  *
@@ -40,10 +53,9 @@
   if (reply.headers[BackendHeader.REQUEST_ID] !== call.attemptId) {
     return new BackendError(BackendFailure.BROKEN, backendId);
   }
-  const failure =
-    reply.headers[BackendHeader.LEAVING] === 'true'
-      ? BackendFailure.LEAVING
-      : BackendFailure.REFUSED;
+  const failure = isLeavingReply(call, reply)
+    ? BackendFailure.LEAVING
+    : BackendFailure.REFUSED;
   const seconds = Number(reply.headers['retry-after'] ?? 0);
   const retryAfterMs = Number.isFinite(seconds) ? seconds * MS_PER_SECOND : 0;
   return new BackendError(failure, backendId, undefined, retryAfterMs);
--- a/packages/daemon/src/placement/engine_index.ts
+++ b/packages/daemon/src/placement/engine_index.ts
@@ -2,7 +2,7 @@
 import {EngineGroup} from '@greengagecross/decisions';
 import type {ConfigurationFollower} from '../configuration/configuration_follower.js';
 import type {ConfigurationView} from '../configuration/configuration_view.js';
-import type {HostFollower} from '../hosts/host_follower.js';
+import type {LeavingBackends} from '../leaving/leaving_backends.js';
 
 const REFRESH_MS = 100;
 
@@ -22,7 +22,7 @@
 
   constructor(
     private readonly configuration: ConfigurationFollower,
-    private readonly hosts: HostFollower,
+    private readonly leaving: LeavingBackends,
   ) {}
 
   /** Finds the service that an engine belongs to. */
@@ -54,14 +54,14 @@
       this.servers.clear();
     }
     for (const service of view?.listServices() ?? []) {
-      this.updateService(service);
+      this.updateService(service, nowMs);
     }
   }
 
   /** Keeps a group, with what is memoised for it, while it has not changed. */
-  private updateService(service: Service): void {
+  private updateService(service: Service, nowMs: number): void {
     const available = service.backendServers.filter(
-      server => !this.hosts.isLeaving(server.id),
+      server => !this.leaving.isLeaving(server.id, nowMs),
     );
     const known = this.byService.get(service.name);
     if (known !== undefined && isSame(known.group, available)) return;
--- a/packages/daemon/src/placement/fleet_view.ts
+++ b/packages/daemon/src/placement/fleet_view.ts
@@ -21,9 +21,9 @@
     return this.live;
   }
 
-  /** Lists whom callers may use; one that leaves alone serves to its end. */
-  listTakingCallers(nowMs: number): Member[] {
-    const live = [...this.listLive(nowMs)];
+  /** Lists whom callers may be sent to; one that leaves alone still serves. */
+  listTakingCallers(nowMs: number): readonly Member[] {
+    const live = this.listLive(nowMs);
     return live.length > 0 ? live : [this.members.getSelf()];
   }
 
@@ -45,10 +45,10 @@
     this.refreshedAtMs = nowMs;
     this.live = this.members.listLive(nowMs);
     this.byId = new Map(this.live.map(member => [member.id, member]));
-    // One that is leaving still counts the requests that it granted.
-    const counting = [this.members.getSelf(), ...this.members.listOthers()];
+    // A leaving daemon still holds slots of engines that it owned.
+    const there = [this.members.getSelf(), ...this.members.listOthers()];
     this.snapshot = new LoadSnapshot(
-      counting.map(({id, engines}) => ({daemon: id, engines})),
+      there.map(({id, engines}) => ({daemon: id, engines})),
     );
     const ids = this.live.map(member => member.id);
     const known = new Set(this.ids);
--- a/packages/daemon/src/wiring/daemon_parts.ts
+++ b/packages/daemon/src/wiring/daemon_parts.ts
@@ -36,6 +36,8 @@
 import {ConfigurationFollower} from '../configuration/configuration_follower.js';
 import {DaemonConfigurationPeers} from '../configuration/daemon_configuration_peers.js';
 import {HostFollower} from '../hosts/host_follower.js';
+import {LeavingBackends} from '../leaving/leaving_backends.js';
+import {LeavingNews} from '../leaving/leaving_news.js';
 import {MemberService} from '../members/member_service.js';
 import {EngineIndex} from '../placement/engine_index.js';
 import {FleetView} from '../placement/fleet_view.js';
@@ -69,6 +71,8 @@
   readonly fleet: FleetView;
   readonly index: EngineIndex;
   readonly keeper: SlotKeeper;
+  readonly leaving: LeavingBackends;
+  readonly leavingNews: LeavingNews;
   readonly broker: SlotBroker;
   readonly placement: PlacementService;
   readonly explainer: PlacementExplainer;
@@ -102,7 +106,14 @@
     );
     this.members = this.makeMembers(peers);
     this.fleet = new FleetView(this.members);
-    this.index = new EngineIndex(this.configuration, this.hosts);
+    this.leaving = new LeavingBackends(this.hosts);
+    this.leavingNews = new LeavingNews(
+      settings.id,
+      this.leaving,
+      this.fleet,
+      peers,
+    );
+    this.index = new EngineIndex(this.configuration, this.leaving);
     this.keeper = new SlotKeeper(settings.id, this.fleet, this.ledger, peers);
     const authority = new SlotAuthority(settings.id, this.ledger);
     this.broker = new SlotBroker(
@@ -133,8 +144,10 @@
       connectTimeoutMs: this.tuning.backendConnectTimeoutMs,
       silenceMs: this.tuning.backendSilenceMs,
     };
-    this.engines = new HttpEngineClient(this.backendClient, timeouts);
-    this.workers = new HttpServiceClient(this.backendClient, timeouts);
+    const {backendClient} = this;
+    const onLeaving = (id: string): void => this.leavingNews.onSaid(id);
+    this.engines = new HttpEngineClient(backendClient, timeouts, onLeaving);
+    this.workers = new HttpServiceClient(backendClient, timeouts, onLeaving);
   }
 
   /** Closes every outgoing connection. */
--- a/packages/peers/src/peer_messages.ts
+++ b/packages/peers/src/peer_messages.ts
@@ -84,3 +84,8 @@
 
 /** Decoded form of {@link RenewSlotsSchema}. */
 export type RenewSlots = typeof RenewSlotsSchema.Type;
+
+/** Parameters of {@link PeerMethod.BACKEND_LEAVING}, for its engine's owner. */
+export const BackendLeavingSchema = Schema.Struct({
+  backend: Schema.NonEmptyString,
+});
