--- a/packages/client/src/fleet/revision_watcher.ts
+++ b/packages/client/src/fleet/revision_watcher.ts
@@ -75,5 +75,9 @@
       .filter(daemon => daemon.revision === undefined)
       .map(daemon => `  ${daemon.id} does not answer.`),
   ];
+  if (daemons.length === 0) {
+    const none = ['The host list shows no daemon that could have it.'];
+    return {isEverywhere: false, daemons, lines: none};
+  }
   return {isEverywhere: live.length + silent === 0, daemons, lines};
 }
--- a/packages/client/src/status/check_promises.ts
+++ b/packages/client/src/status/check_promises.ts
@@ -54,7 +54,15 @@
   const name = 'daemons answer';
   const count = `${readings.length - silent.length} of ${readings.length}`;
   const leaving = stopping.length > 0 ? `, ${stopping.length} stopping` : '';
-  if (silent.length === 0 && readings.length > 0) {
+  if (readings.length === 0) {
+    return {
+      name,
+      state: PromiseState.DEGRADED,
+      detail: 'the host list shows no daemon',
+      advice: 'Start the daemons: docs/operations/first_start.md',
+    };
+  }
+  if (silent.length === 0) {
     return {name, state: PromiseState.HOLDS, detail: `${count}${leaving}`};
   }
   return {
