--- a/packages/daemon/src/placement/fleet_view.ts
+++ b/packages/daemon/src/placement/fleet_view.ts
@@ -21,6 +21,12 @@
     return this.live;
   }
 
+  /** Lists whom callers may use; one that leaves alone serves to its end. */
+  listTakingCallers(nowMs: number): Member[] {
+    const live = [...this.listLive(nowMs)];
+    return live.length > 0 ? live : [this.members.getSelf()];
+  }
+
   /** Finds the daemon that counts an engine's requests. */
   findOwner(engine: string, nowMs: number): Member {
     this.update(nowMs);
@@ -39,8 +45,10 @@
     this.refreshedAtMs = nowMs;
     this.live = this.members.listLive(nowMs);
     this.byId = new Map(this.live.map(member => [member.id, member]));
+    // One that is leaving still counts the requests that it granted.
+    const counting = [this.members.getSelf(), ...this.members.listOthers()];
     this.snapshot = new LoadSnapshot(
-      this.live.map(({id, engines}) => ({daemon: id, engines})),
+      counting.map(({id, engines}) => ({daemon: id, engines})),
     );
     const ids = this.live.map(member => member.id);
     const known = new Set(this.ids);
--- a/packages/decisions/src/placement/placement_policy.ts
+++ b/packages/decisions/src/placement/placement_policy.ts
@@ -26,6 +26,12 @@
   readonly maxWaitMs: number;
 }
 
+/** Takes what operators are told of a choice. */
+export function toEngineChoice(choice: PlacementChoice): EngineChoice {
+  const {maxWaitMs: unusedWait, ...told} = choice;
+  return told;
+}
+
 /** Decides the order in which engines are tried for a chat. */
 export abstract class PlacementPolicy {
   /** Orders a few of the group's engines, best first, each with its reason. */
