--- /dev/null
+++ b/packages/standins/src/operators/status_steps.ts
@@ -0,0 +1,108 @@
+import assert from 'node:assert/strict';
+import {Given, Then, type World} from '@cucumber/cucumber';
+import {
+  checkPromises,
+  formatStatus,
+  type DaemonReading,
+  type DaemonReport,
+  type FleetView,
+} from '@greengagecross/client';
+import {MemberState, ServiceKind} from '@greengagecross/common';
+import {makeConfiguration} from '@greengagecross/questionnaire';
+import {Deployment, readFixture} from '../fleet/plan_answers.js';
+
+const NOW_MS = 1_800_000_000_000;
+const REVISION = 12;
+const MEAN_IN_FLIGHT = 10;
+const OVERRUN_IN_FLIGHT = 60;
+const {services} = makeConfiguration(readFixture(Deployment.REGISTRY));
+
+/** State of one scenario about the status screen. */
+interface StatusWorld extends World {
+  view: FleetView;
+}
+
+function makeReading(at: number, zones: number, fault: string): DaemonReading {
+  const id = `entry-${at + 1}`;
+  const availabilityZone = `tt-north-${at % zones}`;
+  const control = {host: '10.0.0.1', port: 1};
+  const host = {id, availabilityZone, control};
+  const silent = fault === 'one silent daemon' ? 1 : 60;
+  if (fault.includes('silent') && at < silent) {
+    return {id, host, report: undefined, error: 'does not answer'};
+  }
+  const engines = services
+    .filter(service => service.kind === ServiceKind.ENGINE)
+    .flatMap(service => service.backendServers);
+  const [busy] = engines;
+  const report: DaemonReport = {
+    self: {
+      id,
+      state: MemberState.LIVE,
+      availabilityZone,
+      controlAddress: control,
+    },
+    atMs: NOW_MS,
+    uptimeMs: 3_600_000,
+    configuration: {
+      revision: fault.startsWith('a revision') && at < 90 ? 11 : REVISION,
+      isCurrent: fault !== 'an outage',
+      ...(fault === 'an outage' ? {notCurrentSinceMs: NOW_MS - 60_000} : {}),
+      ...(fault.startsWith('a refused')
+        ? {refused: 'part 0123 is missing', refusedSinceMs: NOW_MS}
+        : {}),
+    },
+    hostListIsCurrent: fault !== 'an old host list',
+    live: [],
+    ownedEngines:
+      at > 0
+        ? []
+        : [...new Set(engines.map(engine => engine.id))].map(engine => ({
+            engine,
+            inFlight:
+              fault === 'an overrun engine' && engine === busy?.id
+                ? OVERRUN_IN_FLIGHT
+                : MEAN_IN_FLIGHT,
+          })),
+    memoryBytes: 1,
+  };
+  return {id, host, report, error: undefined};
+}
+
+Given(
+  /^a fleet view of (\d+) daemons in (\d+) zones with (.+)$/,
+  function (this: StatusWorld, daemons: string, zones: string, fault: string) {
+    const length = Number(daemons);
+    const isDown = fault === 'an outage';
+    this.view = {
+      atMs: NOW_MS,
+      readings: Array.from({length}, (unused, at) =>
+        makeReading(at, Number(zones), fault),
+      ),
+      isHostListUp: !isDown,
+      storeRevision: isDown ? undefined : REVISION,
+      services: isDown ? [] : services,
+      leaving: [],
+    };
+  },
+);
+
+Then(
+  'the status screen has at most {int} columns and {int} lines',
+  function (this: StatusWorld, columns: number, most: number) {
+    const lines = formatStatus(this.view, checkPromises(this.view), false);
+    assert.ok(lines.length <= most, `${lines.length} lines`);
+    for (const line of lines) assert.ok(line.length <= columns, line);
+  },
+);
+
+Then(
+  /^it judges "(.+)" as (\w+) and advises "(.*)"$/,
+  function (this: StatusWorld, name: string, state: string, advice: string) {
+    const promises = checkPromises(this.view);
+    const promise = promises.find(found => found.name.startsWith(name));
+    assert.ok(promise, `no promise ${name}`);
+    assert.equal(promise.state, state, promise.detail);
+    assert.ok((promise.advice ?? '').includes(advice), promise.advice);
+  },
+);
