Admit requests to an engine fairly, by class and within its found limit

Cause: an engine's room went to whoever asked first, with no regard to class or customer, and up to the bound over the mean whatever the engine could run. The owner now lets requests that wait for an engine in by class, then by the customer with the fewest in flight there; room is kept free for as many urgent requests as were lately in flight; the limit follows the engine's reports.

Ruled out: a queue that pushes grants (first draft): a grant to a requester that has gone holds room until its lease ends. Requests ask again while they wait, so nothing is granted to nobody.

--- a/packages/common/src/settings/tuning.ts
+++ b/packages/common/src/settings/tuning.ts
@@ -9,6 +9,8 @@
   heartbeatMs: Schema.optionalKey(DurationMsSchema),
   configurationPollMs: Schema.optionalKey(DurationMsSchema),
   hostListPollMs: Schema.optionalKey(DurationMsSchema),
+  /** How often an engine's owner asks for its load. */
+  loadPollMs: Schema.optionalKey(DurationMsSchema),
   platformTimeoutMs: Schema.optionalKey(DurationMsSchema),
   peerTimeoutMs: Schema.optionalKey(DurationMsSchema),
   backendConnectTimeoutMs: Schema.optionalKey(DurationMsSchema),
@@ -26,6 +28,7 @@
   heartbeatMs: 1000,
   configurationPollMs: 1000,
   hostListPollMs: 1000,
+  loadPollMs: 1000,
   platformTimeoutMs: 1000,
   peerTimeoutMs: 400,
   backendConnectTimeoutMs: 1000,
--- a/packages/daemon/src/callers/chat_dispatcher.ts
+++ b/packages/daemon/src/callers/chat_dispatcher.ts
@@ -116,8 +116,11 @@
     attemptId: string,
     deadline: RequestDeadline,
   ): Effect.Effect<Result.Result<void, BackendError> | undefined> {
+    const customer = job.customer.id;
+    const {priority} = job.service;
+    const subject = {customer, priority};
     return Effect.acquireUseRelease(
-      this.broker.acquire(server.id, attemptId, choice.maxWaitMs),
+      this.broker.acquire(server.id, attemptId, choice.maxWaitMs, subject),
       slot => {
         if (slot === undefined) return Effect.undefined;
         this.placement.recordTaken(job.requestId, server.id);
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -88,6 +88,7 @@
       yield* Effect.forkScoped(parts.hosts.run());
       yield* Effect.forkScoped(parts.members.run());
       yield* Effect.forkScoped(parts.keeper.run());
+      yield* Effect.forkScoped(parts.limits.run());
       yield* Effect.forkScoped(parts.commits.run());
       yield* Effect.forkScoped(parts.claims.run());
       yield* Effect.forkScoped(parts.sweeper.run());
--- a/packages/daemon/src/limits/engine_limits.ts
+++ b/packages/daemon/src/limits/engine_limits.ts
@@ -3,15 +3,14 @@
 import {Logger, type BackendServer} from '@greengagecross/common';
 import {AdaptiveLimit} from '@greengagecross/decisions';
 
-/** Room that an engine is given before its first report. */
-const INITIAL_LIMIT = 8;
+/** Room that an engine is given until its first report arrives. */
+const UNREPORTED_LIMIT = 8;
 const logger = new Logger('limits');
 
 /** What this daemon learned of one engine that it owns. */
 interface FollowedEngine {
   readonly server: BackendServer;
-  readonly limit: AdaptiveLimit;
-  isLeaving: boolean;
+  limit: AdaptiveLimit | undefined;
   isAnswering: boolean;
 }
 
@@ -33,17 +32,12 @@
     private readonly pollMs: number,
     private readonly listOwned: ListOwnedEngines,
     private readonly countInFlight: CountInFlight,
-    private readonly onRaised: (engine: string) => void,
+    private readonly onLeaving: (engine: string) => void,
   ) {}
 
   /** Gets the most requests that may be in flight on an engine. */
   getLimit(engine: string): number {
-    return this.followed.get(engine)?.limit.getLimit() ?? INITIAL_LIMIT;
-  }
-
-  /** Tells whether an engine's own report says that it is leaving. */
-  isLeaving(engine: string): boolean {
-    return this.followed.get(engine)?.isLeaving ?? false;
+    return this.followed.get(engine)?.limit?.getLimit() ?? UNREPORTED_LIMIT;
   }
 
   /** Starts and ends the fibers of engines as their ownership changes. */
@@ -71,8 +65,7 @@
   private runEngine(server: BackendServer): Effect.Effect<never> {
     const engine: FollowedEngine = {
       server,
-      limit: new AdaptiveLimit(INITIAL_LIMIT),
-      isLeaving: false,
+      limit: undefined,
       isAnswering: true,
     };
     this.followed.set(server.id, engine);
@@ -91,8 +84,9 @@
       const load = yield* this.engines.fetchLoad(engine.server);
       const nowMs = yield* Clock.currentTimeMillis;
       engine.isAnswering = true;
-      engine.isLeaving = load.leaving;
-      const before = engine.limit.getLimit();
+      if (load.leaving) this.onLeaving(engine.server.id);
+      // What the engine names is where the search for its limit begins.
+      engine.limit ??= new AdaptiveLimit(Math.max(1, load.capacity));
       const report = {
         running: load.running,
         waiting: load.waiting,
@@ -100,7 +94,6 @@
         inFlight: this.countInFlight(engine.server.id),
       };
       engine.limit.observe(report, nowMs);
-      if (engine.limit.getLimit() > before) this.onRaised(engine.server.id);
     });
   }
 }
--- a/packages/daemon/src/placement/slot_broker.ts
+++ b/packages/daemon/src/placement/slot_broker.ts
@@ -1,7 +1,11 @@
 import {Clock, Effect} from 'effect';
 import {Schema} from 'effect';
-import type {Member} from '@greengagecross/common';
-import type {SlotAuthority, EngineLedger} from '@greengagecross/decisions';
+import type {Member, PriorityClass} from '@greengagecross/common';
+import {
+  Admission,
+  type EngineLedger,
+  type SlotAuthority,
+} from '@greengagecross/decisions';
 import {
   PeerMethod,
   SlotAnswerSchema,
@@ -15,6 +19,12 @@
 const OWN_RETRY_MS = 20;
 const REMOTE_RETRY_MS = 200;
 
+/** Whose request a slot is for. */
+export interface SlotSubject {
+  readonly customer: string;
+  readonly priority: PriorityClass;
+}
+
 /** Acquires slots from the daemons that count the engines' requests. */
 export class SlotBroker {
   constructor(
@@ -35,13 +45,16 @@
     engine: string,
     slotId: string,
     maxWaitMs: number,
+    subject?: SlotSubject,
   ): Effect.Effect<Slot | undefined> {
     return Effect.gen({self: this}, function* () {
       const untilMs = (yield* Clock.currentTimeMillis) + maxWaitMs;
       for (;;) {
         const nowMs = yield* Clock.currentTimeMillis;
         const owner = this.view.findOwner(engine, nowMs);
-        const request = {engine, slotId, holder: this.selfId};
+        const waitMs = Math.max(0, Math.ceil(untilMs - nowMs));
+        const holder = this.selfId;
+        const request = {engine, slotId, holder, waitMs, ...subject};
         const isOwn = owner.id === this.selfId;
         const granted = isOwn
           ? yield* this.answerAcquire(request)
@@ -72,7 +85,15 @@
       const group = this.index.findByEngine(request.engine, nowMs)?.group;
       if (group === undefined) return false;
       const snapshot = this.view.getSnapshot(nowMs);
-      return this.authority.acquire(request, group, snapshot, nowMs);
+      const {waitMs, ...lease} = request;
+      const answer = this.authority.acquire(
+        lease,
+        group,
+        snapshot,
+        nowMs,
+        waitMs,
+      );
+      return answer === Admission.GRANTED;
     });
   }
 
--- a/packages/daemon/src/wiring/daemon_parts.ts
+++ b/packages/daemon/src/wiring/daemon_parts.ts
@@ -2,6 +2,8 @@
 import {HttpEngineClient, HttpServiceClient} from '@greengagecross/backend';
 import {
   DEFAULT_TUNING,
+  ServiceKind,
+  type BackendServer,
   findRendezvousHome,
   hash32,
   TicketCodec,
@@ -35,6 +37,7 @@
 import {GroupCommit} from '../claims/group_commit.js';
 import {ConfigurationFollower} from '../configuration/configuration_follower.js';
 import {DaemonConfigurationPeers} from '../configuration/daemon_configuration_peers.js';
+import {EngineLimits} from '../limits/engine_limits.js';
 import {HostFollower} from '../hosts/host_follower.js';
 import {LeavingBackends} from '../leaving/leaving_backends.js';
 import {LeavingNews} from '../leaving/leaving_news.js';
@@ -77,6 +80,7 @@
   readonly placement: PlacementService;
   readonly explainer: PlacementExplainer;
   readonly engines: HttpEngineClient;
+  readonly limits: EngineLimits;
   readonly workers: HttpServiceClient;
 
   constructor(
@@ -115,7 +119,9 @@
     );
     this.index = new EngineIndex(this.configuration, this.leaving);
     this.keeper = new SlotKeeper(settings.id, this.fleet, this.ledger, peers);
-    const authority = new SlotAuthority(settings.id, this.ledger);
+    const authority = new SlotAuthority(settings.id, this.ledger, engine =>
+      this.limits.getLimit(engine),
+    );
     this.broker = new SlotBroker(
       settings.id,
       this.fleet,
@@ -148,6 +154,13 @@
     const onLeaving = (id: string): void => this.leavingNews.onSaid(id);
     this.engines = new HttpEngineClient(backendClient, timeouts, onLeaving);
     this.workers = new HttpServiceClient(backendClient, timeouts, onLeaving);
+    this.limits = new EngineLimits(
+      this.engines,
+      this.tuning.loadPollMs,
+      nowMs => this.listOwnedEngines(nowMs),
+      engine => this.ledger.count(engine),
+      onLeaving,
+    );
   }
 
   /** Closes every outgoing connection. */
@@ -156,6 +169,15 @@
     this.backendClient.close();
   }
 
+  private listOwnedEngines(nowMs: number): BackendServer[] {
+    const services = this.configuration.getView()?.listServices() ?? [];
+    const {id} = this.settings;
+    return services
+      .filter(service => service.kind === ServiceKind.ENGINE)
+      .flatMap(service => service.backendServers)
+      .filter(server => this.fleet.findOwner(server.id, nowMs).id === id);
+  }
+
   private isSweeper(): Effect.Effect<boolean> {
     return Effect.map(Clock.currentTimeMillis, nowMs => {
       const live = this.members.listLive(nowMs).map(member => member.id);
--- a/packages/decisions/src/limits/admission_request.ts
+++ b/packages/decisions/src/limits/admission_request.ts
@@ -5,8 +5,6 @@
   readonly slotId: string;
   readonly customer: string;
   readonly priority: PriorityClass;
-  /** Most requests of the customer that the engine may carry. */
-  readonly customerShare: number;
   /** When it gives up waiting, in milliseconds of the local clock. */
   readonly waitUntilMs: number;
 }
--- a/packages/decisions/src/placement/engine_ledger.ts
+++ b/packages/decisions/src/placement/engine_ledger.ts
@@ -1,4 +1,5 @@
-import type {EngineCount} from '@greengagecross/common';
+import {PriorityClass, type EngineCount} from '@greengagecross/common';
+import {EngineOccupancy} from '../limits/engine_occupancy.js';
 
 /** One request's room on one engine. */
 export interface SlotLease {
@@ -6,10 +7,13 @@
   readonly slotId: string;
   /** Daemon that uses the slot and renews it. */
   readonly holder: string;
+  /** Whose request it is for; absent where its owner was not told. */
+  readonly customer?: string;
+  readonly priority?: PriorityClass;
 }
 
 interface HeldSlot {
-  readonly holder: string;
+  readonly lease: SlotLease;
   expiresAtMs: number;
 }
 
@@ -24,21 +28,21 @@
 
   constructor(private readonly leaseMs: number) {}
 
-  /** Acquires a slot unless the engine already carries `bound` requests. */
-  acquire(lease: SlotLease, bound: number, nowMs: number): boolean {
-    const isKnown = this.slots.get(lease.engine)?.has(lease.slotId) === true;
-    if (!isKnown && this.count(lease.engine) >= bound) return false;
-    this.renew(lease, nowMs);
-    return true;
+  /** Tells whether a slot is held. */
+  has(engine: string, slotId: string): boolean {
+    return this.slots.get(engine)?.has(slotId) === true;
   }
 
   /**
    * Renews a slot. One that is unknown here is added whatever the bound, as
    * its request runs already: its former owner died or was parted from us.
    */
-  renew({engine, slotId, holder}: SlotLease, nowMs: number): void {
+  renew(lease: SlotLease, nowMs: number): void {
+    const {engine, slotId} = lease;
     const taken = this.slots.get(engine) ?? new Map<string, HeldSlot>();
-    taken.set(slotId, {holder, expiresAtMs: nowMs + this.leaseMs});
+    const known = taken.get(slotId)?.lease;
+    const expiresAtMs = nowMs + this.leaseMs;
+    taken.set(slotId, {lease: {...known, ...lease}, expiresAtMs});
     this.slots.set(engine, taken);
   }
 
@@ -69,6 +73,11 @@
     return this.slots.get(engine)?.size ?? 0;
   }
 
+  /** Gets the counts of an engine's requests, by customer and class too. */
+  getOccupancy(engine: string): EngineOccupancy {
+    return new LedgerOccupancy(this.slots.get(engine));
+  }
+
   /** Counts the requests on those engines that are chosen. */
   countWhere(isChosen: (engine: string) => boolean): number {
     let total = 0;
@@ -86,3 +95,34 @@
     }));
   }
 }
+
+/** One engine's slots as the admission counts them. */
+class LedgerOccupancy extends EngineOccupancy {
+  constructor(
+    private readonly slots: ReadonlyMap<string, HeldSlot> | undefined,
+  ) {
+    super();
+  }
+
+  override count(): number {
+    return this.slots?.size ?? 0;
+  }
+
+  override countOfCustomer(customer: string): number {
+    return this.countWhere(lease => lease.customer === customer);
+  }
+
+  override countOfClass(priority: PriorityClass): number {
+    return this.countWhere(
+      lease => (lease.priority ?? PriorityClass.CONSULTATION) === priority,
+    );
+  }
+
+  private countWhere(isCounted: (lease: SlotLease) => boolean): number {
+    let count = 0;
+    for (const {lease} of this.slots?.values() ?? []) {
+      if (isCounted(lease)) count += 1;
+    }
+    return count;
+  }
+}
--- a/packages/decisions/src/placement/slot_authority.ts
+++ b/packages/decisions/src/placement/slot_authority.ts
@@ -1,3 +1,5 @@
+import {PriorityClass} from '@greengagecross/common';
+import {Admission, EngineAdmission} from '../limits/engine_admission.js';
 import type {EngineGroup} from './engine_group.js';
 import type {EngineLedger, SlotLease} from './engine_ledger.js';
 import {computeLoadBound} from './load_bound.js';
@@ -10,22 +12,47 @@
  * share one bound while their lists differ.
  */
 export class SlotAuthority {
+  private readonly admissions = new Map<string, EngineAdmission>();
+
+  /** @param getLimit the most requests that an engine takes at once. */
   constructor(
     private readonly self: string,
     private readonly ledger: EngineLedger,
+    private readonly getLimit: (engine: string) => number = () => Infinity,
   ) {}
 
-  /** Grants a slot unless the engine is at its bound. */
+  /**
+   * Grants a slot unless the engine is at its bound or its limit, or another
+   * request that asks for room goes before.
+   *
+   * @param waitMs how long the request keeps asking.
+   */
   acquire(
     lease: SlotLease,
     group: EngineGroup,
     snapshot: LoadSnapshot,
     nowMs: number,
-  ): boolean {
-    if (!group.has(lease.engine)) return false;
-    const elsewhere = snapshot.countElsewhere(lease.engine, this.self);
-    const bound = this.computeBound(group, snapshot);
-    return this.ledger.acquire(lease, bound - elsewhere, nowMs);
+    waitMs = 0,
+  ): Admission {
+    const {engine, slotId} = lease;
+    if (!group.has(engine)) return Admission.REFUSED;
+    if (this.ledger.has(engine, slotId)) return Admission.GRANTED;
+    const elsewhere = snapshot.countElsewhere(engine, this.self);
+    const bound = this.computeBound(group, snapshot) - elsewhere;
+    const request = {
+      slotId,
+      customer: lease.customer ?? '',
+      priority: lease.priority ?? PriorityClass.CONSULTATION,
+      waitUntilMs: nowMs + waitMs,
+    };
+    const answer = this.findAdmission(engine).request(
+      request,
+      this.ledger.getOccupancy(engine),
+      Math.min(bound, this.getLimit(engine)),
+      nowMs,
+    );
+    if (answer === Admission.GRANTED) this.ledger.renew(lease, nowMs);
+    return answer;
   }
 
   /** Computes the bound that now holds for each engine of a group. */
@@ -35,6 +62,19 @@
     return computeLoadBound(elsewhere + own, group.ids.length, group.rules);
   }
 
+  /** Computes how long a request of a class would wait for an engine now. */
+  computeWaitMs(engine: string, priority: PriorityClass): number {
+    return this.admissions.get(engine)?.computeWaitMs(priority) ?? 0;
+  }
+
+  private findAdmission(engine: string): EngineAdmission {
+    const known = this.admissions.get(engine);
+    if (known !== undefined) return known;
+    const admission = new EngineAdmission();
+    this.admissions.set(engine, admission);
+    return admission;
+  }
+
   /** Counts an engine's requests: exactly here, as reported elsewhere. */
   count(engine: string, snapshot: LoadSnapshot): number {
     const elsewhere = snapshot.countElsewhere(engine, this.self);
--- a/packages/peers/src/peer_messages.ts
+++ b/packages/peers/src/peer_messages.ts
@@ -3,6 +3,7 @@
   AddressSchema,
   MemberSchema,
   MemberStatusSchema,
+  PriorityClass,
 } from '@greengagecross/common';
 
 /** Backend servers that the platform's host list showed as leaving. */
@@ -55,6 +56,10 @@
   slotId: Schema.NonEmptyString,
   /** Daemon that will use the slot. */
   holder: Schema.NonEmptyString,
+  customer: Schema.optionalKey(Schema.String),
+  priority: Schema.optionalKey(Schema.Enum(PriorityClass)),
+  /** How long it keeps asking, in milliseconds. */
+  waitMs: Schema.optionalKey(Schema.Int),
 });
 
 /** Decoded form of {@link AcquireSlotSchema}. */
