--- a/packages/client/src/accept/accept_report.ts
+++ b/packages/client/src/accept/accept_report.ts
@@ -38,4 +38,6 @@
   readonly operationId: string;
   readonly operator: string;
   readonly reason: string;
+  /** Accepts a revision also without a change, and writes every part again. */
+  readonly isRewrite?: boolean;
 }
--- a/packages/daemon/src/placement/fleet_view.ts
+++ b/packages/daemon/src/placement/fleet_view.ts
@@ -21,6 +21,12 @@
     return this.live;
   }
 
+  /** Lists whom callers may be sent to; one that leaves alone still serves. */
+  listTakingCallers(nowMs: number): readonly Member[] {
+    const live = this.listLive(nowMs);
+    return live.length > 0 ? live : [this.members.getSelf()];
+  }
+
   /** Finds the daemon that counts an engine's requests. */
   findOwner(engine: string, nowMs: number): Member {
     this.update(nowMs);
@@ -39,8 +45,10 @@
     this.refreshedAtMs = nowMs;
     this.live = this.members.listLive(nowMs);
     this.byId = new Map(this.live.map(member => [member.id, member]));
+    // A leaving daemon still holds slots of engines that it owned.
+    const there = [this.members.getSelf(), ...this.members.listOthers()];
     this.snapshot = new LoadSnapshot(
-      this.live.map(({id, engines}) => ({daemon: id, engines})),
+      there.map(({id, engines}) => ({daemon: id, engines})),
     );
     const ids = this.live.map(member => member.id);
     const known = new Set(this.ids);
--- a/packages/peers/src/peer_method.ts
+++ b/packages/peers/src/peer_method.ts
@@ -7,4 +7,5 @@
   FETCH_REVISION = 'configuration.revision',
   FETCH_PARTS = 'configuration.parts',
   RENEW_SLOTS = 'slot.renew',
+  BACKEND_LEAVING = 'backend.leaving',
 }
--- a/packages/standins/src/backends/engine_server.ts
+++ b/packages/standins/src/backends/engine_server.ts
@@ -23,6 +23,7 @@
   private readonly cache: PrefixCache;
   private readonly slots: PriorityGate;
   private readonly records: RunRecord[] = [];
+  private refusals = 0;
   private readonly generations = new Map<string, Generation>();
 
   constructor(
@@ -48,6 +49,8 @@
         return Effect.sync(() => exchange.sendJson(200, this.describeLoad()));
       case '/observe/record':
         return Effect.sync(() => exchange.sendJson(200, this.records));
+      case '/observe/refusals':
+        return Effect.sync(() => exchange.sendJson(200, this.refusals));
       case '/observe/load':
         return Effect.sync(() => exchange.sendJson(200, this.describeLoad()));
       default:
@@ -72,6 +75,7 @@
     return Effect.gen({self: this}, function* () {
       const faults = this.gate.getFaults();
       if (faults.leaving) {
+        this.refusals += 1;
         refuse(exchange, true);
         return;
       }
@@ -133,6 +137,7 @@
         yield* Effect.sleep(profile.msPerToken);
         generation.add(makeChunk(generation.attemptId, token));
       }
+      generation.add(makeChunk(generation.attemptId, '', 'stop'));
       generation.add('[DONE]');
       record.isFinished = true;
       this.cache.set(
@@ -216,16 +221,22 @@
     503,
     {error: 'not run'},
     {
+      [BackendHeader.REQUEST_ID]:
+        exchange.getHeader(BackendHeader.REQUEST_ID) ?? '',
       [BackendHeader.NOT_RUN]: 'true',
       ...(isLeaving ? {[BackendHeader.LEAVING]: 'true'} : {}),
     },
   );
 }
 
-function makeChunk(attemptId: string, content: string): string {
+function makeChunk(
+  attemptId: string,
+  content: string,
+  finishReason: string | null = null,
+): string {
   return JSON.stringify({
     id: `chatcmpl-${attemptId}`,
     object: 'chat.completion.chunk',
-    choices: [{index: 0, delta: {content}, finish_reason: null}],
+    choices: [{index: 0, delta: {content}, finish_reason: finishReason}],
   });
 }
