--- a/packages/daemon/src/placement/slot_fleet_fake.ts
+++ b/packages/daemon/src/placement/slot_fleet_fake.ts
@@ -105,6 +105,10 @@
     const members = {
       getSelf: () => this.makeMember(id),
       listLive: () => this.get(id).live.map(other => this.makeMember(other)),
+      listOthers: () =>
+        this.get(id)
+          .live.filter(other => other !== id)
+          .map(other => this.makeMember(other)),
     } as unknown as MemberService;
     const view = new FleetView(members);
     const index = new EngineIndex(
