--- a/packages/daemon/src/placement/placement_service.ts
+++ b/packages/daemon/src/placement/placement_service.ts
@@ -120,7 +120,7 @@
     ticket: Ticket | undefined,
   ): Effect.Effect<Member[]> {
     return Effect.map(Clock.currentTimeMillis, nowMs => {
-      const live = this.view.listTakingCallers(nowMs);
+      const live = [...this.view.listTakingCallers(nowMs)];
       if (service === undefined) return live;
       const [first] = this.listChoices(service.name, chatKey, ticket, nowMs);
       if (first === undefined) return live;
