--- a/packages/client/src/daemon_caller.ts
+++ b/packages/client/src/daemon_caller.ts
@@ -1,6 +1,6 @@
 import {Effect} from 'effect';
 import {formatAddress, toError, type Address} from '@greengagecross/common';
-import type {HttpClient} from '@greengagecross/http';
+import type {HttpClient, HttpReply} from '@greengagecross/http';
 import {ClientError} from './client_error.js';
 import {ExitCode} from './exit_code.js';
 
@@ -44,8 +44,24 @@
                 try: () => JSON.parse(reply.body.toString()) as unknown,
                 catch: thrown => fail('answers nonsense', toError(thrown)),
               })
-            : Effect.fail(fail(`answers with status ${reply.status}`)),
+            : Effect.fail(toRefusal(target, reply)),
         ),
       );
   }
 }
+
+/** Turns a reply that is no success into what the operator should do. */
+function toRefusal(target: string, reply: HttpReply): ClientError {
+  const found = /"error":"([^"]*)"/.exec(reply.body.toString())?.[1];
+  const reason = found ?? `status ${reply.status}`;
+  const message = `the daemon at ${target} refuses: ${reason}`;
+  if (reply.status === 404) {
+    const advice = 'Check the names against greengagecross questionnaire.';
+    return new ClientError(ExitCode.BAD_INPUT, message, advice);
+  }
+  const advice =
+    reply.status === 401
+      ? 'Check that your operator key is one of its keys.'
+      : 'Run the command again; if it keeps failing, see docs/operations/.';
+  return new ClientError(ExitCode.FAILED, message, advice);
+}
--- a/packages/standins/src/operators/races.feature
+++ b/packages/standins/src/operators/races.feature
@@ -37,3 +37,6 @@
     Given a configuration store with no faults, seeds 1 to 1
     When ana answers a limit 7 and goes back to revision 1
     Then revision 3 has the digest of revision 1
+
+  Scenario: Random operators, changes and faults
+    Then 60 random races over the configuration store keep every change told accepted, seed 7
