--- a/packages/daemon/src/control/control_router.ts
+++ b/packages/daemon/src/control/control_router.ts
@@ -3,6 +3,7 @@
 import type {HttpExchange} from '@greengagecross/http';
 import {PEER_PATH, type PeerServer} from '@greengagecross/peers';
 import type {DaemonMetrics} from '../metrics/daemon_metrics.js';
+import type {PlacementExplainer} from '../placement/placement_explainer.js';
 import type {StateDump} from './state_dump.js';
 
 const METRICS_TYPE = 'text/plain; version=0.0.4';
@@ -12,6 +13,8 @@
   /** Starts a graceful stop. */
   readonly drain: () => void;
   readonly isReady: () => boolean;
+  /** Tells whether the daemon's own loops still turn. */
+  readonly isAlive: () => boolean;
 }
 
 /** Answers peers, operators and probes on the control listener. */
@@ -21,6 +24,7 @@
     private readonly peers: PeerServer,
     private readonly metrics: DaemonMetrics,
     private readonly dump: StateDump,
+    private readonly explainer: PlacementExplainer,
     private readonly operatorKeys: readonly string[],
     private readonly orders: DaemonOrders,
   ) {}
@@ -31,7 +35,7 @@
       case PEER_PATH:
         return this.peers.handle(exchange);
       case '/healthz':
-        return Effect.sync(() => exchange.sendJson(200, {alive: true}));
+        return Effect.sync(() => this.answerAlive(exchange));
       case '/readyz':
         return Effect.sync(() => this.answerReady(exchange));
       case '/metrics':
@@ -44,6 +48,11 @@
     }
   }
 
+  private answerAlive(exchange: HttpExchange): void {
+    const alive = this.orders.isAlive();
+    exchange.sendJson(alive ? 200 : 503, {alive});
+  }
+
   private answerReady(exchange: HttpExchange): void {
     const ready = this.orders.isReady();
     exchange.sendJson(ready ? 200 : 503, {ready});
@@ -62,6 +71,8 @@
         return Effect.map(this.dump.read(), state =>
           exchange.sendJson(200, state),
         );
+      case 'GET /v1/explain':
+        return this.answerExplain(exchange);
       case 'POST /v1/drain':
         return Effect.sync(() => {
           this.orders.drain();
@@ -73,4 +84,18 @@
         );
     }
   }
+
+  private answerExplain(exchange: HttpExchange): Effect.Effect<void> {
+    const {query} = exchange;
+    const question = {
+      customer: query.get('customer') ?? '',
+      chat: query.get('chat') ?? '',
+      service: query.get('service') ?? '',
+      ticket: query.get('ticket') ?? '',
+    };
+    return Effect.map(this.explainer.explain(question), explanation => {
+      if (explanation !== undefined) exchange.sendJson(200, explanation);
+      else exchange.sendJson(404, {error: 'no such customer or service'});
+    });
+  }
 }
--- a/packages/daemon/src/members/member_service.ts
+++ b/packages/daemon/src/members/member_service.ts
@@ -115,6 +115,11 @@
       : others;
   }
 
+  /** Lists the other daemons that are there, leaving ones included. */
+  listOthers(): Member[] {
+    return this.table.listHeard();
+  }
+
   /** Counts the daemons that take callers, at least one. */
   countLive(): number {
     return Math.max(1, this.listLive(this.lastTickMs).length);
--- a/packages/peers/src/peer_method.ts
+++ b/packages/peers/src/peer_method.ts
@@ -4,4 +4,7 @@
   PROBE = 'member.probe',
   ACQUIRE_SLOT = 'slot.acquire',
   RELEASE_SLOT = 'slot.release',
+  FETCH_REVISION = 'configuration.revision',
+  FETCH_PARTS = 'configuration.parts',
+  RENEW_SLOTS = 'slot.renew',
 }
