--- a/packages/backend/src/to_backend_error.ts
+++ b/packages/backend/src/to_backend_error.ts
@@ -4,6 +4,7 @@
   type HttpError,
   type OpenReply,
 } from '@greengagecross/http';
+import type {BackendCall} from './backend_call.js';
 import {BackendError} from './backend_error.js';
 import {BackendFailure} from './backend_failure.js';
 import {BackendHeader} from './backend_headers.js';
@@ -25,16 +26,36 @@
   return new BackendError(failure, backendId, error);
 }
 
-/** Reads a reply's own word that the request did not run, if it says so. */
+/**
+ * Tells whether a reply says that its backend server is leaving.
+ *
+ * The word counts only beside the attempt's own id: it may be another's.
+ */
+export function isLeavingReply(
+  call: BackendCall,
+  reply: Pick<OpenReply, 'headers'>,
+): boolean {
+  if (reply.headers[BackendHeader.REQUEST_ID] !== call.attemptId) return false;
+  return reply.headers[BackendHeader.LEAVING] === 'true';
+}
+
+/**
+ * Reads a reply's own word that the request did not run, if it says so.
+ *
+ * The word counts only beside the attempt's own id: it may be another's.
+ */
 export function findRefusal(
-  backendId: string,
+  call: BackendCall,
   reply: Pick<OpenReply, 'headers'>,
 ): BackendError | undefined {
   if (reply.headers[BackendHeader.NOT_RUN] !== 'true') return undefined;
-  const failure =
-    reply.headers[BackendHeader.LEAVING] === 'true'
-      ? BackendFailure.LEAVING
-      : BackendFailure.REFUSED;
+  const backendId = call.server.id;
+  if (reply.headers[BackendHeader.REQUEST_ID] !== call.attemptId) {
+    return new BackendError(BackendFailure.BROKEN, backendId);
+  }
+  const failure = isLeavingReply(call, reply)
+    ? BackendFailure.LEAVING
+    : BackendFailure.REFUSED;
   const seconds = Number(reply.headers['retry-after'] ?? 0);
   const retryAfterMs = Number.isFinite(seconds) ? seconds * MS_PER_SECOND : 0;
   return new BackendError(failure, backendId, undefined, retryAfterMs);
--- a/packages/daemon/src/wiring/make_control_router.ts
+++ b/packages/daemon/src/wiring/make_control_router.ts
@@ -1,6 +1,7 @@
 import {Effect} from 'effect';
 import {
   AcquireSlotSchema,
+  BackendLeavingSchema,
   HeartbeatSchema,
   PeerMethod,
   PeerServer,
@@ -60,5 +61,8 @@
   peers.addMethod(PeerMethod.RENEW_SLOTS, RenewSlotsSchema, renewal =>
     Effect.as(keeper.answerRenewal(renewal), {renewed: true}),
   );
+  peers.addMethod(PeerMethod.BACKEND_LEAVING, BackendLeavingSchema, news =>
+    parts.leavingNews.answer(news.backend),
+  );
   return peers;
 }
--- a/packages/http/src/http_server.ts
+++ b/packages/http/src/http_server.ts
@@ -72,6 +72,7 @@
   /** Starts listening; the scope closes the listener and its fibers. */
   start(): Effect.Effect<void, HttpError, Scope.Scope> {
     return Effect.gen({self: this}, function* () {
+      // Not a map by socket: effect would hash all that a socket refers to.
       const runFiber = yield* FiberSet.makeRuntime<never, void, never>();
       this.server.on('connection', (socket: Socket) => {
         this.bytes.add(socket);
--- a/packages/peers/src/peer_messages.ts
+++ b/packages/peers/src/peer_messages.ts
@@ -72,6 +72,9 @@
   slotId: Schema.NonEmptyString,
 });
 
+/** Decoded form of {@link ReleaseSlotSchema}. */
+export type ReleaseSlot = typeof ReleaseSlotSchema.Type;
+
 /** Parameters of {@link PeerMethod.RENEW_SLOTS}. */
 export const RenewSlotsSchema = Schema.Struct({
   /** Daemon that uses the slots. */
@@ -81,3 +84,8 @@
 
 /** Decoded form of {@link RenewSlotsSchema}. */
 export type RenewSlots = typeof RenewSlotsSchema.Type;
+
+/** Parameters of {@link PeerMethod.BACKEND_LEAVING}, for its engine's owner. */
+export const BackendLeavingSchema = Schema.Struct({
+  backend: Schema.NonEmptyString,
+});
--- a/packages/standins/src/fleet/fleet.ts
+++ b/packages/standins/src/fleet/fleet.ts
@@ -20,7 +20,8 @@
 const START_LIMIT_MS = 20_000;
 const STOP_LIMIT_MS = 20_000;
 const REGION = 'centro';
-const FLEET_KEYS = {
+/** Keys of every fleet that is started here. */
+export const FLEET_KEYS = {
   peer: ['peer-key-of-this-fleet'],
   operator: ['operator-key-of-this-fleet'],
   ticket: ['ticket-key-of-this-fleet'],
