--- a/packages/standins/src/backends/engine_server.ts
+++ b/packages/standins/src/backends/engine_server.ts
@@ -13,6 +13,7 @@
 import {Generation} from './generation.js';
 import {PrefixCache} from './prefix_cache.js';
 import {PriorityGate} from './priority_gate.js';
+import {RunLog} from './run_log.js';
 import type {RunRecord} from './run_record.js';
 
 const STREAM_PREFIX = '/v1/streams/';
@@ -22,12 +23,12 @@
 export class EngineServer extends StandinServer {
   private readonly cache: PrefixCache;
   private readonly slots: PriorityGate;
-  private readonly records: RunRecord[] = [];
   private readonly generations = new Map<string, Generation>();
 
   constructor(
     address: Address,
     private readonly profile: EngineProfile,
+    private readonly runs = new RunLog(),
   ) {
     super(address);
     this.cache = new PrefixCache(profile.cacheTokens);
@@ -47,7 +48,7 @@
       case '/v1/load':
         return Effect.sync(() => exchange.sendJson(200, this.describeLoad()));
       case '/observe/record':
-        return Effect.sync(() => exchange.sendJson(200, this.records));
+        return Effect.sync(() => exchange.sendJson(200, this.runs.records));
       case '/observe/load':
         return Effect.sync(() => exchange.sendJson(200, this.describeLoad()));
       default:
@@ -78,7 +79,7 @@
       const body = JSON.parse(text) as StandinChatBody;
       const attemptId = exchange.getHeader(BackendHeader.REQUEST_ID) ?? '';
       const record = this.makeRecord(exchange, attemptId, body);
-      this.records.push(record);
+      this.runs.add(record);
       if (faults.crashOnMarker && text.includes(CRASH_MARKER)) process.exit(1);
       const generation = new Generation(attemptId);
       this.generations.set(attemptId, generation);
--- a/packages/standins/src/backends/worker_server.ts
+++ b/packages/standins/src/backends/worker_server.ts
@@ -4,16 +4,19 @@
 import type {HttpExchange} from '@greengagecross/http';
 import {StandinServer} from '../standin_server.js';
 import {refuse} from './engine_server.js';
+import {RunLog} from './run_log.js';
 import type {RunRecord} from './run_record.js';
 
 const WORK_MS = 3;
 
 /** Stand-in of a plain service's worker: it records every call that it runs. */
 export class WorkerServer extends StandinServer {
-  private readonly records: RunRecord[] = [];
   private running = 0;
 
-  constructor(address: Address) {
+  constructor(
+    address: Address,
+    private readonly runs = new RunLog(),
+  ) {
     super(address);
   }
 
@@ -23,7 +26,7 @@
   ): Effect.Effect<void> {
     switch (exchange.path) {
       case '/observe/record':
-        return Effect.sync(() => exchange.sendJson(200, this.records));
+        return Effect.sync(() => exchange.sendJson(200, this.runs.records));
       case '/observe/load':
         return Effect.sync(() =>
           exchange.sendJson(200, {running: this.running, waiting: 0}),
@@ -44,7 +47,7 @@
       }
       const workId = findWorkId(text);
       const record = makeRecord(exchange, workId);
-      this.records.push(record);
+      this.runs.add(record);
       this.running += 1;
       yield* Effect.sleep(WORK_MS);
       this.running -= 1;
--- a/packages/standins/src/bench/main.ts
+++ b/packages/standins/src/bench/main.ts
@@ -9,6 +9,7 @@
     const {DecisionsBench} = await import('./decisions/decisions_bench.js');
     return new DecisionsBench();
   },
+  faults: () => import('./faults/run_faults.js'),
   members: () => import('./members/run_members.js'),
   retries: () => import('./retries/run_retries.js'),
 };
--- a/packages/standins/src/fleet/fleet.ts
+++ b/packages/standins/src/fleet/fleet.ts
@@ -9,6 +9,7 @@
   DaemonSettings,
 } from '@greengagecross/common';
 import type {Host} from '@greengagecross/platform';
+import {readRunLog} from '../backends/run_log.js';
 import type {RunRecord} from '../backends/run_record.js';
 import type {StandinFaults} from '../faults.js';
 import {StandinKind} from '../standin_kind.js';
@@ -99,7 +100,9 @@
   /** Starts one backend server again, or for the first time. */
   async startBackend(server: BackendServer, kind: StandinKind): Promise<void> {
     const profile = JSON.stringify(this.plan.size.profile ?? {});
-    this.startStandin(server.id, kind, server.port, ['--profile', profile]);
+    const runs = this.findFile(`${server.id}.runs`);
+    const args = ['--profile', profile, '--runs', runs];
+    this.startStandin(server.id, kind, server.port, args);
     await this.waitAnswering(server.id, server);
   }
 
@@ -140,11 +143,16 @@
     await sendJson(server, 'POST', '/control', faults);
   }
 
-  /** Reads what a backend server has run. */
+  /** Reads what a backend server has run since its process started. */
   readRecord(server: BackendServer): Promise<RunRecord[]> {
     return sendJson<RunRecord[]>(server, 'GET', '/observe/record');
   }
 
+  /** Reads what all processes of a backend server have begun to run. */
+  readRuns(server: BackendServer): RunRecord[] {
+    return readRunLog(this.findFile(`${server.id}.runs`));
+  }
+
   /** Stops every process, daemons gracefully first; gives their exit codes. */
   async stop(): Promise<Map<string, number | null>> {
     const codes = new Map<string, number | null>();
