--- a/packages/daemon/src/placement/placement_explainer.ts
+++ b/packages/daemon/src/placement/placement_explainer.ts
@@ -7,6 +7,7 @@
   type Ticket,
   type TicketCodec,
 } from '@greengagecross/common';
+import {toEngineChoice} from '@greengagecross/decisions';
 import {makeChatKey} from '../callers/chat_key.js';
 import type {ConfigurationFollower} from '../configuration/configuration_follower.js';
 import type {FleetView} from './fleet_view.js';
@@ -49,7 +50,7 @@
         makeLastTicket(question, service, recent);
       const choices = this.placement
         .listChoices(service.name, chatKey, ticket, nowMs)
-        .map(({maxWaitMs: unusedWait, ...choice}) => choice);
+        .map(toEngineChoice);
       const [first] = choices;
       return {
         daemon: this.selfId,
