Say which promises are proved, and by what

A test reads docs/PROMISES.md; with one row naming claimz.feature it failed (AssertionError: packages/standins/src/promises/claimz.feature), as it stands it passes.

--- /dev/null
+++ b/packages/standins/src/promises/promises_page_steps.ts
@@ -0,0 +1,49 @@
+import assert from 'node:assert/strict';
+import {existsSync, readFileSync} from 'node:fs';
+import {Then, When, World} from '@cucumber/cucumber';
+
+const PAGE = new URL('../../../../docs/PROMISES.md', import.meta.url);
+const ROOT = new URL('../../../../', import.meta.url);
+const FEATURE = /packages\/\S+?\.feature/g;
+const STATES = ['proved', 'partial', 'not proved'];
+
+/** One row of the page. */
+interface PromiseRow {
+  readonly state: string;
+  readonly note: string;
+}
+
+/** State of the scenario about the page. */
+interface PageWorld extends World {
+  rows: PromiseRow[];
+}
+
+When('the page of promises is read', function (this: PageWorld) {
+  const lines = readFileSync(PAGE, 'utf8').split('\n');
+  this.rows = lines
+    .filter(line => line.startsWith('| '))
+    .slice(2)
+    .map(line => line.split('|').map(cell => cell.trim()))
+    .map(cells => ({state: cells[3] ?? '', note: cells[4] ?? ''}));
+  assert.ok(this.rows.length > 0);
+});
+
+Then('each of its rows has a known state', function (this: PageWorld) {
+  for (const {state} of this.rows) assert.ok(STATES.includes(state), state);
+});
+
+Then('each row that is proved names a feature', function (this: PageWorld) {
+  for (const {state, note} of this.rows) {
+    if (state === 'proved') assert.ok(listFeatures(note).length > 0, note);
+  }
+});
+
+Then('each feature that the page names exists', function (this: PageWorld) {
+  const named = this.rows.flatMap(({note}) => listFeatures(note));
+  assert.ok(named.length > 0);
+  for (const path of named) assert.ok(existsSync(new URL(path, ROOT)), path);
+});
+
+function listFeatures(note: string): string[] {
+  return note.match(FEATURE) ?? [];
+}
