--- a/packages/standins/src/bench/faults/run_outage.ts
+++ b/packages/standins/src/bench/faults/run_outage.ts
@@ -58,8 +58,12 @@
     const memoryBefore = await readMemory(fleet);
     const first = load.verdicts.length;
     await fleet.setPlatformFaults(faults);
-    await sleep(Number(values.seconds) * MS_PER_SECOND);
-    const memoryAfter = await readMemory(fleet);
+    const quarterMs = (Number(values.seconds) * MS_PER_SECOND) / 4;
+    const memoryDuring: number[] = [];
+    while (memoryDuring.length < 4) {
+      await sleep(quarterMs);
+      memoryDuring.push(await readMemory(fleet));
+    }
     const during = load.verdicts.slice(first);
     await fleet.setPlatformFaults(NO_FAULTS);
     const atReturn = await sampleRates(fleet);
@@ -71,7 +75,7 @@
       daemons: fleet.plan.daemons.length,
       duringOutage: countOutcomes(during),
       memoryBytesBefore: memoryBefore,
-      memoryBytesAfter: memoryAfter,
+      memoryBytesDuring: memoryDuring,
       before,
       atReturn,
     };
