--- a/packages/backend/src/http_service_client.ts
+++ b/packages/backend/src/http_service_client.ts
@@ -3,16 +3,25 @@
 import type {BackendCall} from './backend_call.js';
 import {BackendError} from './backend_error.js';
 import {BackendFailure} from './backend_failure.js';
-import {buildCallHeaders, type BackendTimeouts} from './http_engine_client.js';
+import {
+  buildCallHeaders,
+  type BackendTimeouts,
+  type OnLeaving,
+} from './http_engine_client.js';
 import {isOwnWholeReply} from './is_own_whole_reply.js';
 import {ServiceClient, type ServiceRequest} from './service_client.js';
-import {findRefusal, toBackendError} from './to_backend_error.js';
+import {
+  findRefusal,
+  isLeavingReply,
+  toBackendError,
+} from './to_backend_error.js';
 
 /** A plain service over HTTP. */
 export class HttpServiceClient extends ServiceClient {
   constructor(
     private readonly client: HttpClient,
     private readonly timeouts: BackendTimeouts,
+    private readonly onLeaving: OnLeaving = () => undefined,
   ) {
     super();
   }
@@ -34,6 +43,7 @@
       .pipe(
         Effect.mapError(error => toBackendError(id, error)),
         Effect.flatMap(reply => {
+          if (isLeavingReply(call, reply)) this.onLeaving(id);
           const refusal = findRefusal(call, reply);
           if (refusal !== undefined) return Effect.fail(refusal);
           return isOwnWholeReply(call, request.method, reply)
--- a/packages/client/src/commands/accept.ts
+++ b/packages/client/src/commands/accept.ts
@@ -29,6 +29,11 @@
     type: 'string',
     description: 'Id of the operation, to send it again.',
   },
+  rewrite: {
+    type: 'boolean',
+    description: 'Write every part again, also when no answer differs.',
+    default: false,
+  },
   wait: {
     type: 'boolean',
     description: 'Wait until every live daemon has the revision.',
@@ -64,6 +69,7 @@
           operationId: args.operation ?? makeRequestId(),
           operator: context.operator,
           reason: args.reason,
+          isRewrite: args.rewrite,
         };
         return yield* acceptChange(context, request, args);
       }),
@@ -92,7 +98,7 @@
     }
     const output = formatReport(report);
     if (!args.wait) return output;
-    const watcher = new RevisionWatcher(context.hosts, context.daemons);
+    const watcher = new RevisionWatcher(context.fleet);
     const wait = yield* watcher.wait(report.revision);
     return {
       value: {...report, daemons: wait.daemons},
--- a/packages/standins/src/bench/main.ts
+++ b/packages/standins/src/bench/main.ts
@@ -10,6 +10,7 @@
     return new DecisionsBench();
   },
   faults: () => import('./faults/run_faults.js'),
+  configuration: () => import('../operators/run_configuration.js'),
   members: () => import('./members/run_members.js'),
   outage: () => import('./faults/run_outage.js'),
   retries: () => import('./retries/run_retries.js'),
