--- a/packages/standins/src/bench/main.ts
+++ b/packages/standins/src/bench/main.ts
@@ -9,8 +9,10 @@
     const {DecisionsBench} = await import('./decisions/decisions_bench.js');
     return new DecisionsBench();
   },
+  faults: () => import('./faults/run_faults.js'),
   configuration: () => import('../operators/run_configuration.js'),
   members: () => import('./members/run_members.js'),
+  outage: () => import('./faults/run_outage.js'),
   retries: () => import('./retries/run_retries.js'),
 };
 
--- a/packages/standins/src/fleet/fleet.ts
+++ b/packages/standins/src/fleet/fleet.ts
@@ -8,7 +8,9 @@
   BackendServer,
   DaemonSettings,
 } from '@greengagecross/common';
+import type {DaemonState} from '@greengagecross/daemon';
 import type {Host} from '@greengagecross/platform';
+import {readRunLog} from '../backends/run_log.js';
 import type {RunRecord} from '../backends/run_record.js';
 import type {StandinFaults} from '../faults.js';
 import {StandinKind} from '../standin_kind.js';
@@ -100,7 +102,9 @@
   /** Starts one backend server again, or for the first time. */
   async startBackend(server: BackendServer, kind: StandinKind): Promise<void> {
     const profile = JSON.stringify(this.plan.size.profile ?? {});
-    this.startStandin(server.id, kind, server.port, ['--profile', profile]);
+    const runs = this.findFile(`${server.id}.runs`);
+    const args = ['--profile', profile, '--runs', runs];
+    this.startStandin(server.id, kind, server.port, args);
     await this.waitAnswering(server.id, server);
   }
 
@@ -141,11 +145,24 @@
     await sendJson(server, 'POST', '/control', faults);
   }
 
-  /** Reads what a backend server has run. */
+  /** Reads what a backend server has run since its process started. */
   readRecord(server: BackendServer): Promise<RunRecord[]> {
     return sendJson<RunRecord[]>(server, 'GET', '/observe/record');
   }
 
+  /** Reads what all processes of a backend server have begun to run. */
+  readRuns(server: BackendServer): RunRecord[] {
+    return readRunLog(this.findFile(`${server.id}.runs`));
+  }
+
+  /** Reads a daemon's dump. */
+  readDump(daemon: DaemonPlan): Promise<DaemonState> {
+    const authorization = `Bearer ${FLEET_KEYS.operator[0] ?? ''}`;
+    const headers = {authorization};
+    const {control} = daemon;
+    return sendJson(control, 'GET', '/v1/dump', undefined, headers);
+  }
+
   /** Stops every process, daemons gracefully first; gives their exit codes. */
   async stop(): Promise<Map<string, number | null>> {
     const codes = new Map<string, number | null>();
@@ -178,16 +195,9 @@
   /** Waits until every daemon sees all of them live. */
   private async waitMembers(): Promise<void> {
     const {daemons} = this.plan;
-    const authorization = `Bearer ${FLEET_KEYS.operator[0] ?? ''}`;
     for (const daemon of daemons) {
       await waitUntil(`${daemon.id} sees all`, START_LIMIT_MS, async () => {
-        const state = await sendJson<{live: unknown[]}>(
-          daemon.control,
-          'GET',
-          '/v1/dump',
-          undefined,
-          {authorization},
-        );
+        const state = await this.readDump(daemon);
         return state.live.length === daemons.length;
       });
     }
