--- a/packages/common/src/ticket/ticket_codec.ts
+++ b/packages/common/src/ticket/ticket_codec.ts
@@ -18,7 +18,7 @@
   encode(ticket: Ticket): string {
     const body = Buffer.from(JSON.stringify(ticket)).toString('base64url');
     const signature = signBody(body, this.keys[0] ?? '');
-    return `${body}.${signature.toString('base64url')}`;
+    return `${body}.${signature}`;
   }
 
   /** Decodes a ticket of this customer and chat, or gives undefined. */
@@ -35,9 +35,10 @@
   }
 
   private isSigned(body: string, signature: string): boolean {
-    const given = Buffer.from(signature, 'base64url');
+    // Compared as text: base64url has several spellings of the same bytes.
+    const given = Buffer.from(signature);
     return this.keys.some(key => {
-      const expected = signBody(body, key);
+      const expected = Buffer.from(signBody(body, key));
       return (
         given.length === expected.length && timingSafeEqual(given, expected)
       );
@@ -45,8 +46,8 @@
   }
 }
 
-function signBody(body: string, key: string): Buffer {
-  return createHmac('sha256', key).update(body).digest();
+function signBody(body: string, key: string): string {
+  return createHmac('sha256', key).update(body).digest('base64url');
 }
 
 function parseBody(body: string): Ticket | undefined {
--- a/packages/standins/src/fleet/child.ts
+++ b/packages/standins/src/fleet/child.ts
@@ -31,6 +31,11 @@
     if (this.isRunning()) this.process.kill(signal);
   }
 
+  /** Gets the process's id. */
+  getPid(): number {
+    return this.process.pid ?? 0;
+  }
+
   /** Tells whether the process has not ended. */
   isRunning(): boolean {
     return this.process.exitCode === null && this.process.signalCode === null;
--- a/packages/standins/src/fleet/fleet.ts
+++ b/packages/standins/src/fleet/fleet.ts
@@ -22,7 +22,7 @@
 const REGION = 'centro';
 const FLEET_KEYS = {
   peer: ['peer-key-of-this-fleet'],
-  operator: ['operator-key-of-this-fleet'],
+  operator: ['operator-key-of-this-fleet', 'old-operator-key-of-this-fleet'],
   ticket: ['ticket-key-of-this-fleet'],
 };
 
