--- a/packages/backend/src/http_engine_client.ts
+++ b/packages/backend/src/http_engine_client.ts
@@ -128,8 +128,8 @@
       .pipe(
         Effect.mapError(error => toBackendError(id, error)),
         Effect.flatMap(reply => {
-          if (isLeavingReply(reply)) this.onLeaving(id);
-          const refusal = findRefusal(id, reply);
+          if (isLeavingReply(call, reply)) this.onLeaving(id);
+          const refusal = findRefusal(call, reply);
           if (refusal === undefined) return Effect.succeed(reply);
           reply.stream.resume();
           return Effect.fail(refusal);
--- a/packages/client/src/accept/acceptor.ts
+++ b/packages/client/src/accept/acceptor.ts
@@ -96,7 +96,7 @@
         makeReport(request, ChangeOutcome.CONFLICT, conflict),
       );
     }
-    if (change.changes.length === 0) {
+    if (change.changes.length === 0 && request.isRewrite !== true) {
       return Effect.succeed(
         makeReport(request, ChangeOutcome.UNCHANGED, {revision}),
       );
@@ -125,7 +125,8 @@
     baseRevision: change.current?.revision ?? 0,
     configuration: makeConfigurationParts(makeConfiguration(answers)),
     answers: makeAnswerParts(answers),
-    storedParts: listStoredParts(change),
+    storedParts:
+      request.isRewrite === true ? new Set() : listStoredParts(change),
     changes: change.changes.map(({id}) => id),
     operationId: request.operationId,
     acceptedBy: request.operator,
