--- a/packages/daemon/src/placement/slot_fleet_fake.ts
+++ b/packages/daemon/src/placement/slot_fleet_fake.ts
@@ -23,7 +23,7 @@
   type RenewSlots,
 } from '@greengagecross/peers';
 import type {ConfigurationFollower} from '../configuration/configuration_follower.js';
-import type {HostFollower} from '../hosts/host_follower.js';
+import type {LeavingBackends} from '../leaving/leaving_backends.js';
 import type {MemberService} from '../members/member_service.js';
 import {EngineIndex} from './engine_index.js';
 import {FleetView} from './fleet_view.js';
@@ -105,13 +105,17 @@
     const members = {
       getSelf: () => this.makeMember(id),
       listLive: () => this.get(id).live.map(other => this.makeMember(other)),
+      listOthers: () =>
+        this.get(id)
+          .live.filter(other => other !== id)
+          .map(other => this.makeMember(other)),
     } as unknown as MemberService;
     const view = new FleetView(members);
     const index = new EngineIndex(
       makeConfiguration(this.engine, this.maxLoadMultiple),
       {
         isLeaving: () => false,
-      } as unknown as HostFollower,
+      } as unknown as LeavingBackends,
     );
     const peers = new FakePeers(this);
     const keeper = new SlotKeeper(id, view, ledger, peers);
