Run the platform's contract in memory and over HTTP

A call that the stand-in was slow to begin is given up with its caller, so it has no effect, and is still told as uncertain.

--- /dev/null
+++ b/packages/standins/src/contracts/platform_contracts_steps.ts
@@ -0,0 +1,167 @@
+import assert from 'node:assert/strict';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {After, Given, Then, When, World} from '@cucumber/cucumber';
+import {Effect, Exit, Result, Scope} from 'effect';
+import type {Address} from '@greengagecross/common';
+import {HttpClient} from '@greengagecross/http';
+import {
+  HttpHostDirectory,
+  HttpObjectStore,
+  HttpTableService,
+  PlatformCaller,
+  type HostList,
+  type ObjectStore,
+  type TableService,
+} from '@greengagecross/platform';
+import {NO_FAULTS, type StandinFaults} from '../faults.js';
+import {findFreePorts} from '../fleet/free_ports.js';
+import {PlatformServer} from '../platform/platform_server.js';
+import {makeWrite, OBJECT_CASES, TABLE_CASES} from './contract_cases.js';
+import {MemoryObjects, MemoryTable} from './memory_platform.js';
+
+const LIMIT_MS = 400;
+const SLOW_MS = 1200;
+const ROW = 'contract/row';
+const FAULTS: Readonly<Record<string, Partial<StandinFaults>>> = {
+  down: {down: true},
+  'slower than the limit': {slowMs: SLOW_MS},
+  'losing replies': {loseReplies: true},
+  'silent on open connections': {silentOpen: true},
+  'not listening': {},
+};
+
+/** State of one scenario about the platform's contract. */
+interface ContractWorld extends World {
+  contractTable?: TableService;
+  contractObjects?: ObjectStore;
+  platformServer?: PlatformServer;
+  serverScope?: Scope.Closeable;
+  address: Address;
+  failure: string;
+  lists: HostList[];
+}
+
+After(async function (this: ContractWorld) {
+  if (this.serverScope === undefined) return;
+  await Effect.runPromise(Scope.close(this.serverScope, Exit.void));
+});
+
+Given(
+  /^the platform contract's (table service|object store) (in memory|over HTTP)$/,
+  async function (this: ContractWorld, kind: string, where: string) {
+    if (where === 'in memory') {
+      this.contractTable = new MemoryTable();
+      this.contractObjects = new MemoryObjects();
+      return;
+    }
+    await startServer(this);
+    const caller = makeCaller(this);
+    this.contractTable = new HttpTableService(caller);
+    this.contractObjects = new HttpObjectStore(caller);
+  },
+);
+
+Then(
+  /^the contract holds that it (.+)$/,
+  async function (this: ContractWorld, name: string) {
+    assert.ok(this.contractTable !== undefined);
+    assert.ok(this.contractObjects !== undefined);
+    await TABLE_CASES[name]?.(this.contractTable);
+    await OBJECT_CASES[name]?.(this.contractObjects);
+    assert.ok(name in TABLE_CASES || name in OBJECT_CASES, `no case ${name}`);
+  },
+);
+
+When(
+  /^a row is written while the platform is (.+)$/,
+  async function (this: ContractWorld, fault: string) {
+    assert.ok(this.contractTable !== undefined && fault in FAULTS);
+    // A kept connection that closes as it is used leaves the call uncertain.
+    if (fault === 'not listening') await stopServer(this);
+    else await Effect.runPromise(this.contractTable.read([ROW]));
+    this.platformServer?.gate.set(FAULTS[fault] ?? {});
+    const result = await Effect.runPromise(
+      Effect.result(this.contractTable.transact(makeWrite(ROW, 'one'))),
+    );
+    assert.ok(Result.isFailure(result));
+    this.failure = result.failure.failure;
+    // What is still under way at the platform takes effect meanwhile.
+    await sleep(SLOW_MS);
+    if (fault === 'not listening') await startServer(this, this.address);
+    this.platformServer?.gate.set(NO_FAULTS);
+  },
+);
+
+Then(
+  /^the write fails as (\w+) and has (no effect|taken effect)$/,
+  async function (this: ContractWorld, failure: string, effect: string) {
+    assert.equal(this.failure, failure);
+    const rows = await Effect.runPromise(
+      new HttpTableService(makeCaller(this)).read([ROW]),
+    );
+    assert.equal(rows.length, effect === 'no effect' ? 0 : 1);
+  },
+);
+
+Then(
+  'the next write succeeds once the fault is over',
+  async function (this: ContractWorld) {
+    assert.ok(this.contractTable !== undefined);
+    const result = await Effect.runPromise(
+      this.contractTable.transact(makeWrite(ROW, 'two')),
+    );
+    assert.ok(result.committed);
+  },
+);
+
+Given(
+  "the platform contract's host list over HTTP with a lag of {int} ms",
+  async function (this: ContractWorld, lagMs: number) {
+    await startServer(this);
+    await sleep(lagMs);
+    this.platformServer?.gate.set({lagMs});
+  },
+);
+
+When(
+  'the list is changed and read at once and after the lag',
+  async function (this: ContractWorld) {
+    const directory = new HttpHostDirectory(makeCaller(this));
+    this.platformServer?.setHosts([]);
+    const first = await Effect.runPromise(directory.fetch());
+    await sleep(this.platformServer?.gate.getFaults().lagMs ?? 0);
+    this.lists = [first, await Effect.runPromise(directory.fetch())];
+  },
+);
+
+Then(
+  'the first reading shows the old list and the second the new one',
+  function (this: ContractWorld) {
+    assert.deepEqual(
+      this.lists.map(list => list.version),
+      [1, 2],
+    );
+  },
+);
+
+function makeCaller(world: ContractWorld): PlatformCaller {
+  return new PlatformCaller(new HttpClient(), world.address, LIMIT_MS);
+}
+
+async function startServer(
+  world: ContractWorld,
+  address?: Address,
+): Promise<void> {
+  const [port = 0] = await findFreePorts(1);
+  world.address = address ?? {host: '127.0.0.1', port};
+  world.platformServer = new PlatformServer(world.address);
+  world.serverScope = Scope.makeUnsafe();
+  await Effect.runPromise(
+    Scope.provide(world.platformServer.start(), world.serverScope),
+  );
+}
+
+async function stopServer(world: ContractWorld): Promise<void> {
+  if (world.serverScope === undefined) return;
+  await Effect.runPromise(Scope.close(world.serverScope, Exit.void));
+}
--- a/packages/standins/src/edges/silence_world.ts
+++ b/packages/standins/src/edges/silence_world.ts
@@ -14,7 +14,7 @@
 
 /** State of one scenario about silence. */
 export interface SilenceWorld extends World {
-  server?: SilentServer;
+  silentServer?: SilentServer;
   kind: SilentKind;
   failure: string | undefined;
   elapsedMs: number;
@@ -34,7 +34,7 @@
 
 /** Connects a caller by hand and waits until its answer begins. */
 export async function openCaller(world: SilenceWorld): Promise<void> {
-  const {host, port} = world.server?.address ?? {host: '', port: 0};
+  const {host, port} = world.silentServer?.address ?? {host: '', port: 0};
   world.caller = connect(port, host);
   world.caller.on('error', () => undefined);
   world.caller.write('GET / HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n');
--- a/packages/standins/src/edges/silent_connections_steps.ts
+++ b/packages/standins/src/edges/silent_connections_steps.ts
@@ -13,7 +13,7 @@
 
 After(async function (this: SilenceWorld) {
   this.caller?.destroy();
-  await this.server?.close();
+  await this.silentServer?.close();
 });
 
 Given(
@@ -24,18 +24,22 @@
     kind: string,
     silenceMs: string,
   ) {
-    this.server = await SilentServer.start(answerAnyKind);
-    this.kind = makeSilentCall(kind, this.server.address, Number(silenceMs));
+    this.silentServer = await SilentServer.start(answerAnyKind);
+    this.kind = makeSilentCall(
+      kind,
+      this.silentServer.address,
+      Number(silenceMs),
+    );
     const calls = Array.from({length: Number(count)}, () => this.kind.call);
     await Effect.runPromise(Effect.all(calls, {concurrency: 'unbounded'}));
-    assert.equal(new Set(this.server.used).size, Number(count));
+    assert.equal(new Set(this.silentServer.used).size, Number(count));
   },
 );
 
 When(
   'all of them go silent and one call is made',
   async function (this: SilenceWorld) {
-    this.server?.setSilent();
+    this.silentServer?.setSilent();
     const startMs = performance.now();
     const result = await Effect.runPromise(Effect.result(this.kind.call));
     this.elapsedMs = performance.now() - startMs;
@@ -57,7 +61,7 @@
   'the next call is answered over a new connection',
   async function (this: SilenceWorld) {
     await Effect.runPromise(this.kind.call);
-    assert.ok(this.server?.isLastCallNew());
+    assert.ok(this.silentServer?.isLastCallNew());
   },
 );
 
@@ -70,12 +74,12 @@
     silenceMs: string,
   ) {
     const bytes = Number(megabytes) * MB;
-    this.server = await SilentServer.start(exchange =>
+    this.silentServer = await SilentServer.start(exchange =>
       sendBytes(this, exchange, bytes, how === 'sends'),
     );
     this.reply = await Effect.runPromise(
       new HttpClient().open({
-        address: this.server.address,
+        address: this.silentServer.address,
         method: 'GET',
         path: '/',
         connectTimeoutMs: LIMIT_MS,
@@ -139,7 +143,7 @@
     const bytes = isEndless ? Number.POSITIVE_INFINITY : 8 * MB;
     this.isEnded = false;
     this.isInterrupted = false;
-    this.server = await SilentServer.start(
+    this.silentServer = await SilentServer.start(
       exchange =>
         sendBytes(this, exchange, bytes, true).pipe(
           Effect.onInterrupt(() =>
