--- a/packages/standins/src/fleet/fleet.ts
+++ b/packages/standins/src/fleet/fleet.ts
@@ -25,7 +25,7 @@
 /** Keys of every fleet that is started here. */
 export const FLEET_KEYS = {
   peer: ['peer-key-of-this-fleet'],
-  operator: ['operator-key-of-this-fleet'],
+  operator: ['operator-key-of-this-fleet', 'old-operator-key-of-this-fleet'],
   ticket: ['ticket-key-of-this-fleet'],
 };
 
