--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -12,6 +12,7 @@
   type HttpError,
 } from '@greengagecross/http';
 import {buildMalformedHeaders} from './callers/answer_refusal.js';
+import {ControlKind} from './metrics/control_kind.js';
 import {DaemonMetrics} from './metrics/daemon_metrics.js';
 import {GracefulStop} from './stopping/graceful_stop.js';
 import {DaemonParts} from './wiring/daemon_parts.js';
@@ -147,6 +148,20 @@
     });
   }
 
+  private countControlBytes(kind: ControlKind): number {
+    const {peerClient, platformClient, claimClient} = this.parts;
+    switch (kind) {
+      case ControlKind.CALLS:
+        return peerClient.pool.bytes.count();
+      case ControlKind.ANSWERS:
+        return this.controlServer.bytes.count();
+      case ControlKind.PLATFORM:
+        return platformClient.pool.bytes.count();
+      case ControlKind.CLAIMS:
+        return claimClient.pool.bytes.count();
+    }
+  }
+
   private isReady(): boolean {
     const hasView = this.parts.configuration.getView() !== undefined;
     return hasView && this.parts.members.getState() === MemberState.LIVE;
@@ -162,15 +177,14 @@
   }
 
   private makeMetrics(): DaemonMetrics {
-    const {members, configuration, controlClient} = this.parts;
+    const {members, configuration} = this.parts;
     return new DaemonMetrics({
       countLiveMembers: () => members.countLive(),
       getRevision: () => configuration.getView()?.revision ?? 0,
       countRefusedConfigurations: () => configuration.countRefusals(),
       getUnconfirmedSeconds: () =>
         configuration.getUnconfirmedSeconds(Date.now()),
-      countControlBytes: () =>
-        this.controlServer.bytes.count() + controlClient.pool.bytes.count(),
+      countControlBytes: kind => this.countControlBytes(kind),
       countInFlight: () => this.callerServer.countActive(),
     });
   }
--- a/packages/daemon/src/metrics/daemon_metrics.ts
+++ b/packages/daemon/src/metrics/daemon_metrics.ts
@@ -1,5 +1,6 @@
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 import type {Outcome} from '@greengagecross/common';
+import {ControlKind} from './control_kind.js';
 
 const SECONDS_BUCKETS = [0.005, 0.02, 0.05, 0.1, 0.3, 1, 1.3, 3, 10, 30, 100];
 
@@ -9,7 +10,7 @@
   readonly getRevision: () => number;
   readonly countRefusedConfigurations: () => number;
   readonly getUnconfirmedSeconds: () => number;
-  readonly countControlBytes: () => number;
+  readonly countControlBytes: (kind: ControlKind) => number;
   readonly countInFlight: () => number;
 }
 
@@ -51,11 +52,7 @@
       'Time since the store last confirmed that it is the newest.',
       readers.getUnconfirmedSeconds,
     );
-    this.addGauge(
-      'greengagecross_control_bytes',
-      'Bytes on control sockets since the start, headers included.',
-      readers.countControlBytes,
-    );
+    this.addControlBytes(readers.countControlBytes);
     this.addGauge(
       'greengagecross_requests_in_flight',
       'Caller requests now being served.',
@@ -79,6 +76,20 @@
     return this.registry.metrics();
   }
 
+  private addControlBytes(count: (kind: ControlKind) => number): void {
+    new Gauge({
+      name: 'greengagecross_control_bytes',
+      help: 'Bytes on control sockets since the start, headers included.',
+      labelNames: ['kind'],
+      registers: [this.registry],
+      collect() {
+        for (const kind of Object.values(ControlKind)) {
+          this.set({kind}, count(kind));
+        }
+      },
+    });
+  }
+
   private addGauge(name: string, help: string, read: () => number): void {
     new Gauge({
       name,
--- a/packages/daemon/src/wiring/daemon_parts.ts
+++ b/packages/daemon/src/wiring/daemon_parts.ts
@@ -59,7 +59,9 @@
 /** The long-lived parts of one daemon, each made once and passed on. */
 export class DaemonParts {
   readonly tuning: Tuning;
-  readonly controlClient = new HttpClient();
+  readonly peerClient = new HttpClient();
+  readonly platformClient = new HttpClient();
+  readonly claimClient = new HttpClient();
   readonly backendClient = new HttpClient();
   readonly ledger = new EngineLedger(SLOT_LEASE_MS);
   readonly times = new ServiceTimes();
@@ -90,17 +92,19 @@
   ) {
     this.tuning = {...DEFAULT_TUNING, ...settings.tuning};
     this.tickets = new TicketCodec(keys.ticket);
-    const platform = this.makePlatformCaller();
+    const platform = this.makePlatformCaller(this.platformClient);
+    const claims = this.makePlatformCaller(this.claimClient);
     this.table = new HttpTableService(platform);
+    const claimTable = new HttpTableService(claims);
     this.commits = new GroupCommit(
-      this.table,
+      claimTable,
       () =>
         (this.members.countLive() * MS_PER_SECOND) / FLEET_COMMITS_PER_SECOND,
     );
     this.claims = new ClaimBook(this.commits);
-    this.sweeper = new ClaimSweeper(this.table, () => this.isSweeper());
+    this.sweeper = new ClaimSweeper(claimTable, () => this.isSweeper());
     const peers = new PeerClient(
-      this.controlClient,
+      this.peerClient,
       keys.peer[0] ?? '',
       this.tuning.peerTimeoutMs,
     );
@@ -165,7 +169,9 @@
 
   /** Closes every outgoing connection. */
   close(): void {
-    this.controlClient.close();
+    this.peerClient.close();
+    this.platformClient.close();
+    this.claimClient.close();
     this.backendClient.close();
   }
 
@@ -185,9 +191,9 @@
     });
   }
 
-  private makePlatformCaller(): PlatformCaller {
+  private makePlatformCaller(client: HttpClient): PlatformCaller {
     return new PlatformCaller(
-      this.controlClient,
+      client,
       this.settings.platform,
       this.tuning.platformTimeoutMs,
     );
--- a/packages/standins/src/account/account.ts
+++ b/packages/standins/src/account/account.ts
@@ -1,3 +1,5 @@
+import type {ControlBytes} from './control_traffic.js';
+
 /** What a run over a fleet came to; the fields mean the same in every bench. */
 export interface Account {
   readonly requests: number;
@@ -21,4 +23,6 @@
   readonly warm_returns: number;
   readonly skew_max_over_mean: number;
   readonly control_bytes_per_second_per_daemon: number;
+  /** The same by what the bytes are for. */
+  readonly control_bytes_by_kind: ControlBytes;
 }
--- a/packages/standins/src/account/control_traffic.ts
+++ b/packages/standins/src/account/control_traffic.ts
@@ -3,12 +3,15 @@
 import type {DaemonPlan} from '../fleet/fleet_plan.js';
 
 const TIMEOUT_MS = 2000;
-const METRIC = /^greengagecross_control_bytes (\d+)/m;
+const METRIC = /^greengagecross_control_bytes\{kind="(\w+)"\} (\d+)/gm;
+
+/** Bytes on a daemon's control sockets, by what they are for. */
+export type ControlBytes = Readonly<Record<string, number>>;
 
 /** Measures the daemons' control bytes between two readings. */
 export class ControlTraffic {
   private readonly client = new HttpClient();
-  private readonly first = new Map<string, number>();
+  private readonly first = new Map<string, ControlBytes>();
   private startMs = 0;
 
   constructor(private readonly daemons: readonly DaemonPlan[]) {}
@@ -22,21 +25,28 @@
     }
   }
 
-  /** Computes bytes a second for each daemon that still runs, on average. */
-  async compute(): Promise<number> {
+  /** Computes bytes a second of a daemon that still runs, on average. */
+  async compute(): Promise<ControlBytes> {
     const seconds = (performance.now() - this.startMs) / 1000;
-    const rates: number[] = [];
+    const totals: Record<string, number> = {};
+    let counted = 0;
     for (const daemon of this.daemons) {
       const before = this.first.get(daemon.id);
       const after = await this.read(daemon);
       if (before === undefined || after === undefined) continue;
-      if (after >= before) rates.push((after - before) / seconds);
+      counted += 1;
+      for (const [kind, bytes] of Object.entries(after)) {
+        const grown = Math.max(0, bytes - (before[kind] ?? 0));
+        totals[kind] = (totals[kind] ?? 0) + grown / seconds;
+      }
     }
     this.client.close();
-    return rates.reduce((a, b) => a + b, 0) / Math.max(1, rates.length);
+    return Object.fromEntries(
+      Object.entries(totals).map(([kind, bytes]) => [kind, bytes / counted]),
+    );
   }
 
-  private async read(daemon: DaemonPlan): Promise<number | undefined> {
+  private async read(daemon: DaemonPlan): Promise<ControlBytes | undefined> {
     const asked = this.client.send({
       address: daemon.control,
       method: 'GET',
@@ -46,7 +56,14 @@
     });
     const reply = await Effect.runPromise(Effect.option(asked));
     if (reply._tag === 'None') return undefined;
-    const match = METRIC.exec(reply.value.body.toString());
-    return match === null ? undefined : Number(match[1]);
+    const matches = reply.value.body.toString().matchAll(METRIC);
+    return Object.fromEntries(
+      [...matches].map(match => [match[1], Number(match[2])]),
+    );
   }
 }
+
+/** Adds up the bytes of every kind. */
+export function computeTotalBytes(bytes: ControlBytes): number {
+  return Object.values(bytes).reduce((sum, part) => sum + part, 0);
+}
--- a/packages/standins/src/account/gather_evidence.ts
+++ b/packages/standins/src/account/gather_evidence.ts
@@ -1,5 +1,6 @@
 import type {CallerVerdict} from '../callers/caller_verdict.js';
 import type {Fleet} from '../fleet/fleet.js';
+import type {ControlBytes} from './control_traffic.js';
 import type {Evidence} from './make_account.js';
 import type {SkewSampler} from './skew_sampler.js';
 
@@ -8,7 +9,7 @@
   fleet: Fleet,
   verdicts: readonly CallerVerdict[],
   sampler: SkewSampler,
-  controlBytesPerSecond: number,
+  controlBytes: ControlBytes,
 ): Promise<Evidence> {
   const {engines, workers} = fleet.plan;
   return {
@@ -16,6 +17,6 @@
     engineRecords: await Promise.all(engines.map(e => fleet.readRecord(e))),
     workerRecords: await Promise.all(workers.map(w => fleet.readRecord(w))),
     skew: sampler.compute(),
-    controlBytesPerSecond,
+    controlBytes,
   };
 }
--- a/packages/standins/src/account/make_account.ts
+++ b/packages/standins/src/account/make_account.ts
@@ -2,6 +2,7 @@
 import type {RunRecord} from '../backends/run_record.js';
 import {WorkKind, type CallerVerdict} from '../callers/caller_verdict.js';
 import type {Account} from './account.js';
+import {computeTotalBytes, type ControlBytes} from './control_traffic.js';
 
 /** What was gathered during a run, on both sides. */
 export interface Evidence {
@@ -10,7 +11,7 @@
   readonly engineRecords: readonly (readonly RunRecord[])[];
   readonly workerRecords: readonly (readonly RunRecord[])[];
   readonly skew: number;
-  readonly controlBytesPerSecond: number;
+  readonly controlBytes: ControlBytes;
 }
 
 /** Compares what callers were told with what backend servers ran. */
@@ -38,7 +39,10 @@
     returns: returning.length,
     warm_returns: returning.filter(run => run.cachedTokens > 0).length,
     skew_max_over_mean: evidence.skew,
-    control_bytes_per_second_per_daemon: evidence.controlBytesPerSecond,
+    control_bytes_per_second_per_daemon: computeTotalBytes(
+      evidence.controlBytes,
+    ),
+    control_bytes_by_kind: evidence.controlBytes,
   };
 }
 
--- a/packages/standins/src/bench/faults/fault_run.ts
+++ b/packages/standins/src/bench/faults/fault_run.ts
@@ -70,7 +70,7 @@
     engineRecords: engines.map(engine => fleet.readRuns(engine)),
     workerRecords: workers.map(worker => fleet.readRuns(worker)),
     skew: sampler.compute(),
-    controlBytesPerSecond: await traffic.compute(),
+    controlBytes: await traffic.compute(),
   });
   return {account, faults: Object.fromEntries(maker.counts)};
 }
--- a/packages/standins/src/demo/format_account.ts
+++ b/packages/standins/src/demo/format_account.ts
@@ -19,6 +19,9 @@
     `warm returns                 ${warm} of ${returns} (${percent(warm, returns)})`,
     `skew, worst over mean        ${account.skew_max_over_mean.toFixed(2)}`,
     `control bytes/s a daemon     ${account.control_bytes_per_second_per_daemon.toFixed(0)}`,
+    ...Object.entries(account.control_bytes_by_kind).map(
+      ([kind, bytes]) => `  of these ${kind.padEnd(18)}  ${bytes.toFixed(0)}`,
+    ),
     `no whole answer before/after the kill   ${notCompleteBefore} / ${notCompleteAfter}`,
   ].join('\n');
 }
