--- a/packages/standins/src/bench/main.ts
+++ b/packages/standins/src/bench/main.ts
@@ -5,6 +5,10 @@
 
 /** Benches by the name given on the command line. */
 const BENCHES: Readonly<Record<string, () => Promise<Bench>>> = {
+  path: async () => {
+    const {PathBench} = await import('./path/path_bench.js');
+    return new PathBench();
+  },
   decisions: async () => {
     const {DecisionsBench} = await import('./decisions/decisions_bench.js');
     return new DecisionsBench();
