--- a/packages/decisions/src/limits/engine_admission.ts
+++ b/packages/decisions/src/limits/engine_admission.ts
@@ -2,6 +2,7 @@
 import type {AdmissionRequest} from './admission_request.js';
 import {ClassDemand} from './class_demand.js';
 import type {EngineOccupancy} from './engine_occupancy.js';
+import {RoomRule} from './room_rule.js';
 import {WaitingList} from './waiting_list.js';
 
 const GRANT_INTERVAL_WEIGHT = 0.1;
@@ -39,11 +40,7 @@
     this.demand.update(occupancy, nowMs);
     this.waiting.removeStale(nowMs);
     const isNew = this.waiting.record(request, nowMs);
-    const next = this.waiting.findNext(
-      priority => this.hasRoom(priority, occupancy, limit),
-      customer => occupancy.countOfCustomer(customer),
-    );
-    if (next?.slotId === request.slotId) {
+    if (this.isNext(request, occupancy, limit)) {
       this.observeGrant(nowMs);
       this.waiting.remove(request.slotId);
       return Admission.GRANTED;
@@ -69,13 +66,18 @@
     return this.waiting.count();
   }
 
-  private hasRoom(
-    priority: PriorityClass,
+  private isNext(
+    request: AdmissionRequest,
     occupancy: EngineOccupancy,
     limit: number,
   ): boolean {
-    const reserve = this.demand.computeReserve(priority, occupancy, limit);
-    return occupancy.count() < limit - reserve;
+    if (occupancy.count() >= limit) return false;
+    const rule = new RoomRule(occupancy, limit, this.demand);
+    const next = this.waiting.findNext(
+      waiting => rule.has(waiting),
+      customer => rule.countOfCustomer(customer),
+    );
+    return next?.slotId === request.slotId;
   }
 
   /** Grants while others wait tell how fast a full engine frees room. */
--- a/packages/decisions/src/limits/engine_admission_steps.ts
+++ b/packages/decisions/src/limits/engine_admission_steps.ts
@@ -31,6 +31,10 @@
     return this.running.filter(r => r.customer === customer).length;
   }
 
+  override countCustomers(): number {
+    return new Set(this.running.map(request => request.customer)).size;
+  }
+
   override countOfClass(priority: PriorityClass): number {
     return this.running.filter(r => r.priority === priority).length;
   }
--- a/packages/decisions/src/limits/engine_occupancy.ts
+++ b/packages/decisions/src/limits/engine_occupancy.ts
@@ -8,6 +8,9 @@
   /** Counts one customer's. */
   abstract countOfCustomer(customer: string): number;
 
+  /** Counts the customers that have at least one. */
+  abstract countCustomers(): number;
+
   /** Counts those of one class. */
   abstract countOfClass(priority: PriorityClass): number;
 }
--- a/packages/decisions/src/limits/waiting_list.ts
+++ b/packages/decisions/src/limits/waiting_list.ts
@@ -45,12 +45,11 @@
    * fewest requests in flight, of several the longest waiting.
    */
   findNext(
-    hasRoom: (priority: PriorityClass) => boolean,
+    hasRoom: (request: AdmissionRequest) => boolean,
     countOfCustomer: (customer: string) => number,
   ): AdmissionRequest | undefined {
     for (const priority of CLASS_ORDER) {
-      if (!hasRoom(priority)) continue;
-      const next = this.findFewest(priority, countOfCustomer);
+      const next = this.findFewest(priority, hasRoom, countOfCustomer);
       if (next !== undefined) return next;
     }
     return undefined;
@@ -73,12 +72,13 @@
 
   private findFewest(
     priority: PriorityClass,
+    hasRoom: (request: AdmissionRequest) => boolean,
     countOfCustomer: (customer: string) => number,
   ): AdmissionRequest | undefined {
     let next: AdmissionRequest | undefined;
     let fewest = Infinity;
     for (const {request} of this.waiters.values()) {
-      if (request.priority !== priority) continue;
+      if (request.priority !== priority || !hasRoom(request)) continue;
       const count = countOfCustomer(request.customer);
       if (count >= fewest) continue;
       fewest = count;
--- a/packages/decisions/src/placement/engine_ledger.ts
+++ b/packages/decisions/src/placement/engine_ledger.ts
@@ -112,6 +112,14 @@
     return this.countWhere(lease => lease.customer === customer);
   }
 
+  override countCustomers(): number {
+    const customers = new Set<string | undefined>();
+    for (const {lease} of this.slots?.values() ?? []) {
+      customers.add(lease.customer);
+    }
+    return customers.size;
+  }
+
   override countOfClass(priority: PriorityClass): number {
     return this.countWhere(
       lease => (lease.priority ?? PriorityClass.CONSULTATION) === priority,
