--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -109,11 +109,14 @@
   private runJoining(): Effect.Effect<void> {
     const {configuration, members, hosts, tuning} = this.parts;
     return Effect.gen(function* () {
-      const endMs = Date.now() + 2 * tuning.platformTimeoutMs;
-      const isWaiting = (): boolean =>
-        configuration.getView() === undefined ||
-        (!hosts.isCurrent() && Date.now() < endMs);
-      while (isWaiting()) yield* Effect.sleep(JOIN_CHECK_MS);
+      const startMs = yield* Clock.currentTimeMillis;
+      const endMs = startMs + 2 * tuning.platformTimeoutMs;
+      for (;;) {
+        const nowMs = yield* Clock.currentTimeMillis;
+        const mayJoin = hosts.isCurrent() || nowMs >= endMs;
+        if (configuration.getView() !== undefined && mayJoin) break;
+        yield* Effect.sleep(JOIN_CHECK_MS);
+      }
       members.setLive();
     });
   }
