--- a/packages/standins/src/bench/decisions/limits/customer_limiters.ts
+++ b/packages/standins/src/bench/decisions/limits/customer_limiters.ts
@@ -1,8 +1,10 @@
 import type {SeededRandom} from '@greengagecross/common';
-import {computeCustomerShare, EngineRing} from '@greengagecross/decisions';
+
 import type {BenchSize} from '../bench_size.js';
 import {CustomerHome} from './customer_home.js';
+import {computeCustomerShare} from './customer_subset.js';
 import {CustomerPermits, PermitState} from './customer_permits.js';
+import {EngineRing} from './engine_ring.js';
 
 const CUSTOMER = 'customer';
 const RENEW_MS = 3000;
