Try servers that all said they leave rather than refuse the service

Cause: a backend server's own word that it leaves is held for 30 s. When every worker of a service had said so and came back (restarted in place, or the leaving was called off), a daemon refused the service's calls as not-run until the words ended, although the workers were up. It also made at_most_once.feature depend on the order of its scenarios: 3 or 4 of 22 failed on a machine that ran them one after the other, none when they were spread so that 30 s lay between.

Ruled out: cooling of failed workers (there is none), claim timeouts (the refusals said no-backend, not platform), slow members (all three daemons were ready).

Change: words alone never empty a service's group. What still leaves refuses by itself, and the host list still empties it.

--- a/packages/daemon/src/leaving/leaving_backends.ts
+++ b/packages/daemon/src/leaving/leaving_backends.ts
@@ -22,7 +22,12 @@
 
   /** Tells whether a backend server gets no new work. */
   isLeaving(id: string, nowMs: number): boolean {
-    return this.hosts.isLeaving(id) || this.hasSaidSo(id, nowMs);
+    return this.isListed(id) || this.hasSaidSo(id, nowMs);
+  }
+
+  /** Tells whether the host list shows a backend server as leaving. */
+  isListed(id: string): boolean {
+    return this.hosts.isLeaving(id);
   }
 
   /** Lists those that said so themselves. */
--- a/packages/daemon/src/placement/engine_index.ts
+++ b/packages/daemon/src/placement/engine_index.ts
@@ -58,11 +58,26 @@
     }
   }
 
-  /** Keeps a group, with what is memoised for it, while it has not changed. */
-  private updateService(service: Service, nowMs: number): void {
-    const available = service.backendServers.filter(
+  /**
+   * Lists the servers that take new work.
+   *
+   * Servers' own words never empty a service: one that came back since would
+   * otherwise be refused until its word ends, and one that still leaves
+   * refuses by itself.
+   */
+  private listAvailable(service: Service, nowMs: number): BackendServer[] {
+    const staying = service.backendServers.filter(
       server => !this.leaving.isLeaving(server.id, nowMs),
     );
+    if (staying.length > 0) return staying;
+    return service.backendServers.filter(
+      server => !this.leaving.isListed(server.id),
+    );
+  }
+
+  /** Keeps a group, with what is memoised for it, while it has not changed. */
+  private updateService(service: Service, nowMs: number): void {
+    const available = this.listAvailable(service, nowMs);
     const known = this.byService.get(service.name);
     if (known !== undefined && isSame(known.group, available)) return;
     const {name, placement} = service;
--- a/packages/standins/src/promises/at_most_once.feature
+++ b/packages/standins/src/promises/at_most_once.feature
@@ -24,6 +24,7 @@
       | silence after the bytes left                          | unknown unknown            | 1    |
       | worker's reply lost                                   | unknown unknown            | 1    |
       | every worker leaving                                  | not-run complete           | 1    |
+      | every worker leaving, then back                       | not-run complete           | 1    |
       | every worker killed before                            | not-run complete           | 1    |
       | caller leaves before the answer                       | complete                   | 1    |
       | same key with another body                            | complete not-run           | 1    |
--- a/packages/standins/src/promises/reservation_cases.ts
+++ b/packages/standins/src/promises/reservation_cases.ts
@@ -170,6 +170,13 @@
     await bench.setWorkerFaults({leaving: false});
     return [first, await sendTo(context, 1)];
   },
+  'every worker leaving, then back': async context => {
+    const {bench} = context;
+    await bench.setWorkerFaults({leaving: true});
+    const first = await sendTo(context, 0);
+    await bench.setWorkerFaults({leaving: false});
+    return [first, await sendTo(context, 0)];
+  },
   'every worker killed before': async context => {
     const {bench} = context;
     await bench.stopWorkersHard();
