Send callers to their engine's owner and let slot calls wait there

Cause: nearly all control bytes were slot calls. A caller kept its directory answer for 5 s while its chat's engine belonged to another daemon (about 60 of 100 chats were dispatched by a daemon that did not count their engine), and a request that waited for a warm engine of another daemon asked again every 200 ms.

Ruled out: heartbeats (3.8 KB/s of the calls and answers at five daemons), renewals (one call for each owner in 3 s), retries after lost replies (none in the counts).

Change: the closing event and the header greengagecross-address name the owner of the engine that answered; callers connect there next time. One slot call waits up to a second at the owner; a release ends the wait. The ticket's time comes from effect's clock.

--- a/packages/common/src/protocol/headers.ts
+++ b/packages/common/src/protocol/headers.ts
@@ -3,6 +3,8 @@
   CUSTOMER = 'greengagecross-customer',
   CHAT = 'greengagecross-chat',
   TICKET = 'greengagecross-ticket',
+  /** Address to connect to for the chat's next turn. */
+  ADDRESS = 'greengagecross-address',
   OUTCOME = 'greengagecross-outcome',
   REASON = 'greengagecross-reason',
   REQUEST_ID = 'greengagecross-request-id',
--- a/packages/common/src/protocol/outcome_event.ts
+++ b/packages/common/src/protocol/outcome_event.ts
@@ -7,4 +7,6 @@
   readonly requestId: string;
   readonly reason?: RefusalReason;
   readonly ticket?: string;
+  /** Address for the chat's next turn; holds as long as a directory answer. */
+  readonly address?: string;
 }
--- a/packages/daemon/src/callers/chat_attempt.ts
+++ b/packages/daemon/src/callers/chat_attempt.ts
@@ -14,12 +14,8 @@
   type Customer,
   type Service,
   type Ticket,
-  type TicketCodec,
 } from '@greengagecross/common';
-import {
-  findEarlierEngine,
-  type RequestDeadline,
-} from '@greengagecross/decisions';
+import type {RequestDeadline} from '@greengagecross/decisions';
 import {
   readBody,
   type HttpExchange,
@@ -29,6 +25,7 @@
 import {isWholeCompletion} from '../relay/is_whole_completion.js';
 import {StreamCheck} from '../relay/stream_check.js';
 import {buildOutcomeHeaders} from './answer_refusal.js';
+import type {NextTurn, NextTurns} from './next_turns.js';
 
 const MAX_REPLY_BYTES = 16 * 1024 * 1024;
 const MAX_RESUMES = 3;
@@ -50,7 +47,7 @@
 export class ChatAttempt {
   constructor(
     private readonly engines: EngineClient,
-    private readonly tickets: TicketCodec,
+    private readonly nextTurns: NextTurns,
   ) {}
 
   /** Succeeds once the caller has the whole answer. */
@@ -119,10 +116,12 @@
           isWholeCompletion(body.toString(), call.attemptId),
         () => new BackendError(BackendFailure.BROKEN, call.server.id),
       ),
-      Effect.map(body => {
+      Effect.zip(this.makeNextTurn(job, call, reply)),
+      Effect.map(([body, {ticket, address}]) => {
         const headers = {
           ...buildOutcomeHeaders(Outcome.COMPLETE, job.requestId),
-          [HeaderName.TICKET]: this.makeTicket(job, call, reply),
+          [HeaderName.TICKET]: ticket,
+          [HeaderName.ADDRESS]: address,
           'content-type': reply.headers['content-type'] ?? 'application/json',
         };
         job.exchange.send(reply.status, headers, body);
@@ -157,31 +156,23 @@
     };
     return stream.relay(first.stream, id, check).pipe(
       Effect.catch(error => resume(error, MAX_RESUMES)),
-      Effect.map(() => {
+      Effect.andThen(this.makeNextTurn(job, call, first)),
+      Effect.map(next => {
         const {requestId} = job;
-        const ticket = this.makeTicket(job, call, first);
-        const event = {outcome: Outcome.COMPLETE, requestId, ticket};
+        const event = {outcome: Outcome.COMPLETE, requestId, ...next};
         stream.finish(event, true);
       }),
     );
   }
 
-  private makeTicket(
+  private makeNextTurn(
     job: ChatJob,
     call: BackendCall,
     reply: OpenReply,
-  ): string {
+  ): Effect.Effect<NextTurn> {
     const tokens = Number(reply.headers[BackendHeader.PROMPT_TOKENS] ?? 0);
-    const earlier = findEarlierEngine(job.ticket, call.server.id);
-    return this.tickets.encode({
-      customer: job.customer.id,
-      chat: job.chat,
-      service: job.service.name,
-      engine: call.server.id,
-      contextTokens: Number.isSafeInteger(tokens) ? tokens : 0,
-      warmAtMs: Date.now(),
-      ...(earlier === undefined ? {} : {earlier}),
-    });
+    const contextTokens = Number.isSafeInteger(tokens) ? tokens : 0;
+    return this.nextTurns.make(job, call.server.id, contextTokens);
   }
 }
 
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -13,6 +13,7 @@
 export * from './claims/idempotency_key.js';
 export * from './callers/chat_attempt.js';
 export * from './callers/chat_dispatcher.js';
+export * from './callers/next_turns.js';
 export * from './callers/answer_refusal.js';
 export * from './callers/repeatable_dispatcher.js';
 export * from './callers/service_job.js';
--- a/packages/daemon/src/placement/slot_broker.ts
+++ b/packages/daemon/src/placement/slot_broker.ts
@@ -1,23 +1,18 @@
 import {Clock, Effect} from 'effect';
 import {Schema} from 'effect';
 import type {Member, PriorityClass} from '@greengagecross/common';
-import {
-  Admission,
-  type EngineLedger,
-  type SlotAuthority,
-} from '@greengagecross/decisions';
 import {
   PeerMethod,
   SlotAnswerSchema,
   type AcquireSlot,
   type PeerClient,
 } from '@greengagecross/peers';
-import type {EngineIndex} from './engine_index.js';
 import type {FleetView} from './fleet_view.js';
+import {MAX_HELD_MS, type SlotAnswers} from './slot_answers.js';
 import type {Slot, SlotKeeper} from './slot_keeper.js';
 
-const OWN_RETRY_MS = 20;
-const REMOTE_RETRY_MS = 200;
+/** Rest after a refusal that came early: the owner may have changed. */
+const RETRY_MS = 100;
 
 /** Whose request a slot is for. */
 export interface SlotSubject {
@@ -30,9 +25,7 @@
   constructor(
     private readonly selfId: string,
     private readonly view: FleetView,
-    private readonly index: EngineIndex,
-    private readonly ledger: EngineLedger,
-    private readonly authority: SlotAuthority,
+    private readonly answers: SlotAnswers,
     private readonly keeper: SlotKeeper,
     private readonly peers: PeerClient,
   ) {}
@@ -57,16 +50,17 @@
         const request = {engine, slotId, holder, waitMs, ...subject};
         const isOwn = owner.id === this.selfId;
         const granted = isOwn
-          ? yield* this.answerAcquire(request)
+          ? yield* this.answers.answerAcquire(request)
           : yield* this.askOwner(owner, request);
         if (granted) {
-          const slot = {engine, slotId, owner, renewedAtMs: nowMs};
+          const renewedAtMs = yield* Clock.currentTimeMillis;
+          const slot = {engine, slotId, owner, renewedAtMs};
           this.keeper.add(slot);
           return slot;
         }
-        const retryMs = isOwn ? OWN_RETRY_MS : REMOTE_RETRY_MS;
-        if (nowMs + retryMs > untilMs) return undefined;
-        yield* Effect.sleep(retryMs);
+        const endedMs = yield* Clock.currentTimeMillis;
+        if (endedMs + RETRY_MS > untilMs) return undefined;
+        if (endedMs - nowMs < RETRY_MS) yield* Effect.sleep(RETRY_MS);
       }
     });
   }
@@ -79,24 +73,6 @@
     });
   }
 
-  /** Grants or refuses a slot of an engine that this daemon owns. */
-  answerAcquire(request: AcquireSlot): Effect.Effect<boolean> {
-    return Effect.map(Clock.currentTimeMillis, nowMs => {
-      const group = this.index.findByEngine(request.engine, nowMs)?.group;
-      if (group === undefined) return false;
-      const snapshot = this.view.getSnapshot(nowMs);
-      const {waitMs, ...lease} = request;
-      const answer = this.authority.acquire(
-        lease,
-        group,
-        snapshot,
-        nowMs,
-        waitMs,
-      );
-      return answer === Admission.GRANTED;
-    });
-  }
-
   private askOwner(
     owner: Member,
     request: AcquireSlot,
@@ -107,6 +83,7 @@
         PeerMethod.ACQUIRE_SLOT,
         request,
         SlotAnswerSchema,
+        Math.min(request.waitMs ?? 0, MAX_HELD_MS),
       )
       .pipe(
         Effect.map(answer => answer.granted),
@@ -126,7 +103,7 @@
     slotId: string,
   ): Effect.Effect<void> {
     if (owner.id === this.selfId) {
-      return Effect.sync(() => this.ledger.release(engine, slotId));
+      return this.answers.answerRelease({engine, slotId});
     }
     return this.peers
       .send(
--- a/packages/daemon/src/placement/slot_fleet_fake.ts
+++ b/packages/daemon/src/placement/slot_fleet_fake.ts
@@ -27,6 +27,7 @@
 import type {MemberService} from '../members/member_service.js';
 import {EngineIndex} from './engine_index.js';
 import {FleetView} from './fleet_view.js';
+import {SlotAnswers} from './slot_answers.js';
 import {SlotBroker} from './slot_broker.js';
 import {SLOT_LEASE_MS, SlotKeeper} from './slot_keeper.js';
 
@@ -38,6 +39,7 @@
   readonly id: string;
   readonly ledger: EngineLedger;
   readonly keeper: SlotKeeper;
+  readonly answers: SlotAnswers;
   readonly broker: SlotBroker;
   /** Ids of the daemons that it takes for live. */
   live: string[];
@@ -47,6 +49,8 @@
 export enum LostCall {
   REQUEST = 'request',
   REPLY = 'reply',
+  /** The caller's side fails while the other still works on the call. */
+  CUT = 'cut',
 }
 
 /** Three daemons' real slot code, joined by calls that can be lost. */
@@ -54,6 +58,8 @@
   readonly daemons = new Map<string, SlotDaemon>();
   /** What is lost of which method's calls. */
   readonly lost = new Map<PeerMethod, LostCall>();
+  /** How often each method was called. */
+  readonly calls = new Map<PeerMethod, number>();
   /** Owned by d1, and by d3 without d1. */
   readonly engine = findEngine();
 
@@ -92,11 +98,15 @@
     method: PeerMethod,
     params: object,
   ): Effect.Effect<unknown, PeerError> {
+    this.calls.set(method, (this.calls.get(method) ?? 0) + 1);
     const failed = Effect.fail(new PeerError(method, address.host));
     const lost = this.lost.get(method);
     const daemon = this.daemons.get(address.host);
     if (daemon === undefined || lost === LostCall.REQUEST) return failed;
     const answer = answerCall(daemon, method, params);
+    if (lost === LostCall.CUT) {
+      return Effect.andThen(Effect.forkDetach(answer), failed);
+    }
     return lost === LostCall.REPLY ? Effect.andThen(answer, failed) : answer;
   }
 
@@ -119,16 +129,10 @@
     );
     const peers = new FakePeers(this);
     const keeper = new SlotKeeper(id, view, ledger, peers);
-    const broker = new SlotBroker(
-      id,
-      view,
-      index,
-      ledger,
-      new SlotAuthority(id, ledger),
-      keeper,
-      peers,
-    );
-    return {id, ledger, keeper, broker, live: [...IDS]};
+    const authority = new SlotAuthority(id, ledger);
+    const answers = new SlotAnswers(view, index, ledger, authority);
+    const broker = new SlotBroker(id, view, answers, keeper, peers);
+    return {id, ledger, keeper, answers, broker, live: [...IDS]};
   }
 
   private makeMember(id: string): Member {
@@ -172,14 +176,14 @@
   switch (method) {
     case PeerMethod.ACQUIRE_SLOT:
       return Effect.map(
-        daemon.broker.answerAcquire(params as AcquireSlot),
+        daemon.answers.answerAcquire(params as AcquireSlot),
         granted => ({granted}),
       );
     case PeerMethod.RENEW_SLOTS:
       return daemon.keeper.answerRenewal(params as RenewSlots);
     default: {
       const {engine, slotId} = params as ReleaseSlot;
-      return Effect.sync(() => daemon.ledger.release(engine, slotId));
+      return daemon.answers.answerRelease({engine, slotId});
     }
   }
 }
--- a/packages/daemon/src/placement/slot_leases.feature
+++ b/packages/daemon/src/placement/slot_leases.feature
@@ -36,7 +36,17 @@
       | only d1 hears the other     | 12   |
       | neither hears the other     | 16   |
 
-  Scenario: A request waits for its warm engine until a slot is released
+  Scenario Outline: A request waits for its warm engine until a slot is released
     Given slot daemons with 4 requests on each of two other engines
-    When d1 fills e1, waits 2 seconds and one slot is released after 1 second
-    Then the waiting request gets its slot of e1
+    When d1 fills e1, <asker> waits 2 seconds and one slot is released after 0.9 seconds
+    Then the waiting request gets its slot of e1 with at most <calls> calls
+
+    Examples:
+      | asker | calls |
+      | d1    | 0     |
+      | d2    | 2     |
+
+  Scenario: A request that no longer waits is granted nothing later
+    Given slot daemons with 4 requests on each of two other engines
+    When d1 fills e1, d2 waits 1.05 seconds in calls that are cut off and one slot is released after 1.02 seconds
+    Then the slots of e1 are one fewer than before
--- a/packages/daemon/src/placement/slot_leases_steps.ts
+++ b/packages/daemon/src/placement/slot_leases_steps.ts
@@ -134,7 +134,7 @@
           slotId: `slot ${index}`,
           holder: daemon.id,
         };
-        if (yield* daemon.broker.answerAcquire(request)) granted += 1;
+        if (yield* daemon.answers.answerAcquire(request)) granted += 1;
         yield* TestClock.adjust('100 millis');
       }
       return granted;
@@ -152,11 +152,18 @@
 );
 
 When(
-  'd1 fills e1, waits 2 seconds and one slot is released after 1 second',
-  async function (this: SlotWorld) {
+  /^d1 fills e1, (d1|d2) waits (.+) seconds(| in calls that are cut off) and one slot is released after (.+) seconds$/,
+  async function (
+    this: SlotWorld,
+    asker: string,
+    waitSeconds: string,
+    how: string,
+    releaseSeconds: string,
+  ) {
     const {fleet} = this;
     const d1 = fleet.get('d1');
-    const program = Effect.gen(function* () {
+    const waitMs = Number(waitSeconds) * 1000;
+    const program = Effect.gen({self: this}, function* () {
       const slots: Slot[] = [];
       for (;;) {
         const name = `slot ${slots.length}`;
@@ -164,20 +171,33 @@
         if (slot === undefined) break;
         slots.push(slot);
       }
+      this.granted = slots.length;
+      if (how !== '') fleet.lost.set(PeerMethod.ACQUIRE_SLOT, LostCall.CUT);
       const waiting = yield* Effect.forkChild(
-        d1.broker.acquire(fleet.engine, 'waiting', 2000),
+        fleet.get(asker).broker.acquire(fleet.engine, 'waiting', waitMs),
       );
-      yield* TestClock.adjust('1 second');
+      yield* TestClock.adjust(`${Number(releaseSeconds)} seconds`);
       const [first] = slots;
       assert.ok(first);
       yield* d1.broker.release(first);
-      yield* TestClock.adjust('1 second');
+      yield* TestClock.adjust('3 seconds');
       return yield* Fiber.join(waiting);
     });
     this.hasWaited = (await run(program)) !== undefined;
   },
 );
 
-Then('the waiting request gets its slot of e1', function (this: SlotWorld) {
-  assert.ok(this.hasWaited);
+Then(
+  'the waiting request gets its slot of e1 with at most {int} calls',
+  function (this: SlotWorld, calls: number) {
+    assert.ok(this.hasWaited);
+    const made = this.fleet.calls.get(PeerMethod.ACQUIRE_SLOT) ?? 0;
+    assert.ok(made <= calls, `${made} calls`);
+  },
+);
+
+Then('the slots of e1 are one fewer than before', function (this: SlotWorld) {
+  assert.ok(!this.hasWaited);
+  const {engine} = this.fleet;
+  assert.equal(this.fleet.get('d1').ledger.count(engine), this.granted - 1);
 });
--- a/packages/daemon/src/wiring/daemon_parts.ts
+++ b/packages/daemon/src/wiring/daemon_parts.ts
@@ -46,6 +46,7 @@
 import {FleetView} from '../placement/fleet_view.js';
 import {PlacementExplainer} from '../placement/placement_explainer.js';
 import {PlacementService} from '../placement/placement_service.js';
+import {SlotAnswers} from '../placement/slot_answers.js';
 import {SlotBroker} from '../placement/slot_broker.js';
 import {listConfigurationPeers} from './list_configuration_peers.js';
 import {SLOT_LEASE_MS, SlotKeeper} from '../placement/slot_keeper.js';
@@ -78,6 +79,7 @@
   readonly keeper: SlotKeeper;
   readonly leaving: LeavingBackends;
   readonly leavingNews: LeavingNews;
+  readonly slotAnswers: SlotAnswers;
   readonly broker: SlotBroker;
   readonly placement: PlacementService;
   readonly explainer: PlacementExplainer;
@@ -126,12 +128,16 @@
     const authority = new SlotAuthority(settings.id, this.ledger, engine =>
       this.limits.getLimit(engine),
     );
-    this.broker = new SlotBroker(
-      settings.id,
+    this.slotAnswers = new SlotAnswers(
       this.fleet,
       this.index,
       this.ledger,
       authority,
+    );
+    this.broker = new SlotBroker(
+      settings.id,
+      this.fleet,
+      this.slotAnswers,
       this.keeper,
       peers,
     );
--- a/packages/daemon/src/wiring/make_caller_router.ts
+++ b/packages/daemon/src/wiring/make_caller_router.ts
@@ -10,6 +10,7 @@
 import {ChatAttempt} from '../callers/chat_attempt.js';
 import {ChatDispatcher} from '../callers/chat_dispatcher.js';
 import {ChatHandler} from '../callers/chat_handler.js';
+import {NextTurns} from '../callers/next_turns.js';
 import {DirectoryHandler} from '../callers/directory_handler.js';
 import {OnceDispatcher} from '../callers/once_dispatcher.js';
 import {RepeatableDispatcher} from '../callers/repeatable_dispatcher.js';
@@ -31,7 +32,10 @@
     new RetryBudget(),
     new SeededRandom(seed),
   );
-  const attempts = new ChatAttempt(parts.engines, tickets);
+  const nextTurns = new NextTurns(tickets, (engine, nowMs) =>
+    parts.fleet.findOwner(engine, nowMs),
+  );
+  const attempts = new ChatAttempt(parts.engines, nextTurns);
   const directory = new DirectoryHandler(
     authenticator,
     placement,
--- a/packages/daemon/src/wiring/make_control_router.ts
+++ b/packages/daemon/src/wiring/make_control_router.ts
@@ -40,7 +40,7 @@
 }
 
 function makePeerServer(parts: DaemonParts): PeerServer {
-  const {members, broker, keeper, ledger} = parts;
+  const {members, slotAnswers, keeper} = parts;
   const peers = new PeerServer(parts.keys.peer);
   peers.addMethod(PeerMethod.HEARTBEAT, HeartbeatSchema, heartbeat =>
     members.answerHeartbeat(heartbeat),
@@ -49,13 +49,10 @@
     members.answerProbe(probe),
   );
   peers.addMethod(PeerMethod.ACQUIRE_SLOT, AcquireSlotSchema, request =>
-    Effect.map(broker.answerAcquire(request), granted => ({granted})),
+    Effect.map(slotAnswers.answerAcquire(request), granted => ({granted})),
   );
   peers.addMethod(PeerMethod.RELEASE_SLOT, ReleaseSlotSchema, release =>
-    Effect.sync(() => {
-      ledger.release(release.engine, release.slotId);
-      return {released: true};
-    }),
+    Effect.as(slotAnswers.answerRelease(release), {released: true}),
   );
   new ConfigurationAnswers(parts.configuration).addTo(peers);
   peers.addMethod(PeerMethod.RENEW_SLOTS, RenewSlotsSchema, renewal =>
--- a/packages/peers/src/peer_caller.ts
+++ b/packages/peers/src/peer_caller.ts
@@ -5,11 +5,16 @@
 
 /** Calls methods of other daemons. */
 export abstract class PeerCaller {
-  /** Calls a method and decodes its result. */
+  /**
+   * Calls a method and decodes its result.
+   *
+   * @param heldMs how long the other may hold the call before it answers.
+   */
   abstract send<S extends Schema.ConstraintDecoder<unknown>>(
     address: Address,
     method: PeerMethod,
     params: object,
     result: S,
+    heldMs?: number,
   ): Effect.Effect<S['Type'], PeerError>;
 }
--- a/packages/standins/src/callers/fleet_caller.ts
+++ b/packages/standins/src/callers/fleet_caller.ts
@@ -21,6 +21,7 @@
 interface KeptAnswer {
   readonly addresses: readonly Address[];
   readonly untilMs: number;
+  readonly keepMs: number;
 }
 
 const NOTHING_TOLD: Told = {
@@ -29,6 +30,7 @@
   reason: '',
   requestId: '',
   ticket: undefined,
+  address: undefined,
   firstTokenMs: 0,
 };
 
@@ -57,6 +59,7 @@
           break;
         }
         told = result.success;
+        this.putNext(request.chat, told.address);
         break;
       }
       return {
@@ -100,14 +103,27 @@
         if (Result.isFailure(asked)) continue;
         const answer = asked.success;
         const addresses = answer.addresses.flatMap(a => parseAddress(a) ?? []);
-        const untilMs = performance.now() + answer.keepMs;
-        this.kept.set(request.chat, {addresses, untilMs});
+        const {keepMs} = answer;
+        const untilMs = performance.now() + keepMs;
+        this.kept.set(request.chat, {addresses, untilMs, keepMs});
         return addresses;
       }
       return [];
     });
   }
 
+  /** Puts the address that came with an answer first for the next turn. */
+  private putNext(chat: string, text: string | undefined): void {
+    const kept = this.kept.get(chat);
+    const next = parseAddress(text ?? '');
+    if (kept === undefined || next === undefined) return;
+    const others = kept.addresses.filter(
+      other => other.host !== next.host || other.port !== next.port,
+    );
+    const untilMs = performance.now() + kept.keepMs;
+    this.kept.set(chat, {...kept, addresses: [next, ...others], untilMs});
+  }
+
   private askDirectory(
     entry: Address,
     request: CallerRequest,
--- a/packages/standins/src/callers/read_told.ts
+++ b/packages/standins/src/callers/read_told.ts
@@ -42,6 +42,7 @@
     reason: String(headers[HeaderName.REASON] ?? ''),
     requestId: String(headers[HeaderName.REQUEST_ID] ?? ''),
     ticket: headers[HeaderName.TICKET] as string | undefined,
+    address: headers[HeaderName.ADDRESS] as string | undefined,
   };
 }
 
@@ -86,6 +87,7 @@
           reason: closing?.reason ?? '',
           isOwnWhole: content === whole,
           ticket: closing?.ticket,
+          address: closing?.address,
           firstTokenMs,
         }),
       );
--- a/packages/standins/src/callers/told.ts
+++ b/packages/standins/src/callers/told.ts
@@ -8,5 +8,7 @@
   readonly reason: string;
   readonly requestId: string;
   readonly ticket: string | undefined;
+  /** Daemon to connect to for the chat's next turn. */
+  readonly address: string | undefined;
   readonly firstTokenMs: number;
 }
--- a/packages/standins/src/promises/chat_rig.ts
+++ b/packages/standins/src/promises/chat_rig.ts
@@ -10,6 +10,7 @@
   TicketCodec,
   type Address,
   type BackendServer,
+  type Member,
   type Service,
 } from '@greengagecross/common';
 import {
@@ -18,6 +19,7 @@
   ChatAttempt,
   ChatDispatcher,
   ChatStream,
+  NextTurns,
   type ChatJob,
   type PlacementService,
   type SlotBroker,
@@ -74,7 +76,10 @@
       broker as unknown as SlotBroker,
       new ChatAttempt(
         new HttpEngineClient(this.engines, timeouts),
-        new TicketCodec(['ticket-key-of-this-rig']),
+        new NextTurns(
+          new TicketCodec(['ticket-key-of-this-rig']),
+          () => ({callerAddress: this.address}) as unknown as Member,
+        ),
       ),
       retries as unknown as RetryPolicy,
       {record: () => undefined} as unknown as ServiceTimes,
