Tell a change accepted when its late write stands

Cause: accepting looked for the operation's row first and read the current row after it. A transaction whose reply was lost and that landed between the two reads was merged as somebody else's change: the operator was told "unchanged", or "conflict" when the answer had been changed again, although the revision stood. races.feature, "10 operators change different answers with every fault", failed for it now and then on a busy machine, because real retry delays of 1 ms and more decided which write landed between which reads.

Mended: the current row is read first. A write that is not seen after it is conditioned on a row that has changed, so it can no longer land.

New scenario: the late write lands before each later call in turn, with and without another operator's change after it; both failed with the old order at the first read after the look ("unchanged", "conflict") and pass with the new one. Ruled out: an operation applied twice (its row is a condition of the transaction), step timeouts (120 s; the steps take under 2 s), exhausted retries (told as failed, which the check leaves open).

The races no longer depend on wall time: operators run as fibers of one program, retries have no delay, the outage lasts from one call to another, and a scenario races the same seeds twice and compares every call.

--- a/packages/client/src/accept/acceptor.ts
+++ b/packages/client/src/accept/acceptor.ts
@@ -62,6 +62,9 @@
     return Effect.gen({self: this}, function* () {
       for (let race = 0; race < MAX_RACES; race += 1) {
         const {operationId} = request;
+        // In this order: a write of an earlier try that is not seen after the
+        // current row was read can no longer land on a change of that row.
+        const current = yield* this.store.readCurrent();
         const earlier = yield* this.store.findOperation(operationId);
         if (earlier !== undefined) {
           const revision = yield* this.store.readRevision(earlier.revision);
@@ -73,6 +76,7 @@
         const change = yield* this.merger.merge(
           request.answers,
           request.baseRevision,
+          current,
         );
         const report = yield* this.sendOffer(request, change);
         if (report !== undefined) return report;
--- a/packages/client/src/accept/change_merger.ts
+++ b/packages/client/src/accept/change_merger.ts
@@ -30,17 +30,17 @@
 export class ChangeMerger {
   readonly archive: AnswerArchive;
 
-  constructor(private readonly store: ConfigurationStore) {
+  constructor(store: ConfigurationStore) {
     this.archive = new AnswerArchive(store);
   }
 
-  /** Merges what was accepted since the base into a change. */
+  /** Merges what was accepted from the base to the current revision. */
   merge(
     answers: Answers,
     baseRevision: number,
+    current: ConfigurationRevision | undefined,
   ): Effect.Effect<MergedChange, ReadError | ValidationError> {
     return Effect.gen({self: this}, function* () {
-      const current = yield* this.store.readCurrent();
       const currentAnswers =
         current === undefined ? undefined : yield* this.archive.readOf(current);
       if ((current?.revision ?? 0) === baseRevision) {
--- a/packages/client/src/commands/plan.ts
+++ b/packages/client/src/commands/plan.ts
@@ -47,7 +47,12 @@
   return Effect.gen(function* () {
     const input = yield* readAnswersInput(context, file, base);
     const merger = new ChangeMerger(context.store);
-    const change = yield* merger.merge(input.answers, input.baseRevision);
+    const current = yield* context.store.readCurrent();
+    const change = yield* merger.merge(
+      input.answers,
+      input.baseRevision,
+      current,
+    );
     const {changes, conflicts, isMerged, answers, currentAnswers} = change;
     const revision = change.current?.revision ?? 0;
     const effects = listEffects(changes, currentAnswers, answers);
--- a/packages/standins/src/operators/faulty_stores.ts
+++ b/packages/standins/src/operators/faulty_stores.ts
@@ -38,7 +38,15 @@
   /** Calls after which the caller is killed; each kind once. */
   killBeforeCall = Infinity;
   killAfterCall = Infinity;
+  /** Transaction that is held back although nothing else fails. */
+  lateTransaction = Infinity;
+  /** What happens just before a call. */
+  beforeCall = new Map<number, Effect.Effect<unknown, Error>>();
   calls = 0;
+  /** Names of the calls so far, in order. */
+  readonly trace: string[] = [];
+  private downFrom = Infinity;
+  private downUntil = Infinity;
   private readonly late: (() => void)[] = [];
 
   constructor(private readonly random: SeededRandom) {}
@@ -53,27 +61,51 @@
       const yields = Math.floor(this.random.nextUnit() * MAX_YIELDS);
       for (let at = 0; at < yields; at += 1) yield* Effect.yieldNow;
       this.calls += 1;
+      this.trace.push(name);
+      const at = this.calls;
+      const before = this.beforeCall.get(at) ?? Effect.void;
+      yield* Effect.orDie(before);
       const draw = this.random.nextUnit();
       const {unreachable, lost, delayed} = this.rates;
-      if (this.calls === this.killBeforeCall) yield* Effect.interrupt;
-      if (this.isDown || draw < unreachable) {
+      if (at === this.killBeforeCall) yield* Effect.interrupt;
+      const isOut = at >= this.downFrom && at < this.downUntil;
+      if (this.isDown || isOut || draw < unreachable) {
         yield* Effect.fail(
           new PlatformError(PlatformFailure.UNREACHABLE, name),
         );
       }
       const uncertain = new PlatformError(PlatformFailure.UNCERTAIN, name);
-      if (isWrite && draw < unreachable + delayed) {
+      const isLate = draw < unreachable + delayed;
+      if (isWrite && (isLate || at === this.lateTransaction)) {
         this.late.push(call);
         yield* Effect.fail(uncertain);
       }
       const result = call();
-      if (this.calls === this.killAfterCall) yield* Effect.interrupt;
+      if (at === this.killAfterCall) yield* Effect.interrupt;
       if (draw < unreachable + delayed + lost) yield* Effect.fail(uncertain);
       if (this.random.nextUnit() < delayed) this.applyLate();
       return result;
     });
   }
 
+  /** Lets some calls from now on fail, after as many others. */
+  planOutage(calls: number): void {
+    this.downFrom = this.calls + calls;
+    this.downUntil = this.downFrom + calls;
+  }
+
+  /** Ends all faults and lets late writes land. */
+  setCalm(): void {
+    this.rates = NO_STORE_FAULTS;
+    this.isDown = false;
+    this.downFrom = Infinity;
+    this.killBeforeCall = Infinity;
+    this.killAfterCall = Infinity;
+    this.lateTransaction = Infinity;
+    this.beforeCall.clear();
+    this.applyLate();
+  }
+
   /** Applies the calls that were held back. */
   applyLate(): void {
     for (const call of this.late.splice(0)) call();
--- a/packages/standins/src/operators/race_property_steps.ts
+++ b/packages/standins/src/operators/race_property_steps.ts
@@ -44,15 +44,16 @@
   const stage = new RaceStage(plan.seed);
   await stage.accept('first', FIXTURE, 0);
   stage.faults.rates = plan;
-  const told = await Promise.all(
-    plan.customers.map(async (customer, at) => {
-      const name = FIXTURE.customers[customer]?.name ?? '';
-      const value = 1000 + at;
-      const id = `customers/${name}/atMostAtOnce`;
-      const answers = setAnswer(FIXTURE, id, value);
-      const exit = await stage.accept(`operator-${at}`, answers, 1);
-      return {name, value, exit};
-    }),
+  const changes = plan.customers.map((customer, at) => {
+    const name = FIXTURE.customers[customer]?.name ?? '';
+    return {name, value: 1000 + at, operator: `operator-${at}`};
+  });
+  const exits = await stage.runRace(
+    changes.map(({name, value, operator}) => ({
+      operator,
+      answers: setAnswer(FIXTURE, `customers/${name}/atMostAtOnce`, value),
+      baseRevision: 1,
+    })),
   );
   stage.setCalm();
   const history = await Effect.runPromise(stage.store.listHistory());
@@ -62,13 +63,13 @@
     assert.equal(record.revision, history.length - at),
   );
   const final = await stage.read(history.length);
-  for (const {name, value, exit} of told) {
-    const operation = `operator-${value - 1000}`;
-    const stands = operations.includes(operation);
+  for (const [at, {name, value, operator}] of changes.entries()) {
+    const exit = exits[at];
+    const stands = operations.includes(operator);
     const found = final.customers.find(customer => customer.name === name);
     // One change of an answer stands at most, since all share a base.
     if (stands) assert.equal(found?.atMostAtOnce, value);
-    if (!Exit.isSuccess(exit)) continue;
+    if (exit === undefined || !Exit.isSuccess(exit)) continue;
     assert.equal(stands, exit.value.outcome === ChangeOutcome.ACCEPTED);
   }
 }
--- a/packages/standins/src/operators/race_stage.ts
+++ b/packages/standins/src/operators/race_stage.ts
@@ -1,4 +1,4 @@
-import {Effect, type Exit} from 'effect';
+import {Effect, Exit} from 'effect';
 import {
   Acceptor,
   AnswerArchive,
@@ -7,14 +7,20 @@
 import {SeededRandom} from '@greengagecross/common';
 import {ConfigurationStore} from '@greengagecross/platform';
 import type {Answers} from '@greengagecross/questionnaire';
-import {
-  FaultyObjects,
-  FaultyTable,
-  NO_STORE_FAULTS,
-  StoreFaultPlan,
-} from './faulty_stores.js';
+import {FaultyObjects, FaultyTable, StoreFaultPlan} from './faulty_stores.js';
+
+// A retry gives way to the others instead of waiting, so that the order of
+// calls depends on the seed only.
+const RETRY_BASE_MS = 0;
 
-const RETRY_BASE_MS = 1;
+/** A change that an operator accepts. */
+export interface StageChange {
+  readonly operator: string;
+  readonly answers: Answers;
+  readonly baseRevision: number;
+  /** The operator's name when not given. */
+  readonly operationId?: string;
+}
 
 /** A configuration store with faults, and operators who use it. */
 export class RaceStage {
@@ -30,16 +36,37 @@
     this.store = new ConfigurationStore(this.table, this.objects);
   }
 
-  /** Accepts answers; an interrupted one is a killed client. */
+  /** Makes the effect that accepts answers; an interrupted one is a killed client. */
+  makeAccept(change: StageChange): Effect.Effect<AcceptReport, Error> {
+    const {operator, answers, baseRevision, operationId = operator} = change;
+    const acceptor = new Acceptor(this.store, RETRY_BASE_MS);
+    return acceptor.accept({
+      answers,
+      baseRevision,
+      operationId,
+      operator,
+      reason: '',
+    });
+  }
+
+  /** Accepts answers. */
   accept(
     operator: string,
     answers: Answers,
     baseRevision: number,
     operationId = operator,
   ): Promise<Exit.Exit<AcceptReport, Error>> {
-    const acceptor = new Acceptor(this.store, RETRY_BASE_MS);
-    const request = {answers, baseRevision, operationId, operator, reason: ''};
-    return Effect.runPromiseExit(acceptor.accept(request));
+    return Effect.runPromiseExit(
+      this.makeAccept({operator, answers, baseRevision, operationId}),
+    );
+  }
+
+  /** Lets operators accept changes at once; the same order for a seed. */
+  runRace(
+    changes: readonly StageChange[],
+  ): Promise<readonly Exit.Exit<AcceptReport, Error>[]> {
+    const racing = changes.map(change => Effect.exit(this.makeAccept(change)));
+    return Effect.runPromise(Effect.all(racing, {concurrency: 'unbounded'}));
   }
 
   /** Reads a revision's answers without faults. */
@@ -50,10 +77,6 @@
 
   /** Ends all faults and lets late writes land. */
   setCalm(): void {
-    this.faults.rates = NO_STORE_FAULTS;
-    this.faults.isDown = false;
-    this.faults.killBeforeCall = Infinity;
-    this.faults.killAfterCall = Infinity;
-    this.faults.applyLate();
+    this.faults.setCalm();
   }
 }
--- a/packages/standins/src/operators/races.feature
+++ b/packages/standins/src/operators/races.feature
@@ -28,6 +28,20 @@
       | before |
       | after  |
 
+  Scenario Outline: A write that lands late is told accepted, whenever it lands<what>
+    When a change's transaction lands late before each later call in turn<what>
+    Then it is told accepted and stands exactly once each time
+
+    Examples:
+      | what                                                      |
+      |                                                           |
+      | , and another operator changes the same answer after it |
+
+  Scenario: The order of a race depends on its seeds only
+    Given a configuration store with every fault, seeds 1 to 5
+    When 10 operators each accept a change of different answers
+    Then racing again with the same seeds gives the same calls
+
   Scenario: A conflict shows both answers, by whom and when
     Given a configuration store with no faults, seeds 1 to 1
     When ana answers a limit 7 and then luis, from the same base, 8
--- a/packages/standins/src/operators/races_steps.ts
+++ b/packages/standins/src/operators/races_steps.ts
@@ -7,7 +7,8 @@
 import {NO_STORE_FAULTS, type StoreFaultRates} from './faulty_stores.js';
 import {RaceStage} from './race_stage.js';
 
-const OUTAGE_MS = 10;
+const OUTAGE_CALLS = 40;
+const FIRST_LIMIT = 1000;
 const FIXTURE = readFixture(Deployment.VELO_COMPARTIDO);
 const RATES: Readonly<Record<string, StoreFaultRates>> = {
   'no faults': NO_STORE_FAULTS,
@@ -17,14 +18,18 @@
   'every fault': {unreachable: 0.05, lost: 0.05, delayed: 0.05},
 };
 
+/** A change with what its operator was told. */
+interface ToldChange {
+  readonly id: string;
+  readonly value: number;
+  readonly exit: Exit.Exit<AcceptReport, Error>;
+}
+
 /** State of one scenario about racing operators. */
 interface RaceWorld extends World {
   faultNames: string;
   stages: RaceStage[];
-  told: Map<
-    RaceStage,
-    {id: string; value: number; exit: Exit.Exit<AcceptReport, Error>}[]
-  >;
+  told: Map<RaceStage, ToldChange[]>;
   isSame: boolean;
   report: AcceptReport;
 }
@@ -47,25 +52,8 @@
   async function (this: RaceWorld, count: string, what: string) {
     this.isSame = what === 'the same answer';
     this.told = new Map();
-    const rates = RATES[this.faultNames];
-    assert.ok(rates, this.faultNames);
     for (const stage of this.stages) {
-      stage.faults.rates = rates;
-      if (this.faultNames === 'an outage') {
-        setTimeout(() => (stage.faults.isDown = true), 0);
-        setTimeout(() => (stage.faults.isDown = false), OUTAGE_MS);
-      }
-      const racing = Array.from({length: Number(count)}, async (unused, at) => {
-        const id = makeLimitId(this.isSame ? 0 : at);
-        const value = 1000 + at;
-        const answers = setAnswer(FIXTURE, id, value);
-        return {
-          id,
-          value,
-          exit: await stage.accept(`operator-${at}`, answers, 1),
-        };
-      });
-      this.told.set(stage, await Promise.all(racing));
+      this.told.set(stage, await runRace(stage, this, Number(count)));
       stage.setCalm();
     }
   },
@@ -74,13 +62,15 @@
 Then(
   'every change told accepted stands, once, and every revision is whole',
   async function (this: RaceWorld) {
+    let acceptedByAll = 0;
     for (const [stage, told] of this.told) {
       const history = await checkWhole(stage);
       const final = await stage.read(history.length);
       let accepted = 0;
       for (const {id, value, exit} of told) {
         const operations = history.filter(
-          entry => entry.record.acceptedBy === `operator-${value - 1000}`,
+          entry =>
+            entry.record.acceptedBy === `operator-${value - FIRST_LIMIT}`,
         );
         assert.ok(operations.length <= 1, 'applied twice');
         if (!Exit.isSuccess(exit)) continue;
@@ -93,6 +83,20 @@
       if (this.isSame) assert.ok(accepted <= 1, 'a conflict was not seen');
       const isQuiet = this.faultNames === 'no faults';
       if (isQuiet) assert.equal(accepted, this.isSame ? 1 : told.length);
+      acceptedByAll += accepted;
+    }
+    assert.ok(acceptedByAll > 0, 'no change was accepted at all');
+  },
+);
+
+Then(
+  'racing again with the same seeds gives the same calls',
+  async function (this: RaceWorld) {
+    for (const [at, stage] of this.stages.entries()) {
+      const again = new RaceStage(at + 1);
+      getReport(await again.accept('first', FIXTURE, 0));
+      await runRace(again, this, this.told.get(stage)?.length ?? 0);
+      assert.deepEqual(again.faults.trace, stage.faults.trace);
     }
   },
 );
@@ -186,6 +190,34 @@
   },
 );
 
+/** Lets operators race each other on a stage. */
+async function runRace(
+  stage: RaceStage,
+  world: RaceWorld,
+  count: number,
+): Promise<ToldChange[]> {
+  const rates = RATES[world.faultNames];
+  assert.ok(rates, world.faultNames);
+  const {faults} = stage;
+  faults.rates = rates;
+  if (world.faultNames === 'an outage') faults.planOutage(OUTAGE_CALLS);
+  const changes = Array.from({length: count}, (unused, at) => {
+    const id = makeLimitId(world.isSame ? 0 : at);
+    return {id, value: FIRST_LIMIT + at, operator: `operator-${at}`};
+  });
+  const exits = await stage.runRace(
+    changes.map(({id, value, operator}) => ({
+      operator,
+      answers: setAnswer(FIXTURE, id, value),
+      baseRevision: 1,
+    })),
+  );
+  return changes.flatMap((change, at) => {
+    const exit = exits[at];
+    return exit === undefined ? [] : [{...change, exit}];
+  });
+}
+
 /** Checks that revisions follow each other and each can be read whole. */
 async function checkWhole(
   stage: RaceStage,
