--- a/packages/standins/src/bench/main.ts
+++ b/packages/standins/src/bench/main.ts
@@ -18,6 +18,7 @@
   members: () => import('./members/run_members.js'),
   outage: () => import('./faults/run_outage.js'),
   retries: () => import('./retries/run_retries.js'),
+  surge: () => import('./surge/run_surge.js'),
 };
 
 const [name = '', ...args] = process.argv.slice(2);
