Hold small customers' limits by shares of a few engines

Cause: every daemon admitted an equal part of a customer's limit, at least one request.

Change: where a daemon's part is under 4 requests, the customer's chats are placed on few engines and their owners refuse what is over the engine's part, by the slots that they count anyway. At most four engines are asked.

--- a/packages/daemon/src/callers/directory_handler.ts
+++ b/packages/daemon/src/callers/directory_handler.ts
@@ -36,6 +36,7 @@
         service,
         makeChatKey(customer.id, chat),
         ticket,
+        customer.id,
       );
       exchange.sendJson(200, {
         addresses: daemons.map(member => formatAddress(member.callerAddress)),
--- a/packages/daemon/src/placement/placement_explainer.ts
+++ b/packages/daemon/src/placement/placement_explainer.ts
@@ -49,7 +49,7 @@
         this.tickets.decode(question.ticket, customer, chat) ??
         makeLastTicket(question, service, recent);
       const choices = this.placement
-        .listChoices(service.name, chatKey, ticket, nowMs)
+        .listChoices(service.name, chatKey, ticket, nowMs, customer)
         .map(toEngineChoice);
       const [first] = choices;
       return {
--- a/packages/daemon/src/placement/placement_service.ts
+++ b/packages/daemon/src/placement/placement_service.ts
@@ -14,6 +14,7 @@
   type PlacementPolicy,
   type SlotAuthority,
 } from '@greengagecross/decisions';
+import type {CustomerShares} from '../limits/customer_shares.js';
 import type {EngineIndex} from './engine_index.js';
 import type {FleetView} from './fleet_view.js';
 
@@ -41,6 +42,7 @@
     private readonly index: EngineIndex,
     private readonly view: FleetView,
     private readonly decisions: DecisionLog,
+    private readonly shares: CustomerShares,
   ) {}
 
   /** Chooses the engines to try for a chat, best first, and records why. */
@@ -51,7 +53,13 @@
     subject: PlacementSubject,
   ): Effect.Effect<PlacedServer[]> {
     return Effect.map(Clock.currentTimeMillis, nowMs => {
-      const choices = this.listChoices(service.name, chatKey, ticket, nowMs);
+      const choices = this.listChoices(
+        service.name,
+        chatKey,
+        ticket,
+        nowMs,
+        subject.customer,
+      );
       this.decisions.add(hash32(chatKey), {
         ...subject,
         service: service.name,
@@ -96,14 +104,22 @@
     chatKey: string,
     ticket: Ticket | undefined,
     nowMs: number,
+    customer?: string,
   ): PlacementChoice[] {
     const group = this.index.findByName(service, nowMs)?.group;
     if (group === undefined) return [];
     const {id, availabilityZone} = this.self;
     const snapshot = this.view.getSnapshot(nowMs);
     const usable = ticket?.service === service ? ticket : undefined;
+    const share = this.shares.find(customer, group, nowMs);
     return this.policy.choose(
-      {chatKey, ticket: usable, availabilityZone, nowMs},
+      {
+        chatKey,
+        ticket: usable,
+        availabilityZone,
+        nowMs,
+        ...(share === undefined ? {} : {engines: share.engines}),
+      },
       group,
       {
         count: engine => this.authority.count(engine, snapshot),
@@ -118,11 +134,18 @@
     service: Service | undefined,
     chatKey: string,
     ticket: Ticket | undefined,
+    customer: string,
   ): Effect.Effect<Member[]> {
     return Effect.map(Clock.currentTimeMillis, nowMs => {
       const live = [...this.view.listTakingCallers(nowMs)];
       if (service === undefined) return live;
-      const [first] = this.listChoices(service.name, chatKey, ticket, nowMs);
+      const [first] = this.listChoices(
+        service.name,
+        chatKey,
+        ticket,
+        nowMs,
+        customer,
+      );
       if (first === undefined) return live;
       const owner = this.view.findOwner(first.engine, nowMs);
       return [owner, ...live.filter(member => member.id !== owner.id)];
--- a/packages/daemon/src/placement/slot_answers.ts
+++ b/packages/daemon/src/placement/slot_answers.ts
@@ -5,6 +5,7 @@
   type SlotAuthority,
 } from '@greengagecross/decisions';
 import type {AcquireSlot, ReleaseSlot} from '@greengagecross/peers';
+import type {CustomerShares} from '../limits/customer_shares.js';
 import type {EngineIndex} from './engine_index.js';
 import type {FleetView} from './fleet_view.js';
 
@@ -22,6 +23,7 @@
     private readonly index: EngineIndex,
     private readonly ledger: EngineLedger,
     private readonly authority: SlotAuthority,
+    private readonly shares: CustomerShares,
   ) {}
 
   /**
@@ -61,7 +63,15 @@
     const snapshot = this.view.getSnapshot(nowMs);
     const {waitMs, ...lease} = slot;
     const {authority} = this;
-    const answer = authority.acquire(lease, group, snapshot, nowMs, waitMs);
+    const share = this.shares.find(lease.customer, group, nowMs);
+    const answer = authority.acquire(
+      lease,
+      group,
+      snapshot,
+      nowMs,
+      waitMs,
+      share?.perEngine,
+    );
     return answer === Admission.GRANTED;
   }
 }
--- a/packages/daemon/src/placement/slot_fleet_fake.ts
+++ b/packages/daemon/src/placement/slot_fleet_fake.ts
@@ -23,6 +23,7 @@
   type RenewSlots,
 } from '@greengagecross/peers';
 import type {ConfigurationFollower} from '../configuration/configuration_follower.js';
+import type {CustomerShares} from '../limits/customer_shares.js';
 import type {LeavingBackends} from '../leaving/leaving_backends.js';
 import type {MemberService} from '../members/member_service.js';
 import {EngineIndex} from './engine_index.js';
@@ -130,7 +131,8 @@
     const peers = new FakePeers(this);
     const keeper = new SlotKeeper(id, view, ledger, peers);
     const authority = new SlotAuthority(id, ledger);
-    const answers = new SlotAnswers(view, index, ledger, authority);
+    const shares = {find: () => undefined} as unknown as CustomerShares;
+    const answers = new SlotAnswers(view, index, ledger, authority, shares);
     const broker = new SlotBroker(id, view, answers, keeper, peers);
     return {id, ledger, keeper, answers, broker, live: [...IDS]};
   }
--- a/packages/daemon/src/wiring/daemon_parts.ts
+++ b/packages/daemon/src/wiring/daemon_parts.ts
@@ -37,6 +37,7 @@
 import {GroupCommit} from '../claims/group_commit.js';
 import {ConfigurationFollower} from '../configuration/configuration_follower.js';
 import {DaemonConfigurationPeers} from '../configuration/daemon_configuration_peers.js';
+import {CustomerShares} from '../limits/customer_shares.js';
 import {EngineLimits} from '../limits/engine_limits.js';
 import {HostFollower} from '../hosts/host_follower.js';
 import {LeavingBackends} from '../leaving/leaving_backends.js';
@@ -128,11 +129,13 @@
     const authority = new SlotAuthority(settings.id, this.ledger, engine =>
       this.limits.getLimit(engine),
     );
+    const shares = new CustomerShares(this.configuration, this.fleet);
     this.slotAnswers = new SlotAnswers(
       this.fleet,
       this.index,
       this.ledger,
       authority,
+      shares,
     );
     this.broker = new SlotBroker(
       settings.id,
@@ -148,6 +151,7 @@
       this.index,
       this.fleet,
       new DecisionLog(KEPT_DECISIONS),
+      shares,
     );
     this.explainer = new PlacementExplainer(
       settings.id,
--- a/packages/decisions/src/limits/customer_limit.ts
+++ b/packages/decisions/src/limits/customer_limit.ts
@@ -1,15 +1,20 @@
-/** Bounds each customer's requests in flight on this daemon. */
+import {isSplitOverDaemons} from './customer_share.js';
+
+/**
+ * Bounds each customer's requests in flight on this daemon by an equal part.
+ *
+ * A part too coarse to hold the limit bounds nothing: for chats, the owners of
+ * the customer's engines hold it then.
+ */
 export class CustomerLimit {
   private readonly inFlight = new Map<string, number>();
 
   /** Acquires room for one request unless the customer is at its share. */
   acquire(customer: string, maxInFlight: number, daemonCount: number): boolean {
-    const share = Math.max(
-      1,
-      Math.ceil(maxInFlight / Math.max(1, daemonCount)),
-    );
     const taken = this.inFlight.get(customer) ?? 0;
-    if (taken >= share) return false;
+    const isHeldHere = isSplitOverDaemons(maxInFlight, daemonCount);
+    const part = Math.ceil(maxInFlight / Math.max(1, daemonCount));
+    if (isHeldHere && taken >= part) return false;
     this.inFlight.set(customer, taken + 1);
     return true;
   }
--- a/packages/decisions/src/placement/cost_placement.ts
+++ b/packages/decisions/src/placement/cost_placement.ts
@@ -12,6 +12,8 @@
 
 const HOME_COUNT = 2;
 const PROBE_COUNT = 8;
+/** A customer at its limit is refused after few calls. */
+const SHARE_PROBE_COUNT = 4;
 const REMOTE_DISTANCE = 0.3;
 const ZONE_DISTANCE = 0.2;
 
@@ -141,12 +143,13 @@
  * at others, so that a lagging report draws no crowd to one engine.
  */
 function listProbed(
-  {chatKey, ticket}: PlacementRequest,
+  {chatKey, ticket, engines}: PlacementRequest,
   group: EngineGroup,
 ): string[] {
   const key = hash32(chatKey);
-  const probed = new ShortList<string>(PROBE_COUNT);
-  for (const {id, hash} of group.hashedIds) {
+  const count = engines === undefined ? PROBE_COUNT : SHARE_PROBE_COUNT;
+  const probed = new ShortList<string>(count);
+  for (const {id, hash} of engines ?? group.hashedIds) {
     if (id !== ticket?.engine) probed.add(id, -computeScore(key, hash));
   }
   return probed.list();
--- a/packages/decisions/src/placement/placement_policy.ts
+++ b/packages/decisions/src/placement/placement_policy.ts
@@ -1,5 +1,6 @@
 import type {EngineChoice, Ticket} from '@greengagecross/common';
 import type {EngineGroup} from './engine_group.js';
+import type {HashedId} from './rendezvous_hash.js';
 
 /** What is known of engines' load when a chat is placed. */
 export interface EngineLoads {
@@ -19,6 +20,8 @@
   /** Zone that is preferred among engines otherwise equal. */
   readonly availabilityZone: string;
   readonly nowMs: number;
+  /** The only engines that may newly carry the chat; absent if any may. */
+  readonly engines?: readonly HashedId[];
 }
 
 /** An engine to try, and how long to wait there for a slot. */
--- a/packages/decisions/src/placement/slot_authority.ts
+++ b/packages/decisions/src/placement/slot_authority.ts
@@ -26,6 +26,7 @@
    * request that asks for room goes before.
    *
    * @param waitMs how long the request keeps asking.
+   * @param customerLimit the most requests of its customer on the engine.
    */
   acquire(
     lease: SlotLease,
@@ -33,21 +34,27 @@
     snapshot: LoadSnapshot,
     nowMs: number,
     waitMs = 0,
+    customerLimit = Infinity,
   ): Admission {
     const {engine, slotId} = lease;
     if (!group.has(engine)) return Admission.REFUSED;
     if (this.ledger.has(engine, slotId)) return Admission.GRANTED;
+    const occupancy = this.ledger.getOccupancy(engine);
+    const customer = lease.customer ?? '';
+    if (occupancy.countOfCustomer(customer) >= customerLimit) {
+      return Admission.REFUSED;
+    }
     const elsewhere = snapshot.countElsewhere(engine, this.self);
     const bound = this.computeBound(group, snapshot) - elsewhere;
     const request = {
       slotId,
-      customer: lease.customer ?? '',
+      customer,
       priority: lease.priority ?? PriorityClass.CONSULTATION,
       waitUntilMs: nowMs + waitMs,
     };
     const answer = this.findAdmission(engine).request(
       request,
-      this.ledger.getOccupancy(engine),
+      occupancy,
       Math.min(bound, this.getLimit(engine)),
       nowMs,
     );
--- a/packages/standins/src/bench/decisions/limits/customer_limiters.ts
+++ b/packages/standins/src/bench/decisions/limits/customer_limiters.ts
@@ -1,13 +1,13 @@
 import type {SeededRandom} from '@greengagecross/common';
-
+import {computeCustomerShare, EngineRing} from '@greengagecross/decisions';
 import type {BenchSize} from '../bench_size.js';
 import {CustomerHome} from './customer_home.js';
-import {computeCustomerShare} from './customer_subset.js';
 import {CustomerPermits, PermitState} from './customer_permits.js';
-import {EngineRing} from './engine_ring.js';
 
 const CUSTOMER = 'customer';
 const RENEW_MS = 3000;
+/** Engines that a request asks before it is refused. */
+const TRIED_ENGINES = 4;
 
 /** Ends one admitted request. */
 export type Release = (nowMs: number) => void;
@@ -123,7 +123,8 @@
 
   override acquire(random: SeededRandom): Release | undefined {
     const first = random.nextInt(this.subset.length);
-    for (let step = 0; step < this.subset.length; step += 1) {
+    const tries = Math.min(TRIED_ENGINES, this.subset.length);
+    for (let step = 0; step < tries; step += 1) {
       const engine = this.subset[(first + step) % this.subset.length] ?? '';
       // The directory sends the caller to the first engine's owner; trying
       // another engine asks its owner for a slot.
