Revert "Ask no engine that its owner reports as full"

Bounds follow the reported total, so at a start from idle every engine with one request counts as full, nobody asks it, and the total never rises.

Conclusion: reverted. Only the owner may decide that its engine is full.

--- a/packages/decisions/src/placement/cost_placement.ts
+++ b/packages/decisions/src/placement/cost_placement.ts
@@ -37,8 +37,7 @@
     const costs = this.getCosts(group.service);
     const others = listOthers(request, group, loads)
       .map(engine => makeChoice(costs, request, group, loads, engine))
-      .sort((a, b) => a.costMs - b.costMs)
-      .filter((choice, index) => index === 0 || isWorthAsking(choice, loads));
+      .sort((a, b) => a.costMs - b.costMs);
     const choices = sortChoices(costs, request, group, loads, others);
     const reason = findReason(choices[0], request.ticket, group, loads);
     return choices.map((choice, index) => ({
@@ -106,11 +105,6 @@
     : PlacementReason.WAIT_WARM;
 }
 
-/** A report that lags by less than a request takes mostly still holds. */
-function isWorthAsking(choice: PlacementChoice, loads: EngineLoads): boolean {
-  return loads.isOwn(choice.engine) || choice.inFlight < choice.bound;
-}
-
 interface LoadedEngine {
   readonly engine: string;
   /** Requests in flight, and under one more for the distance. */
