--- a/packages/decisions/src/placement/placement.feature
+++ b/packages/decisions/src/placement/placement.feature
@@ -25,6 +25,14 @@
     When a chat is placed with a ticket of a over 100 tokens
     Then the placement's first engine is a for the reason wait-warm
 
+  Scenario: Engines reported as full are asked all the same
+    A bound that follows a lagging total would otherwise keep a cold fleet cold.
+
+    Given engines a, b, c and d with 1,1,1,1 in flight, placed under a bound of 1
+    And another daemon counts the requests of every engine placed on
+    When a chat is placed with no ticket
+    Then the placement lists 4 engines to ask
+
   Scenario: The nearer of two engines otherwise equal is preferred
     Given engines a, b, c and d with 2,2,2,2 in flight, placed under a bound of 4
     When 50 new chats are placed from the zone of d
--- a/packages/decisions/src/placement/placement_steps.ts
+++ b/packages/decisions/src/placement/placement_steps.ts
@@ -109,6 +109,13 @@
   },
 );
 
+Then(
+  'the placement lists {int} engines to ask',
+  function (this: PlacementWorld, count: number) {
+    assert.equal(this.choices.length, count);
+  },
+);
+
 Then(
   /^the placement's first engine is (.+) for the reason (\S+)$/,
   function (this: PlacementWorld, expected: string, reason: string) {
