Hold customers' limits for plain services too

Change: one class runs a customer's requests within its limit for both handlers. Where an equal part is under one request, calls of plain services round it up: they have no owner that could count them for the fleet.

Conclusion: at today's 5 daemons the limit holds for both kinds; at 360 it holds for plain services only from some thousands up.

--- a/packages/daemon/src/callers/chat_handler.ts
+++ b/packages/daemon/src/callers/chat_handler.ts
@@ -10,28 +10,24 @@
   type Ticket,
   type TicketCodec,
 } from '@greengagecross/common';
-import type {CustomerLimit} from '@greengagecross/decisions';
 import type {HttpExchange} from '@greengagecross/http';
-import type {MemberService} from '../members/member_service.js';
 import {ChatStream} from '../relay/chat_stream.js';
 import {buildOutcomeHeaders} from './answer_refusal.js';
 import type {Authenticator} from './authenticator.js';
 import type {Caller} from './caller.js';
 import type {ChatJob} from './chat_attempt.js';
 import type {ChatDispatcher} from './chat_dispatcher.js';
+import type {LimitedCustomers} from './limited_customers.js';
 import {readRequest} from './read_request.js';
 import {makeCut, makeNotRun, type Refusal} from './refusal.js';
 
-const LIMIT_RETRY_MS = 1000;
-
 /** Answers chat completions, streamed or whole. */
 export class ChatHandler {
   constructor(
     private readonly authenticator: Authenticator,
     private readonly dispatcher: ChatDispatcher,
     private readonly tickets: TicketCodec,
-    private readonly limit: CustomerLimit,
-    private readonly members: MemberService,
+    private readonly customers: LimitedCustomers,
     private readonly cut: Effect.Effect<void>,
   ) {}
 
@@ -50,7 +46,7 @@
         body,
         isStream: request.stream === true,
       });
-      yield* this.runWithinLimit(job);
+      yield* this.customers.run(job.customer, this.dispatchAndFinish(job));
     });
   }
 
@@ -90,22 +86,6 @@
     return this.tickets.decode(text, customer, chat);
   }
 
-  private runWithinLimit(job: ChatJob): Effect.Effect<void, Refusal> {
-    const {id, maxInFlight} = job.customer;
-    const daemons = this.members.countLive();
-    return Effect.acquireUseRelease(
-      Effect.sync(() => this.limit.acquire(id, maxInFlight, daemons)),
-      isAdmitted =>
-        isAdmitted
-          ? this.dispatchAndFinish(job)
-          : Effect.fail(makeLimitRefusal()),
-      isAdmitted =>
-        Effect.sync(() => {
-          if (isAdmitted) this.limit.release(id);
-        }),
-    );
-  }
-
   /** A stream that has begun can only tell its refusal in its last event. */
   private dispatchAndFinish(job: ChatJob): Effect.Effect<void, Refusal> {
     return this.dispatcher.dispatch(job).pipe(
@@ -149,12 +129,3 @@
   }
   return Effect.succeed(service);
 }
-
-function makeLimitRefusal(): Refusal {
-  return makeNotRun(
-    RefusalReason.CUSTOMER_LIMIT,
-    429,
-    'the customer is at its limit',
-    LIMIT_RETRY_MS,
-  );
-}
--- /dev/null
+++ b/packages/daemon/src/callers/limited_customers_steps.ts
@@ -0,0 +1,70 @@
+import assert from 'node:assert/strict';
+import {Given, Then, When, type World} from '@cucumber/cucumber';
+import {Deferred, Effect, Exit, Fiber} from 'effect';
+import {Outcome, RefusalReason, type Customer} from '@greengagecross/common';
+import {CoarsePart, CustomerLimit} from '@greengagecross/decisions';
+import {LimitedCustomers} from './limited_customers.js';
+import type {Refusal} from './refusal.js';
+
+/** State of one scenario about a customer's limit on one daemon. */
+interface LimitedWorld extends World {
+  customers: LimitedCustomers;
+  customer: Customer;
+  run: number;
+  refusals: Refusal[];
+}
+
+Given(
+  'a customer limited to {int} requests before {int} daemons',
+  function (this: LimitedWorld, maxInFlight: number, daemons: number) {
+    this.customer = {id: 'customer', maxInFlight} as Customer;
+    const limit = new CustomerLimit(CoarsePart.ROUND_UP);
+    this.customers = new LimitedCustomers(limit, () => daemons);
+  },
+);
+
+When(
+  '{int} of its requests reach one daemon and {int} of them end first',
+  async function (this: LimitedWorld, sent: number, ended: number) {
+    const {customers, customer} = this;
+    this.run = 0;
+    this.refusals = [];
+    const program = Effect.gen({self: this}, function* () {
+      const ending = yield* Deferred.make<void>();
+      const fibers: Fiber.Fiber<Exit.Exit<void, Refusal>>[] = [];
+      for (let index = 0; index < sent; index += 1) {
+        const request = Effect.andThen(
+          Effect.sync(() => {
+            this.run += 1;
+          }),
+          index < ended ? Effect.void : Deferred.await(ending),
+        );
+        const running = Effect.exit(customers.run(customer, request));
+        fibers.push(yield* Effect.forkChild(running));
+        // Each request has begun or been refused before the next arrives.
+        yield* Effect.yieldNow;
+      }
+      yield* Deferred.succeed(ending, undefined);
+      return yield* Effect.forEach(fibers, Fiber.join);
+    });
+    for (const exit of await Effect.runPromise(program)) {
+      if (Exit.isSuccess(exit)) continue;
+      const [reason] = exit.cause.reasons;
+      assert.ok(reason?._tag === 'Fail');
+      this.refusals.push(reason.error);
+    }
+  },
+);
+
+Then(
+  '{int} of them run and {int} are told not-run because of customer-limit',
+  function (this: LimitedWorld, run: number, refused: number) {
+    assert.equal(this.run, run);
+    assert.equal(this.refusals.length, refused);
+    for (const refusal of this.refusals) {
+      assert.equal(refusal.outcome, Outcome.NOT_RUN);
+      assert.equal(refusal.reason, RefusalReason.CUSTOMER_LIMIT);
+      assert.ok((refusal.retryAfterMs ?? 0) > 0);
+    }
+  },
+);
--- a/packages/daemon/src/callers/service_handler.ts
+++ b/packages/daemon/src/callers/service_handler.ts
@@ -9,6 +9,7 @@
 import type {HttpExchange} from '@greengagecross/http';
 import type {Authenticator} from './authenticator.js';
 import type {Caller} from './caller.js';
+import type {LimitedCustomers} from './limited_customers.js';
 import {readRequest} from './read_request.js';
 import {makeNotRun, type Refusal} from './refusal.js';
 import type {RepeatableDispatcher} from './repeatable_dispatcher.js';
@@ -26,6 +27,7 @@
     private readonly authenticator: Authenticator,
     private readonly repeatable: RepeatableDispatcher,
     private readonly once: OnceDispatcher,
+    private readonly customers: LimitedCustomers,
   ) {}
 
   /** Answers `/v1/services/NAME/…`. */
@@ -54,9 +56,10 @@
           body,
         },
       };
-      yield* isRepeatable(service, exchange.method, path)
+      const dispatching = isRepeatable(service, exchange.method, path)
         ? this.repeatable.dispatch(job)
         : this.once.dispatch(job);
+      yield* this.customers.run(caller.customer, dispatching);
     });
   }
 }
--- a/packages/daemon/src/wiring/make_caller_router.ts
+++ b/packages/daemon/src/wiring/make_caller_router.ts
@@ -2,6 +2,7 @@
 import {hash32, SeededRandom} from '@greengagecross/common';
 import {
   BudgetedRetries,
+  CoarsePart,
   CustomerLimit,
   RetryBudget,
 } from '@greengagecross/decisions';
@@ -10,6 +11,7 @@
 import {ChatAttempt} from '../callers/chat_attempt.js';
 import {ChatDispatcher} from '../callers/chat_dispatcher.js';
 import {ChatHandler} from '../callers/chat_handler.js';
+import {LimitedCustomers} from '../callers/limited_customers.js';
 import {NextTurns} from '../callers/next_turns.js';
 import {DirectoryHandler} from '../callers/directory_handler.js';
 import {OnceDispatcher} from '../callers/once_dispatcher.js';
@@ -26,6 +28,7 @@
   cut: Effect.Effect<void>,
 ): CallerRouter {
   const {placement, broker, tickets, workers, members} = parts;
+  const countDaemons = (): number => members.countLive();
   const authenticator = new Authenticator(parts.configuration);
   const seed = hash32(`${parts.settings.id} ${parts.startedAtMs}`);
   const retries = new BudgetedRetries(
@@ -46,14 +49,17 @@
     authenticator,
     new ChatDispatcher(placement, broker, attempts, retries, parts.times),
     tickets,
-    new CustomerLimit(),
-    members,
+    new LimitedCustomers(
+      new CustomerLimit(CoarsePart.LEAVE_TO_OWNERS),
+      countDaemons,
+    ),
     cut,
   );
   const services = new ServiceHandler(
     authenticator,
     new RepeatableDispatcher(placement, workers, retries),
     new OnceDispatcher(placement, workers, parts.claims),
+    new LimitedCustomers(new CustomerLimit(CoarsePart.ROUND_UP), countDaemons),
   );
   return new CallerRouter(directory, chats, services, metrics, cut);
 }
--- a/packages/decisions/src/limits/customer_limit.ts
+++ b/packages/decisions/src/limits/customer_limit.ts
@@ -1,20 +1,26 @@
 import {isSplitOverDaemons} from './customer_share.js';
 
-/**
- * Bounds each customer's requests in flight on this daemon by an equal part.
- *
- * A part too coarse to hold the limit bounds nothing: for chats, the owners of
- * the customer's engines hold it then.
- */
+/** What a daemon does where its equal part is too coarse to hold a limit. */
+export enum CoarsePart {
+  /** Bounds nothing: the owners of the customer's engines hold the limit. */
+  LEAVE_TO_OWNERS = 'leave-to-owners',
+  /** Admits the part rounded up, so that all daemons may exceed the limit. */
+  ROUND_UP = 'round-up',
+}
+
+/** Bounds each customer's requests in flight on this daemon by an equal part. */
 export class CustomerLimit {
   private readonly inFlight = new Map<string, number>();
 
-  /** Acquires room for one request unless the customer is at its share. */
+  constructor(private readonly coarsePart: CoarsePart) {}
+
+  /** Acquires room for one request unless the customer is at its part. */
   acquire(customer: string, maxInFlight: number, daemonCount: number): boolean {
     const taken = this.inFlight.get(customer) ?? 0;
-    const isHeldHere = isSplitOverDaemons(maxInFlight, daemonCount);
     const part = Math.ceil(maxInFlight / Math.max(1, daemonCount));
-    if (isHeldHere && taken >= part) return false;
+    if (taken >= part && this.isHeldHere(maxInFlight, daemonCount)) {
+      return false;
+    }
     this.inFlight.set(customer, taken + 1);
     return true;
   }
@@ -25,4 +31,9 @@
     if (taken <= 1) this.inFlight.delete(customer);
     else this.inFlight.set(customer, taken - 1);
   }
+
+  private isHeldHere(maxInFlight: number, daemonCount: number): boolean {
+    if (this.coarsePart === CoarsePart.ROUND_UP) return true;
+    return isSplitOverDaemons(maxInFlight, daemonCount);
+  }
 }
--- a/packages/decisions/src/limits/customer_limit_steps.ts
+++ b/packages/decisions/src/limits/customer_limit_steps.ts
@@ -7,7 +7,7 @@
 import {LoadSnapshot} from '../placement/load_snapshot.js';
 import {SlotAuthority} from '../placement/slot_authority.js';
 import {Admission} from './engine_admission.js';
-import {CustomerLimit} from './customer_limit.js';
+import {CoarsePart, CustomerLimit} from './customer_limit.js';
 
 const LEASE_MS = 10_000;
 /** Lets one engine carry everything. */
@@ -57,7 +57,7 @@
     const chosen = new CustomerEngines();
     this.granted = 0;
     for (let daemon = 0; daemon < daemons; daemon += 1) {
-      const own = new CustomerLimit();
+      const own = new CustomerLimit(CoarsePart.LEAVE_TO_OWNERS);
       const share = chosen.find(CUSTOMER, limit, group, daemons);
       const engines = share?.engines ?? group.hashedIds;
       for (let chat = 0; chat < 2 * limit; chat += 1) {
