Keep a busy fleet of many daemons from suspecting itself

60 daemons on sockets did not settle. Each failed heartbeat cost up to eight more calls on new connections (8 in 10 failed calls were on connections that had been accepted but not yet read), false news was sent at 200 members a second a daemon, and the state held itself up: 120 to 334 KB/s a daemon for as long as it was watched, 37 to 50 of 60 known. Ruled out: a fixed number of neighbours (4 links a daemon stayed), the size of heartbeats at rest (7.0 KB/s), event loops (longest stop 100 to 700 ms, below two limits).

Now: the limit follows the slowest reply of late (400 to 1200 ms), a suspicion by silence leaves a second to refute it before links or callers move, a suspect is told of it in one message, news is gathered for 0.4 s in larger fleets, links remember a version of the table and send changes, and a digest in 32 shares takes the place of sending everything again. Heartbeats between two neighbours go every 2 s where not all are neighbours (each daemon is watched by two); statuses of others are relayed up to 40 daemons.

--- a/packages/daemon/src/members/heartbeat_exchange.ts
+++ b/packages/daemon/src/members/heartbeat_exchange.ts
@@ -1,6 +1,10 @@
 import {Clock, Effect, Latch} from 'effect';
 import {MemberState, type Address, type Member} from '@greengagecross/common';
-import {LinkKnowledge, type MemberTable} from '@greengagecross/decisions';
+import {
+  LinkKnowledge,
+  type MemberTable,
+  type ReplyTimeout,
+} from '@greengagecross/decisions';
 import {
   HeartbeatSchema,
   PeerMethod,
@@ -11,9 +15,8 @@
 import type {HostFollower} from '../hosts/host_follower.js';
 import type {SelfRecord} from './self_record.js';
 
-/** Statuses of others that go with one heartbeat where not all are neighbours. */
-const MAX_RELAYED_STATUSES = 2;
 const SMALL_FLEET = 4;
+const MEDIUM_FLEET = 40;
 
 /** Makes heartbeats for each peer from what it does not know yet. */
 export class HeartbeatExchange {
@@ -27,6 +30,7 @@
     private readonly table: MemberTable,
     private readonly hosts: HostFollower,
     private readonly peers: PeerCaller,
+    private readonly timeout: ReplyTimeout,
   ) {}
 
   /** Gets the highest revision of the configuration that any member told. */
@@ -34,6 +38,12 @@
     return this.highestRevision;
   }
 
+  /** Tells the neighbours when this daemon itself runs a newer revision. */
+  observeOwnRevision(): void {
+    const {configurationRevision} = this.self.getMember();
+    if (this.updateRevision(configurationRevision)) this.wake();
+  }
+
   /** Wakes the fibers of all neighbours, which send what is new to theirs. */
   wake(): void {
     this.news.openUnsafe();
@@ -44,7 +54,7 @@
   hasNews(peer: string): boolean {
     const link = this.getLink(peer);
     return (
-      link.chooseMembers(this.listMembers()).length > 0 ||
+      link.chooseMembers(this.self.getMember()).length > 0 ||
       link.revision < this.highestRevision ||
       link.hostVersion < this.hosts.getNews().version
     );
@@ -54,15 +64,20 @@
   send(
     address: Address,
     peer: string | undefined,
+    timeoutMs?: number,
   ): Effect.Effect<string, PeerError> {
     return Effect.gen({self: this}, function* () {
       const sent = this.make(peer);
+      const startMs = yield* Clock.currentTimeMillis;
       const answer = yield* this.peers.send(
         address,
         PeerMethod.HEARTBEAT,
         sent,
         HeartbeatSchema,
+        timeoutMs ?? this.timeout.computeMs(startMs),
       );
+      const endMs = yield* Clock.currentTimeMillis;
+      this.timeout.recordReply(endMs - startMs, endMs);
       this.recordTold(answer.from, sent);
       yield* this.receive(answer);
       return answer.from;
@@ -72,7 +87,8 @@
   /** Takes in a heartbeat and makes the answer to it. */
   answer(heartbeat: Heartbeat): Effect.Effect<Heartbeat> {
     return Effect.map(this.receive(heartbeat), () => {
-      const answer = this.make(heartbeat.from);
+      const isDigestAsked = heartbeat.digest !== undefined;
+      const answer = this.make(heartbeat.from, isDigestAsked);
       // A lost answer shows in the hashes of the heartbeats after it.
       this.recordTold(heartbeat.from, answer);
       return answer;
@@ -84,26 +100,33 @@
     for (const {id} of forgotten) this.links.delete(id);
   }
 
-  private make(peer: string | undefined): Heartbeat {
+  private make(peer: string | undefined, isDigestAsked = false): Heartbeat {
     const own = this.self.getMember();
     const {id, incarnation} = own;
-    const link = peer === undefined ? new LinkKnowledge() : this.getLink(peer);
-    const others = this.table.listKnown();
-    const members = link.chooseMembers([own, ...others]);
-    const relayed = others.filter(member => member.id !== peer);
-    const limit = others.length <= SMALL_FLEET ? 0 : MAX_RELAYED_STATUSES;
+    const link =
+      peer === undefined ? new LinkKnowledge(this.table) : this.getLink(peer);
+    const news = link.chooseMembers(own);
+    // A suspect may be gone; if not, it first has to refute that.
+    const isSuspect = peer !== undefined && this.table.isSuspect(peer);
+    const members = isSuspect
+      ? news.filter(member => member === own || member.id === peer)
+      : news;
+    const others = this.table.listKnown().filter(({id}) => id !== peer);
+    const isOwnTold = members.includes(own);
     const statuses = [
-      ...link.chooseStatuses([own], 1),
-      ...link.chooseStatuses(relayed, limit),
+      ...link.chooseStatuses(isOwnTold ? [] : [own], 1),
+      ...link.chooseStatuses(others, computeRelayed(others.length)),
     ];
     this.updateRevision(own.configurationRevision);
     const hosts = this.hosts.getNews();
+    const hasDigest = isDigestAsked || link.isDigestNeeded();
     return {
       from: id,
       incarnation,
       members,
       statuses,
       tableHash: this.table.computeHash(own),
+      ...(hasDigest ? {digest: this.table.computeDigest(own)} : {}),
       highestRevision: this.highestRevision,
       ...(hosts.version > link.hostVersion ? {hosts} : {}),
     };
@@ -125,9 +148,8 @@
         .map(member => this.observe(member, nowMs));
       for (const status of statuses) this.table.observeStatus(status);
       this.table.recordHeard(from, nowMs);
-      link.record(members, statuses);
-      const isEqual = heartbeat.tableHash === this.computeHash();
-      link.recordMatch(isEqual, this.listMembers(), nowMs);
+      this.observeHash(heartbeat, link, nowMs);
+      link.recordHeard(members, statuses);
       link.revision = heartbeat.highestRevision;
       const isNewerRevision = this.updateRevision(heartbeat.highestRevision);
       const isHostNews = this.observeHosts(heartbeat, link);
@@ -151,8 +173,16 @@
     return this.hosts.observeNews(hosts);
   }
 
-  private computeHash(): number {
-    return this.table.computeHash(this.self.getMember());
+  private observeHash(
+    {tableHash, digest}: Heartbeat,
+    link: LinkKnowledge,
+    nowMs: number,
+  ): void {
+    const own = this.self.getMember();
+    const isEqual = tableHash === this.table.computeHash(own);
+    link.recordMatch(isEqual, own, nowMs);
+    if (isEqual || digest === undefined) return;
+    link.recordDiffering(this.table.listDiffering(own, digest), own);
   }
 
   private updateRevision(revision: number): boolean {
@@ -163,20 +193,24 @@
 
   private recordTold(peer: string, told: Heartbeat): void {
     const link = this.getLink(peer);
-    link.record(told.members, told.statuses);
+    const {members, statuses, digest} = told;
+    const own = this.self.getMember();
+    link.recordTold(own, members, statuses, digest !== undefined);
     link.revision = Math.max(link.revision, told.highestRevision);
     link.hostVersion = Math.max(link.hostVersion, told.hosts?.version ?? 0);
   }
 
-  private listMembers(): Member[] {
-    return [this.self.getMember(), ...this.table.listKnown()];
-  }
-
   private getLink(peer: string): LinkKnowledge {
     const known = this.links.get(peer);
     if (known !== undefined) return known;
-    const link = new LinkKnowledge();
+    const link = new LinkKnowledge(this.table);
     this.links.set(peer, link);
     return link;
   }
 }
+
+/** Statuses of others that go with one heartbeat; in larger fleets too few. */
+function computeRelayed(others: number): number {
+  if (others <= SMALL_FLEET) return 0;
+  return others <= MEDIUM_FLEET ? 2 : 0;
+}
--- a/packages/daemon/src/members/member_service.ts
+++ b/packages/daemon/src/members/member_service.ts
@@ -9,7 +9,11 @@
   type DaemonSettings,
   type Member,
 } from '@greengagecross/common';
-import type {MemberTable, NeighbourPolicy} from '@greengagecross/decisions';
+import {
+  ReplyTimeout,
+  type MemberTable,
+  type NeighbourPolicy,
+} from '@greengagecross/decisions';
 import type {Heartbeat, PeerCaller, Probe} from '@greengagecross/peers';
 import type {HostFollower} from '../hosts/host_follower.js';
 import {ContactList} from './contact_list.js';
@@ -18,6 +22,10 @@
 import {OwnDelay} from './own_delay.js';
 import {SelfRecord, type SelfReport} from './self_record.js';
 
+/** Share of a heartbeat for which its reply is awaited. */
+const REPLY_SHARE = 0.4;
+/** Heartbeats for which the reply of an unknown daemon is awaited. */
+const CONTACT_HEARTBEATS = 2;
 const ANNOUNCE_RETRIES = 3;
 const MAX_MISSED_TICKS = 20;
 const TICKS_PER_HEARTBEAT = 4;
@@ -44,7 +52,14 @@
   ) {
     const random = new SeededRandom(hash32(`${settings.id} ${incarnation}`));
     this.self = new SelfRecord(settings, incarnation, reportSelf);
-    this.exchange = new HeartbeatExchange(this.self, table, hosts, peers);
+    const timeout = new ReplyTimeout(heartbeatMs * REPLY_SHARE);
+    this.exchange = new HeartbeatExchange(
+      this.self,
+      table,
+      hosts,
+      peers,
+      timeout,
+    );
     const sources = {
       listHosts: () =>
         hosts
@@ -62,6 +77,7 @@
       policy,
       random,
       this.ownDelay,
+      timeout,
     );
   }
 
@@ -146,7 +162,7 @@
   /** Sends this daemon's state to its neighbours at once; none may miss it. */
   reportToPeers(): Effect.Effect<void> {
     const addresses = this.watches
-      .listNeighbours()
+      .listNeighbours(this.lastTickMs)
       .map(member => member.controlAddress);
     const contacts = addresses.length > 0 ? [] : this.chooseContacts();
     return Effect.forEach(
@@ -172,6 +188,7 @@
           this.removeForgotten(nowMs);
           yield* this.tryContacts(tries);
         }
+        this.exchange.observeOwnRevision();
         yield* this.watches.update();
         yield* Effect.raceFirst(
           Effect.sleep(this.heartbeatMs / TICKS_PER_HEARTBEAT),
@@ -201,7 +218,9 @@
   }
 
   private tryContact(address: Address): Effect.Effect<void> {
-    return this.exchange.send(address, this.findIdAt(address)).pipe(
+    const timeoutMs = CONTACT_HEARTBEATS * this.heartbeatMs;
+    const peer = this.findIdAt(address);
+    return this.exchange.send(address, peer, timeoutMs).pipe(
       Effect.map(id => logger.log('A peer answers.', {id})),
       Effect.ignore,
     );
--- a/packages/daemon/src/members/neighbour_watches.ts
+++ b/packages/daemon/src/members/neighbour_watches.ts
@@ -1,9 +1,10 @@
 import {Clock, Effect, FiberMap, type Scope} from 'effect';
 import type {Member, SeededRandom} from '@greengagecross/common';
-import type {
-  MemberTable,
-  Neighbours,
-  NeighbourPolicy,
+import {
+  type MemberTable,
+  type Neighbours,
+  type NeighbourPolicy,
+  type ReplyTimeout,
 } from '@greengagecross/decisions';
 import type {PeerCaller} from '@greengagecross/peers';
 import type {HeartbeatExchange} from './heartbeat_exchange.js';
@@ -11,7 +12,11 @@
 import {PeerWatch} from './peer_watch.js';
 
 const HELPERS = 3;
+const LARGE_FLEET_HELPERS = 2;
+const LARGE_FLEET = 5;
 const MIN_UPDATE_GAP_MS = 200;
+/** A suspicion comes to hold without any news. */
+const MAX_UPDATE_GAP_MS = 1000;
 
 type WatchFibers = FiberMap.FiberMap<string, void>;
 
@@ -31,19 +36,21 @@
     private readonly policy: NeighbourPolicy,
     private readonly random: SeededRandom,
     private readonly ownDelay: OwnDelay,
+    private readonly timeout: ReplyTimeout,
   ) {}
 
   /** Starts and ends fibers where the members have changed. */
   update(): Effect.Effect<void, never, Scope.Scope> {
     return Effect.gen({self: this}, function* () {
-      if (this.table.getVersion() === this.watchedVersion) return;
       const nowMs = yield* Clock.currentTimeMillis;
-      if (nowMs - this.updatedAtMs < MIN_UPDATE_GAP_MS) return;
+      const ageMs = nowMs - this.updatedAtMs;
+      const isChanged = this.table.getVersion() !== this.watchedVersion;
+      if (ageMs < (isChanged ? MIN_UPDATE_GAP_MS : MAX_UPDATE_GAP_MS)) return;
       this.updatedAtMs = nowMs;
       this.watchedVersion = this.table.getVersion();
       this.targets ??= yield* FiberMap.make<string, void>();
       this.sources ??= yield* FiberMap.make<string, void>();
-      const {targets, sources} = this.chooseNeighbours();
+      const {targets, sources} = this.chooseNeighbours(nowMs);
       yield* this.updateFibers(this.targets, targets, true);
       const others = sources.filter(id => !targets.includes(id));
       yield* this.updateFibers(this.sources, others, false);
@@ -51,15 +58,15 @@
   }
 
   /** Lists the members with which heartbeats are exchanged. */
-  listNeighbours(): Member[] {
-    const {targets, sources} = this.chooseNeighbours();
+  listNeighbours(nowMs: number): Member[] {
+    const {targets, sources} = this.chooseNeighbours(nowMs);
     return [...new Set([...targets, ...sources])].flatMap(
       id => this.table.find(id) ?? [],
     );
   }
 
-  private chooseNeighbours(): Neighbours {
-    const others = this.table.listHeard().map(member => member.id);
+  private chooseNeighbours(nowMs: number): Neighbours {
+    const others = this.table.listWatched(nowMs).map(member => member.id);
     return this.policy.choose(this.selfId, others);
   }
 
@@ -89,14 +96,16 @@
       this.heartbeatMs,
       () => this.chooseHelpers(id),
       this.ownDelay,
+      this.timeout,
     );
   }
 
   /** Chooses members that are there, from a random one on. */
   private chooseHelpers(id: string): Member[] {
     const others = this.table.listHeard().filter(member => member.id !== id);
-    if (others.length <= HELPERS) return others;
+    const count = others.length < LARGE_FLEET ? HELPERS : LARGE_FLEET_HELPERS;
+    if (others.length <= count) return others;
     const start = this.random.nextInt(others.length);
-    return [...others, ...others].slice(start, start + HELPERS);
+    return [...others, ...others].slice(start, start + count);
   }
 }
--- a/packages/daemon/src/members/peer_watch.ts
+++ b/packages/daemon/src/members/peer_watch.ts
@@ -1,19 +1,38 @@
 import {Clock, Effect} from 'effect';
 import {Logger, type Member} from '@greengagecross/common';
-import type {MemberTable} from '@greengagecross/decisions';
+import {
+  computeHeartbeatMs,
+  computeNewsGapMs,
+  isLargeFleet,
+  type MemberTable,
+  type ReplyTimeout,
+} from '@greengagecross/decisions';
 import {
   PeerMethod,
   ProbeAnswerSchema,
   type PeerCaller,
+  type PeerError,
 } from '@greengagecross/peers';
 import type {HeartbeatExchange} from './heartbeat_exchange.js';
 import type {OwnDelay} from './own_delay.js';
 
 /** Heartbeats that a source may miss before it is asked. */
-const SOURCE_SILENCE_HEARTBEATS = 2.5;
-const MIN_GAP_MS = 100;
+const SOURCE_SILENCE_HEARTBEATS = 2;
+/** Share of the time between heartbeats after which a suspect is tried again. */
+const RETRY_SHARE = 0.25;
+/** A helper itself waits for the member. */
+const PROBE_FACTOR = 1.5;
+const REFUSED_CODE = 'ECONNREFUSED';
 const logger = new Logger('members');
 
+/** How far tries to reach a neighbour came. */
+enum Reach {
+  REACHED,
+  SILENT,
+  /** Its host answers that nothing listens there. */
+  REFUSED,
+}
+
 /** Watches one neighbour, in its own fiber. */
 export class PeerWatch {
   private sentAtMs = 0;
@@ -21,6 +40,7 @@
 
   /**
    * @param isTarget whether this daemon sends its heartbeats
+   * @param heartbeatMs time between two heartbeats in a small fleet
    * @param chooseHelpers daemons that may try the neighbour on its behalf
    */
   constructor(
@@ -32,27 +52,32 @@
     private readonly heartbeatMs: number,
     private readonly chooseHelpers: () => readonly Member[],
     private readonly ownDelay: OwnDelay,
+    private readonly timeout: ReplyTimeout,
   ) {}
 
-  /** Watches the neighbour until it is suspected. */
+  /** Watches the neighbour; one that it suspects hears of it if it is there. */
   run(): Effect.Effect<void> {
     return Effect.gen({self: this}, function* () {
       let dueMs = 0;
       for (;;) {
         yield* this.waitTurn(dueMs);
         const nowMs = yield* Clock.currentTimeMillis;
-        dueMs = nowMs + this.heartbeatMs;
+        dueMs = nowMs + this.computeIntervalMs();
         const member = this.table.find(this.id);
         if (member === undefined) return;
         if (!this.isTarget && !this.isAsked(nowMs)) continue;
         this.sentAtMs = nowMs;
-        if (yield* this.isReached(member)) continue;
+        const reach = yield* this.tryReach(member);
+        if (reach === Reach.REACHED) continue;
         const failedAtMs = yield* Clock.currentTimeMillis;
         if (this.ownDelay.isLate(failedAtMs)) continue;
-        this.table.setSuspect(this.id, failedAtMs);
+        const isSuspect = this.table.isSuspect(this.id);
+        const isCertain =
+          reach === Reach.REFUSED || !isLargeFleet(this.table.countHeard());
+        this.table.setSuspect(this.id, failedAtMs, isCertain);
         this.exchange.wake();
-        logger.log('A peer is suspected.', {id: this.id});
-        return;
+        dueMs = failedAtMs + this.computeIntervalMs() * RETRY_SHARE;
+        if (!isSuspect) logger.log('A peer is suspected.', {id: this.id});
       }
     });
   }
@@ -70,7 +95,9 @@
         );
       }
       const nowMs = yield* Clock.currentTimeMillis;
-      const waitMs = this.sentAtMs + MIN_GAP_MS - nowMs;
+      const gapMs = computeNewsGapMs(this.heartbeatMs, this.table.countHeard());
+      const spacedMs = gapMs * this.timeout.computeSlowness(nowMs);
+      const waitMs = this.sentAtMs + spacedMs - nowMs;
       if (waitMs > 0) yield* Effect.sleep(waitMs);
     });
   }
@@ -78,51 +105,73 @@
   /** A source is asked when it went silent or misses news. */
   private isAsked(nowMs: number): boolean {
     const silenceMs = this.table.computeSilenceMs(this.id, nowMs);
-    const limitMs = SOURCE_SILENCE_HEARTBEATS * this.heartbeatMs;
+    const limitMs = SOURCE_SILENCE_HEARTBEATS * this.computeIntervalMs();
     return silenceMs > limitMs || this.exchange.hasNews(this.id);
   }
 
-  /** Tries twice, then asks others, so that one bad link suspects nobody. */
-  private isReached(member: Member): Effect.Effect<boolean> {
+  private computeIntervalMs(): number {
+    return computeHeartbeatMs(this.heartbeatMs, this.table.countHeard());
+  }
+
+  /** Tries again and asks others, so that one bad link suspects nobody. */
+  private tryReach(member: Member): Effect.Effect<Reach> {
     return Effect.gen({self: this}, function* () {
-      for (let tries = 0; tries < 2; tries += 1) {
-        if (!(yield* this.trySend(member))) continue;
+      const first = yield* this.trySend(member);
+      if (first === Reach.REACHED) {
         this.logCutOff(false);
-        return true;
+        return first;
       }
-      const isReachedByOthers = yield* this.askOthers(member);
-      if (isReachedByOthers) this.logCutOff(true);
-      return isReachedByOthers;
+      if (this.table.isSuspect(this.id)) return first;
+      const nowMs = yield* Clock.currentTimeMillis;
+      const probeMs = PROBE_FACTOR * this.timeout.computeMs(nowMs);
+      if (first === Reach.SILENT) this.timeout.recordLate(nowMs);
+      const [second, isReachedByOthers] = yield* Effect.all(
+        [this.trySend(member), this.askOthers(member, probeMs)],
+        {concurrency: 'unbounded'},
+      );
+      if (second === Reach.REACHED) return second;
+      if (isReachedByOthers) {
+        this.logCutOff(true);
+        return Reach.REACHED;
+      }
+      return first === second ? second : Reach.SILENT;
     });
   }
 
-  private trySend(member: Member): Effect.Effect<boolean> {
+  private trySend(member: Member): Effect.Effect<Reach> {
     return this.exchange.send(member.controlAddress, member.id).pipe(
-      Effect.map(answerer => answerer === member.id),
-      Effect.catch(() => Effect.succeed(false)),
+      // Another daemon at the address has taken the place of this one.
+      Effect.map(id => (id === member.id ? Reach.REACHED : Reach.REFUSED)),
+      Effect.catch(error =>
+        Effect.succeed(isRefused(error) ? Reach.REFUSED : Reach.SILENT),
+      ),
     );
   }
 
-  private askOthers(member: Member): Effect.Effect<boolean> {
-    const {id, controlAddress} = member;
+  private askOthers(member: Member, timeoutMs: number): Effect.Effect<boolean> {
     const asking = this.chooseHelpers().map(helper =>
-      this.peers
-        .send(
-          helper.controlAddress,
-          PeerMethod.PROBE,
-          {id, controlAddress},
-          ProbeAnswerSchema,
-        )
-        .pipe(
-          Effect.map(answer => answer.reached),
-          Effect.catch(() => Effect.succeed(false)),
-        ),
+      this.askHelper(helper, member, timeoutMs),
     );
     return Effect.map(Effect.all(asking, {concurrency: 'unbounded'}), answers =>
       answers.includes(true),
     );
   }
 
+  private askHelper(
+    helper: Member,
+    {id, controlAddress}: Member,
+    timeoutMs: number,
+  ): Effect.Effect<boolean> {
+    const probe = {id, controlAddress};
+    const {PROBE} = PeerMethod;
+    return this.peers
+      .send(helper.controlAddress, PROBE, probe, ProbeAnswerSchema, timeoutMs)
+      .pipe(
+        Effect.map(answer => answer.reached),
+        Effect.catch(() => Effect.succeed(false)),
+      );
+  }
+
   private logCutOff(isCutOff: boolean): void {
     if (isCutOff === this.isCutOff) return;
     this.isCutOff = isCutOff;
@@ -135,3 +184,7 @@
     );
   }
 }
+
+function isRefused(error: PeerError): boolean {
+  return error.message.includes(REFUSED_CODE);
+}
--- a/packages/decisions/src/members/link_knowledge.ts
+++ b/packages/decisions/src/members/link_knowledge.ts
@@ -1,38 +1,65 @@
 import type {Member, MemberStatus} from '@greengagecross/common';
 import {makeStateKey, toStatus} from './member_order.js';
+import type {MemberTable} from './member_table.js';
 
 const MAX_MEMBERS_PER_MESSAGE = 20;
-const RESEND_AFTER_MS = 5000;
+const DIGEST_AFTER_MS = 2000;
+const UNKNOWN = '';
 
-/** What one daemon knows that a neighbour knows of the members. */
+/**
+ * What one daemon knows that a neighbour knows of the members: all changes up
+ * to a version of its own table, and the exceptions from that.
+ */
 export class LinkKnowledge {
-  private readonly states = new Map<string, string>();
+  private toldVersion = 0;
+  private readonly exceptions = new Map<string, string>();
   private readonly sequences = new Map<string, number>();
+  private ownKey = UNKNOWN;
   private incarnation = 0;
   private mismatchSinceMs: number | undefined;
+  /** Whether the next message should say what is known, in short. */
+  private isDigestDue = true;
   /** Version of the host news that the neighbour has. */
   hostVersion = 0;
   /** Highest revision of the configuration that it told or was told. */
   revision = 0;
 
+  constructor(private readonly table: MemberTable) {
+    this.toldVersion = table.getVersion();
+  }
+
   /** Forgets everything when the neighbour was started again. */
   observeIncarnation(incarnation: number): void {
     if (this.incarnation === incarnation) return;
     this.incarnation = incarnation;
-    this.removeAll();
+    this.toldVersion = this.table.getVersion();
+    this.exceptions.clear();
+    this.sequences.clear();
+    this.ownKey = UNKNOWN;
+    this.mismatchSinceMs = undefined;
+    this.isDigestDue = true;
+    this.hostVersion = 0;
+    this.revision = 0;
+  }
+
+  /** Tells whether the neighbour should be sent a digest. */
+  isDigestNeeded(): boolean {
+    return this.isDigestDue;
   }
 
   /** Chooses the members whose state the neighbour does not know. */
-  chooseMembers(members: readonly Member[]): Member[] {
-    const unknown = members.filter(member => !this.isKnown(member));
-    return unknown.slice(0, MAX_MEMBERS_PER_MESSAGE);
+  chooseMembers(own: Member): Member[] {
+    const news = this.listNews();
+    if (news.length <= MAX_MEMBERS_PER_MESSAGE) this.updateTold(news);
+    const isOwnNews = this.ownKey !== makeStateKey(own);
+    const chosen = isOwnNews ? [own, ...news] : news;
+    return chosen.slice(0, MAX_MEMBERS_PER_MESSAGE);
   }
 
   /** Chooses the statuses that are furthest ahead of what it knows. */
   chooseStatuses(members: readonly Member[], limit: number): MemberStatus[] {
     if (limit === 0) return [];
     return members
-      .filter(member => this.isKnown(member))
       .map(member => ({member, lag: this.computeLag(member)}))
       .filter(({lag}) => lag > 0)
       .sort((a, b) => b.lag - a.lag)
@@ -40,50 +67,84 @@
       .map(({member}) => toStatus(member));
   }
 
-  /** Records what the neighbour told, or has been told. */
-  record(members: readonly Member[], statuses: readonly MemberStatus[]): void {
+  /** Records what the neighbour told of itself and others. */
+  recordHeard(
+    members: readonly Member[],
+    statuses: readonly MemberStatus[],
+  ): void {
     for (const member of members) {
-      this.states.set(member.id, makeStateKey(member));
+      this.exceptions.set(member.id, makeStateKey(member));
       this.recordStatus(member);
     }
     for (const status of statuses) this.recordStatus(status);
   }
 
-  /** Records that the neighbour knows all of these states, or that it may not. */
-  recordMatch(
-    isEqual: boolean,
+  /** Records what the neighbour has been told. */
+  recordTold(
+    own: Member,
     members: readonly Member[],
-    nowMs: number,
+    statuses: readonly MemberStatus[],
+    isDigest: boolean,
   ): void {
+    this.recordHeard(members, statuses);
+    const told = members.find(member => member.id === own.id);
+    if (told !== undefined) this.ownKey = makeStateKey(told);
+    if (isDigest) this.isDigestDue = false;
+  }
+
+  /** Records whether the neighbour's table equals the own one. */
+  recordMatch(isEqual: boolean, own: Member, nowMs: number): void {
     if (isEqual) {
       this.mismatchSinceMs = undefined;
-      for (const member of members) {
-        this.states.set(member.id, makeStateKey(member));
-      }
+      this.isDigestDue = false;
+      this.toldVersion = this.table.getVersion();
+      this.exceptions.clear();
+      this.ownKey = makeStateKey(own);
       return;
     }
     this.mismatchSinceMs ??= nowMs;
-    // Some news was lost on the way; all of it is sent again.
-    if (nowMs - this.mismatchSinceMs > RESEND_AFTER_MS) this.removeAll();
+    if (nowMs - this.mismatchSinceMs <= DIGEST_AFTER_MS) return;
+    // Some news was lost on the way; digests show where.
+    this.mismatchSinceMs = undefined;
+    this.isDigestDue = true;
   }
 
-  private recordStatus({id, sequence}: MemberStatus): void {
-    this.sequences.set(id, sequence);
+  /** Records that the neighbour may not know these members. */
+  recordDiffering(members: readonly Member[], own: Member): void {
+    for (const {id} of members) {
+      if (id === own.id) this.ownKey = UNKNOWN;
+      else this.exceptions.set(id, UNKNOWN);
+    }
   }
 
-  private isKnown(member: Member): boolean {
-    return this.states.get(member.id) === makeStateKey(member);
+  private listNews(): Member[] {
+    const changed = this.table.listChanged(this.toldVersion);
+    const ids = new Set(changed.map(member => member.id));
+    for (const id of this.exceptions.keys()) {
+      if (ids.has(id)) continue;
+      const member = this.table.find(id);
+      if (member !== undefined) changed.push(member);
+    }
+    return changed.filter(
+      member => this.exceptions.get(member.id) !== makeStateKey(member),
+    );
   }
 
-  private computeLag({id, sequence}: Member): number {
-    return sequence - (this.sequences.get(id) ?? 0);
+  /** Keeps as exceptions only what the neighbour does not know so far. */
+  private updateTold(news: readonly Member[]): void {
+    this.toldVersion = this.table.getVersion();
+    const differing = new Map(
+      news.map(({id}) => [id, this.exceptions.get(id) ?? UNKNOWN]),
+    );
+    this.exceptions.clear();
+    for (const [id, key] of differing) this.exceptions.set(id, key);
   }
 
-  private removeAll(): void {
-    this.states.clear();
-    this.sequences.clear();
-    this.mismatchSinceMs = undefined;
-    this.hostVersion = 0;
-    this.revision = 0;
+  private recordStatus({id, sequence}: MemberStatus): void {
+    this.sequences.set(id, sequence);
+  }
+
+  private computeLag({id, sequence}: Member): number {
+    return sequence - (this.sequences.get(id) ?? 0);
   }
 }
--- a/packages/decisions/src/members/member_table.ts
+++ b/packages/decisions/src/members/member_table.ts
@@ -11,6 +11,8 @@
   toStatus,
 } from './member_order.js';
 
+const DIGEST_SHARES = 32;
+
 /** What a daemon knows of one member. */
 interface MemberEntry {
   member: Member;
@@ -18,6 +20,8 @@
   heardAtMs: number;
   /** When its state last changed here, in milliseconds of the local clock. */
   changedAtMs: number;
+  /** Version of the table with that change. */
+  changedVersion: number;
   /** What holds until it has had time to refute that it is suspect. */
   suspicion?: Suspicion;
 }
@@ -42,8 +46,8 @@
 export class MemberTable {
   private readonly entries = new Map<string, MemberEntry>();
   private version = 0;
-  private hashedVersion = -1;
-  private hash = 0;
+  private digestVersion = -1;
+  private digest: number[] = [];
 
   constructor(
     private readonly selfId: string,
@@ -71,8 +75,7 @@
     const isSameRun = news.incarnation === known.member.incarnation;
     const status = isSameRun ? toStatus(known.member) : {};
     known.member = {...news, ...status};
-    known.changedAtMs = nowMs;
-    this.version += 1;
+    this.recordChange(known, nowMs);
     return true;
   }
 
@@ -89,16 +92,22 @@
     if (known !== undefined) known.heardAtMs = nowMs;
   }
 
-  /** Suspects a member that none of those asked could reach. */
-  setSuspect(id: string, nowMs: number): void {
+  /**
+   * Suspects a member that none of those asked could reach.
+   *
+   * @param isCertain whether it counts as gone at once, as where its host
+   *     refused connections; else the member has time to refute it
+   */
+  setSuspect(id: string, nowMs: number, isCertain: boolean): void {
     const known = this.entries.get(id);
     if (known === undefined) return;
     const news = {...known.member, state: MemberState.SUSPECT};
-    this.updateSuspicion(known, news, nowMs, true);
+    const holdsFromMs = isCertain ? nowMs : nowMs + this.options.refuteMs;
+    const untilMs = known.suspicion?.holdsFromMs ?? holdsFromMs;
+    this.updateSuspicion(known, news, Math.min(untilMs, holdsFromMs), true);
     if (known.member.state === MemberState.SUSPECT) return;
     known.member = news;
-    known.changedAtMs = nowMs;
-    this.version += 1;
+    this.recordChange(known, nowMs);
   }
 
   /**
@@ -110,7 +119,7 @@
       if (entry.suspicion?.isOwn !== true) continue;
       entry.member = {...entry.member, state: entry.suspicion.stateBefore};
       delete entry.suspicion;
-      this.version += 1;
+      this.recordChange(entry, entry.changedAtMs);
     }
   }
 
@@ -141,11 +150,31 @@
     return this.listKnown().filter(({state}) => state !== MemberState.SUSPECT);
   }
 
+  /** Counts members that are there. */
+  countHeard(): number {
+    return this.listHeard().length;
+  }
+
   /** Lists every member still remembered, suspects included. */
   listKnown(): Member[] {
     return [...this.entries.values()].map(entry => entry.member);
   }
 
+  /** Lists the members whose state changed after a version of the table. */
+  listChanged(version: number): Member[] {
+    if (version >= this.version) return [];
+    return [...this.entries.values()]
+      .filter(entry => entry.changedVersion > version)
+      .map(entry => entry.member);
+  }
+
+  /** Lists members that are there, or may still refute that they are not. */
+  listWatched(nowMs: number): Member[] {
+    return [...this.entries.values()]
+      .filter(entry => !isGone(entry, nowMs))
+      .map(entry => entry.member);
+  }
+
   /** Removes and lists members that nobody has reached for long. */
   removeForgotten(nowMs: number): Member[] {
     const forgotten: Member[] = [];
@@ -160,16 +189,32 @@
   }
 
   /**
-   * Computes a number that is equal on daemons that know the same states;
-   * each adds itself.
+   * Computes numbers that are equal on daemons that know the same states, one
+   * for each share of the members; each daemon adds itself.
    */
-  computeHash(self: Member): number {
-    if (this.hashedVersion !== this.version) {
-      this.hash = 0;
-      for (const member of this.listHeard()) this.hash ^= hashState(member);
-      this.hashedVersion = this.version;
+  computeDigest(self: Member): number[] {
+    if (this.digestVersion !== this.version) {
+      this.digest = new Array<number>(DIGEST_SHARES).fill(0);
+      for (const member of this.listHeard()) addState(this.digest, member);
+      this.digestVersion = this.version;
     }
-    return (this.hash ^ hashState(self)) >>> 0;
+    const digest = [...this.digest];
+    addState(digest, self);
+    return digest;
+  }
+
+  /** Computes one number for the whole of the digest. */
+  computeHash(self: Member): number {
+    return this.computeDigest(self).reduce((a, b) => (a ^ b) >>> 0, 0);
+  }
+
+  /** Lists the members of the shares in which another digest differs. */
+  listDiffering(self: Member, digest: readonly number[]): Member[] {
+    const own = this.computeDigest(self);
+    return [self, ...this.listKnown()].filter(({id}) => {
+      const share = findShare(id);
+      return own[share] !== digest[share];
+    });
   }
 
   private updateSuspicion(
@@ -187,20 +232,40 @@
   }
 
   private addEntry(member: Member, nowMs: number): void {
-    const entry = {member, heardAtMs: nowMs, changedAtMs: nowMs};
+    const entry: MemberEntry = {
+      member,
+      heardAtMs: nowMs,
+      changedAtMs: nowMs,
+      changedVersion: 0,
+    };
     this.entries.set(member.id, entry);
+    this.recordChange(entry, nowMs);
+  }
+
+  private recordChange(entry: MemberEntry, nowMs: number): void {
     this.version += 1;
+    entry.changedAtMs = nowMs;
+    entry.changedVersion = this.version;
   }
 }
 
-function hashState(member: Member): number {
-  return hash32(makeStateKey(member));
+function findShare(id: string): number {
+  return hash32(id) % DIGEST_SHARES;
 }
 
-function isLive({member, suspicion}: MemberEntry, nowMs: number): boolean {
-  if (member.state !== MemberState.SUSPECT) {
-    return member.state === MemberState.LIVE;
-  }
-  if (suspicion === undefined || nowMs >= suspicion.holdsFromMs) return false;
-  return suspicion.stateBefore === MemberState.LIVE;
+function addState(digest: number[], member: Member): void {
+  const share = findShare(member.id);
+  const hash = hash32(makeStateKey(member));
+  digest[share] = ((digest[share] ?? 0) ^ hash) >>> 0;
+}
+
+function isGone({member, suspicion}: MemberEntry, nowMs: number): boolean {
+  if (member.state !== MemberState.SUSPECT) return false;
+  return suspicion === undefined || nowMs >= suspicion.holdsFromMs;
+}
+
+function isLive(entry: MemberEntry, nowMs: number): boolean {
+  if (isGone(entry, nowMs)) return false;
+  const state = entry.suspicion?.stateBefore ?? entry.member.state;
+  return state === MemberState.LIVE;
 }
--- a/packages/peers/src/peer_client.ts
+++ b/packages/peers/src/peer_client.ts
@@ -32,14 +32,15 @@
     method: PeerMethod,
     params: object,
     result: S,
+    timeoutMs = this.timeoutMs,
   ): Effect.Effect<S['Type'], PeerError> {
     const target = formatAddress(address);
     return Effect.tryPromise({
-      try: signal => this.request(address, method, params, signal),
+      try: signal => this.request(address, method, params, timeoutMs, signal),
       catch: thrown => new PeerError(method, target, toError(thrown)),
     }).pipe(
       Effect.timeoutOrElse({
-        duration: this.timeoutMs,
+        duration: timeoutMs,
         orElse: () => Effect.fail(new PeerError(method, target)),
       }),
       Effect.flatMap(value =>
@@ -55,11 +56,12 @@
     address: Address,
     method: PeerMethod,
     params: object,
+    timeoutMs: number,
     signal: AbortSignal,
   ): PromiseLike<unknown> {
     const rpc: JSONRPCClient = new JSONRPCClient(async payload => {
       const body = JSON.stringify(payload);
-      const sending = this.sendPayload(address, body);
+      const sending = this.sendPayload(address, body, timeoutMs);
       const reply = await Effect.runPromise(sending, {signal});
       if (reply.status !== 200) throw new Error(`status ${reply.status}`);
       rpc.receive(JSON.parse(reply.body.toString()));
@@ -70,6 +72,7 @@
   private sendPayload(
     address: Address,
     body: string,
+    timeoutMs: number,
   ): Effect.Effect<HttpReply, unknown> {
     return this.client.send({
       address,
@@ -77,8 +80,8 @@
       path: PEER_PATH,
       headers: {authorization: `Bearer ${this.key}`},
       body,
-      connectTimeoutMs: this.timeoutMs,
-      silenceMs: this.timeoutMs,
+      connectTimeoutMs: timeoutMs,
+      silenceMs: timeoutMs,
       maxReplyBytes: MAX_PEER_BYTES,
     });
   }
--- a/packages/peers/src/peer_messages.ts
+++ b/packages/peers/src/peer_messages.ts
@@ -27,6 +27,8 @@
   statuses: Schema.Array(MemberStatusSchema),
   /** Equal on daemons that know the same states of members. */
   tableHash: Schema.Int,
+  /** The same for each share of the members, where the hashes differed. */
+  digest: Schema.optionalKey(Schema.Array(Schema.Int)),
   /** Highest revision of the configuration that any member told. */
   highestRevision: Schema.Int,
   hosts: Schema.optionalKey(HostNewsSchema),
--- a/packages/standins/src/bench/members/redirected_caller.ts
+++ b/packages/standins/src/bench/members/redirected_caller.ts
@@ -21,8 +21,15 @@
     method: PeerMethod,
     params: object,
     result: S,
+    timeoutMs?: number,
   ): Effect.Effect<S['Type'], PeerError> {
     const relay = this.relays.get(formatAddress(address));
-    return this.caller.send(relay ?? address, method, params, result);
+    return this.caller.send(
+      relay ?? address,
+      method,
+      params,
+      result,
+      timeoutMs,
+    );
   }
 }
