Read the host list only when it has changed; show fleets in virtual time

The host list's interval grew with the fleet (72 s at 360), because each read sent the whole list. It is now read with its tag and sent again only after a change; a directory that answers so is read each 5 s at most, one that ignores tags as before.

Waits are whole milliseconds: fractions let a fiber spin under the test clock.

--- a/packages/daemon/src/hosts/host_follower.ts
+++ b/packages/daemon/src/hosts/host_follower.ts
@@ -6,9 +6,11 @@
   HostState,
   type Host,
   type HostDirectory,
+  type HostList,
   type PlatformError,
 } from '@greengagecross/platform';
 
+const MAX_CONDITIONAL_POLL_MS = 5000;
 const logger = new Logger('hosts');
 
 /** Keeps the platform's host list as last seen. */
@@ -16,6 +18,7 @@
   private hosts: ReadonlyMap<string, Host> = new Map();
   private version = 0;
   private leaving: readonly string[] = [];
+  private list: HostList | undefined;
   private isReachable = false;
   /** What other daemons saw on a newer list. */
   private told: HostNews = {version: 0, leaving: []};
@@ -64,7 +67,7 @@
     return Effect.forever(
       Effect.andThen(
         this.poll().pipe(Effect.catch(error => this.recordFailure(error))),
-        Effect.suspend(() => Effect.sleep(this.computePollMs())),
+        Effect.suspend(() => Effect.sleep(this.computeNextMs())),
       ),
     );
   }
@@ -73,7 +76,8 @@
   poll(): Effect.Effect<void, PlatformError> {
     return Effect.map(this.directory.fetch(), list => {
       this.isReachable = true;
-      if (list.version < this.version) return;
+      if (list.version < this.version || list === this.list) return;
+      this.list = list;
       this.version = list.version;
       this.hosts = new Map(list.hosts.map(host => [host.id, host]));
       this.leaving = list.hosts
@@ -82,6 +86,13 @@
     });
   }
 
+  /** A fleet of any size may ask often for what it is sent only if changed. */
+  private computeNextMs(): number {
+    const pollMs = this.computePollMs();
+    if (!this.directory.isConditional()) return pollMs;
+    return Math.min(pollMs, MAX_CONDITIONAL_POLL_MS);
+  }
+
   private recordFailure(error: PlatformError): Effect.Effect<void> {
     return Effect.sync(() => {
       if (this.isReachable) {
--- a/packages/daemon/src/members/peer_watch.ts
+++ b/packages/daemon/src/members/peer_watch.ts
@@ -98,7 +98,7 @@
       const gapMs = computeNewsGapMs(this.heartbeatMs, this.table.countHeard());
       const spacedMs = gapMs * this.timeout.computeSlowness(nowMs);
       const waitMs = this.sentAtMs + spacedMs - nowMs;
-      if (waitMs > 0) yield* Effect.sleep(waitMs);
+      if (waitMs > 0) yield* Effect.sleep(Math.ceil(waitMs));
     });
   }
 
@@ -123,7 +123,7 @@
       }
       if (this.table.isSuspect(this.id)) return first;
       const nowMs = yield* Clock.currentTimeMillis;
-      const probeMs = PROBE_FACTOR * this.timeout.computeMs(nowMs);
+      const probeMs = Math.ceil(PROBE_FACTOR * this.timeout.computeMs(nowMs));
       if (first === Reach.SILENT) this.timeout.recordLate(nowMs);
       const [second, isReachedByOthers] = yield* Effect.all(
         [this.trySend(member), this.askOthers(member, probeMs)],
--- a/packages/platform/src/host_directory.ts
+++ b/packages/platform/src/host_directory.ts
@@ -6,4 +6,9 @@
 export abstract class HostDirectory {
   /** Fetches the list as the platform shows it now. */
   abstract fetch(): Effect.Effect<HostList, PlatformError>;
+
+  /** Tells whether a fetch costs little while the list stays the same. */
+  isConditional(): boolean {
+    return false;
+  }
 }
--- a/packages/platform/src/platform_caller.ts
+++ b/packages/platform/src/platform_caller.ts
@@ -5,10 +5,14 @@
   type HttpClient,
   type HttpError,
   type HttpReply,
+  type OutgoingHeaders,
 } from '@greengagecross/http';
 import {PlatformError} from './platform_error.js';
 import {PlatformFailure} from './platform_failure.js';
 
+/** Statuses of calls that the platform carried out: done, unchanged, absent. */
+const ANSWERED: readonly number[] = [200, 304, 404];
+
 /** Sends calls to the platform and turns failures into PlatformError. */
 export class PlatformCaller {
   constructor(
@@ -17,11 +21,12 @@
     private readonly timeoutMs: number,
   ) {}
 
-  /** Sends one call; any status but 200 and 404 is an error. */
+  /** Sends one call; any status but 200, 304 and 404 is an error. */
   send(
     method: string,
     path: string,
     body?: string | Buffer,
+    headers: OutgoingHeaders = {},
   ): Effect.Effect<HttpReply, PlatformError> {
     const call = `${method} ${path}`;
     return this.client
@@ -29,6 +34,7 @@
         address: this.address,
         method,
         path,
+        headers,
         connectTimeoutMs: this.timeoutMs,
         silenceMs: this.timeoutMs,
         ...(body === undefined ? {} : {body}),
@@ -70,9 +76,7 @@
   call: string,
   reply: HttpReply,
 ): Effect.Effect<HttpReply, PlatformError> {
-  if (reply.status === 200 || reply.status === 404) {
-    return Effect.succeed(reply);
-  }
+  if (ANSWERED.includes(reply.status)) return Effect.succeed(reply);
   const cause = new Error(`status ${reply.status}`);
   // The platform says 503 before it touches any row.
   if (reply.status === 503) {
--- a/packages/standins/src/bench/members/member_cases.ts
+++ b/packages/standins/src/bench/members/member_cases.ts
@@ -5,6 +5,8 @@
 const LIMIT_MS = 120_000;
 const MINUTE_MS = 60_000;
 const DEAD_HOSTS = 20;
+const SLOW_ONE_WAY_MS = 250;
+const ZONES = 6;
 
 /** How long a case took. */
 export interface CaseTimes {
@@ -124,6 +126,26 @@
       for (const plan of plans) yield* fleet.start(plan);
       return {goneMs: 0, wholeMs: yield* waitWhole(fleet)};
     }),
+  // Replies take longer than the shortest time for which they are awaited.
+  'slow-replies': (fleet, size) =>
+    Effect.gen(function* () {
+      yield* fleet.startAll(size);
+      fleet.links.oneWayMs = SLOW_ONE_WAY_MS;
+      yield* fleet.wait(2 * MINUTE_MS);
+      return {goneMs: 0, wholeMs: yield* waitWhole(fleet)};
+    }),
+  // Their hosts and their network go too, so nothing refuses a connection.
+  'zone-lost': (fleet, size) =>
+    Effect.gen(function* () {
+      yield* fleet.startAll(size);
+      for (const node of fleet.nodes.slice(0, Math.ceil(size / ZONES))) {
+        fleet.links.lostPorts.add(node.plan.control.port);
+        yield* fleet.stopNode(node);
+      }
+      const goneMs = yield* waitWhole(fleet);
+      yield* fleet.wait(MINUTE_MS);
+      return {goneMs, wholeMs: yield* waitWhole(fleet)};
+    }),
   'one-percent-loss': (fleet, size) =>
     Effect.gen(function* () {
       yield* fleet.startAll(size);
--- a/packages/standins/src/bench/members/members.feature
+++ b/packages/standins/src/bench/members/members.feature
@@ -18,12 +18,30 @@
       | started-without-platform-or-seeds | 0    | 5000  |
       | wrong-host-list                   | 0    | 5000  |
       | one-percent-loss                  | 0    | 0     |
+      | slow-replies                      | 0    | 0     |
 
   Scenario: Daemons that were parted for less than they remember each other
     When the membership of 12 daemons goes through freeze
     Then within 4000 ms no daemon sends callers to what was lost
     And within 3000 ms all agree again, with no false suspicion
 
+  Scenario Outline: A fleet of 18, in which not all are neighbours
+    When the membership of 18 daemons goes through <case>
+    Then within <gone> ms no daemon sends callers to what was lost
+    And within <whole> ms all agree again, with no false suspicion
+
+    Examples:
+      | case         | gone | whole |
+      | kill         | 4000 | 3000  |
+      | zone-lost    | 8000 | 0     |
+      | slow-replies | 0    | 0     |
+
+  Scenario: What a fleet of 18 spends at rest, and how fast news is known
+    When a fleet of 18 daemons takes its course in virtual time
+    Then a daemon spends at most 3500 bytes a second at rest
+    And a revision is known to all within 5000 ms
+    And nobody is suspected falsely on the way
+
   Scenario: A connection that drops one direction
     Given members "a", "b" and "c" on this machine, where "a" reaches "b" through a relay
     When the relay drops what "a" sends for 4 seconds
--- a/packages/standins/src/bench/members/members_steps.ts
+++ b/packages/standins/src/bench/members/members_steps.ts
@@ -3,6 +3,7 @@
 import {formatAddress} from '@greengagecross/common';
 import {findFreePorts} from '../../fleet/free_ports.js';
 import {waitUntil} from '../../fleet/wait_until.js';
+import {FleetCourse} from './fleet_course.js';
 import {LoopbackNode} from './loopback_node.js';
 import {runMemberCase, type CaseFigures} from './member_case.js';
 import type {CaseName} from './member_cases.js';
@@ -19,6 +20,7 @@
 /** State of one scenario about members. */
 interface MembersWorld extends World {
   figures: CaseFigures;
+  course: Map<string, number>;
   relay?: OneWayRelay;
   members?: Map<string, LoopbackNode>;
   shown: ShownHosts;
@@ -57,6 +59,44 @@
   },
 );
 
+When(
+  'a fleet of {int} daemons takes its course in virtual time',
+  async function (this: MembersWorld, size: number) {
+    this.course = new Map();
+    const course = new FleetCourse(size, SEED, ({measure, value}) =>
+      this.course.set(measure, value),
+    );
+    await course.run();
+  },
+);
+
+Then(
+  'a daemon spends at most {int} bytes a second at rest',
+  function (this: MembersWorld, limit: number) {
+    const spent = this.course.get('idle:control_bytes') ?? Infinity;
+    assert.ok(spent <= limit, `${spent} bytes a second`);
+  },
+);
+
+Then(
+  'a revision is known to all within {int} ms',
+  function (this: MembersWorld, limitMs: number) {
+    const takenMs = this.course.get('revision:until_known') ?? Infinity;
+    assert.ok(takenMs <= limitMs, `${takenMs} ms`);
+  },
+);
+
+Then('nobody is suspected falsely on the way', function (this: MembersWorld) {
+  const counts = [...this.course].filter(([name]) =>
+    name.endsWith(':false_suspicions'),
+  );
+  assert.ok(counts.length > 0);
+  assert.deepEqual(
+    counts.filter(([, count]) => count > 0),
+    [],
+  );
+});
+
 Given(
   'members {string}, {string} and {string} on this machine, where {string} reaches {string} through a relay',
   async function (
--- a/packages/standins/src/bench/members/run_members.ts
+++ b/packages/standins/src/bench/members/run_members.ts
@@ -1,3 +1,4 @@
+import {FleetCourse} from './fleet_course.js';
 import {runMemberCase} from './member_case.js';
 import {CASES, type CaseName} from './member_cases.js';
 import {computeFleetFigures} from './measure_fleet.js';
@@ -5,6 +6,7 @@
 
 const SEED = 3;
 const CASE_SIZES = [5, 12];
+const COURSE_SIZES = [5, 20, 60, 120];
 const SETTLE_MS = 18_000;
 const MEASURE_MS = 10_000;
 
@@ -18,6 +20,12 @@
 /** Prints the figures of the membership between daemons, a line each. */
 export async function run(args: readonly string[]): Promise<number> {
   process.env['DEBUG'] = 'none';
+  const course = args.indexOf('--course');
+  if (course >= 0) {
+    const size = Number(args[course + 1]);
+    await printCourses(size > 0 ? [size] : COURSE_SIZES);
+    return 0;
+  }
   if (!args.includes('--sockets')) {
     for (const size of CASE_SIZES) await printCases(size);
   }
@@ -39,6 +47,15 @@
   }
 }
 
+async function printCourses(sizes: readonly number[]): Promise<void> {
+  for (const size of sizes) {
+    const course = new FleetCourse(size, SEED, ({measure, value, unit}) =>
+      print(measure, NeighbourWay.RINGS, size, value, unit),
+    );
+    await course.run();
+  }
+}
+
 async function printFleet(way: NeighbourWay, size: number): Promise<void> {
   const figures = await computeFleetFigures(way, size, SETTLE_MS, MEASURE_MS);
   print('control_bytes', way, size, figures.bytesPerSecond, 'bytes/s/daemon');
--- a/packages/standins/src/bench/members/virtual_fleet.ts
+++ b/packages/standins/src/bench/members/virtual_fleet.ts
@@ -50,14 +50,14 @@
   }
 
   /** Starts members `entry-1`… that the host list shows, until all agree. */
-  startAll(count: number): Effect.Effect<void> {
+  startAll(count: number): Effect.Effect<number> {
     return Effect.gen({self: this}, function* () {
       const plans = Array.from({length: count}, (unused, index) =>
         this.makePlan(`entry-${index + 1}`),
       );
       this.hosts.setPlans(plans);
       for (const plan of plans) yield* this.start(plan);
-      yield* this.waitUntil(60_000, () => this.isWhole());
+      return yield* this.waitUntil(60_000, () => this.isWhole());
     });
   }
 
--- a/packages/standins/src/bench/members/virtual_links.ts
+++ b/packages/standins/src/bench/members/virtual_links.ts
@@ -21,6 +21,8 @@
 
 /** Links between members of one process, in virtual time. */
 export class VirtualLinks {
+  /** How long a message takes, in milliseconds. */
+  oneWayMs = ONE_WAY_MS;
   /** Share of messages that are lost, each way. */
   lossShare = 0;
   /** Tells whether messages from one member to another are dropped. */
@@ -95,7 +97,7 @@
   ): Effect.Effect<S['Type'], PeerError> {
     const failed = new PeerError(method, `${address.port}`);
     return Effect.gen({self: this}, function* () {
-      yield* Effect.sleep(ONE_WAY_MS);
+      yield* Effect.sleep(this.links.oneWayMs);
       const node = this.links.find(address);
       if (node === undefined) return yield* this.links.refuse(address, method);
       const to = node.plan.id;
@@ -103,7 +105,7 @@
       if (!this.links.isDelivered(this.from, to)) return yield* Effect.never;
       const answer = yield* answerCall(node, method, params);
       this.links.addMessage(answer, ANSWER_OVERHEAD_BYTES);
-      yield* Effect.sleep(ONE_WAY_MS);
+      yield* Effect.sleep(this.links.oneWayMs);
       if (!this.links.isDelivered(to, this.from)) return yield* Effect.never;
       return decodeDocument(result, toMessage(answer), method);
     }).pipe(
--- a/packages/standins/src/contracts/platform_contracts.feature
+++ b/packages/standins/src/contracts/platform_contracts.feature
@@ -37,3 +37,9 @@
     Given the platform contract's host list over HTTP with a lag of 1500 ms
     When the list is changed and read at once and after the lag
     Then the first reading shows the old list and the second the new one
+
+  Scenario: An unchanged host list is not sent again
+    Given the platform contract's host list over HTTP with a lag of 0 ms
+    When a list of 100 hosts is read twice and once more after a change
+    Then the second reading costs a tenth of the first at most
+    And the third shows the change
--- a/packages/standins/src/contracts/platform_contracts_steps.ts
+++ b/packages/standins/src/contracts/platform_contracts_steps.ts
@@ -5,10 +5,13 @@
 import type {Address} from '@greengagecross/common';
 import {HttpClient} from '@greengagecross/http';
 import {
+  HostRole,
+  HostState,
   HttpHostDirectory,
   HttpObjectStore,
   HttpTableService,
   PlatformCaller,
+  type Host,
   type HostList,
   type ObjectStore,
   type TableService,
@@ -39,6 +42,7 @@
   address: Address;
   failure: string;
   lists: HostList[];
+  readBytes: number[];
 }
 
 After(async function (this: ContractWorld) {
@@ -144,6 +148,54 @@
   },
 );
 
+When(
+  'a list of {int} hosts is read twice and once more after a change',
+  async function (this: ContractWorld, count: number) {
+    const client = new HttpClient();
+    const caller = new PlatformCaller(client, this.address, LIMIT_MS);
+    const directory = new HttpHostDirectory(caller);
+    const hosts = Array.from({length: count}, (unused, index) =>
+      makeHost(`entry-${index}`),
+    );
+    this.lists = [];
+    this.readBytes = [];
+    for (const shown of [hosts, undefined, hosts.slice(1)]) {
+      if (shown !== undefined) this.platformServer?.setHosts(shown);
+      const bytes = client.pool.bytes.count();
+      this.lists.push(await Effect.runPromise(directory.fetch()));
+      this.readBytes.push(client.pool.bytes.count() - bytes);
+    }
+    client.close();
+  },
+);
+
+Then(
+  'the second reading costs a tenth of the first at most',
+  function (this: ContractWorld) {
+    const [first = 0, second = Infinity] = this.readBytes;
+    assert.ok(second * 10 <= first, `${first}, then ${second} bytes`);
+    assert.equal(this.lists[1]?.hosts.length, this.lists[0]?.hosts.length);
+  },
+);
+
+Then('the third shows the change', function (this: ContractWorld) {
+  const [first, unused, third] = this.lists;
+  assert.equal(third?.hosts.length, (first?.hosts.length ?? 0) - 1);
+});
+
+function makeHost(id: string): Host {
+  return {
+    id,
+    role: HostRole.ENTRY,
+    state: HostState.LIVE,
+    region: 'centro',
+    availabilityZone: 'centro-a',
+    host: '127.0.0.1',
+    port: 1,
+    controlPort: 2,
+  };
+}
+
 function makeCaller(world: ContractWorld): PlatformCaller {
   return new PlatformCaller(new HttpClient(), world.address, LIMIT_MS);
 }
--- a/packages/standins/src/platform/platform_server.ts
+++ b/packages/standins/src/platform/platform_server.ts
@@ -86,7 +86,7 @@
       }
       case '/v1/hosts':
         this.counts.hostReads += 1;
-        exchange.sendJson(200, this.findShownHosts());
+        this.answerHosts(exchange);
         return;
       case '/observe/hosts':
         this.setHosts(JSON.parse(body.toString()) as Host[]);
@@ -103,6 +103,17 @@
     }
   }
 
+  /** Sends the list unless the caller has this version of it. */
+  private answerHosts(exchange: HttpExchange): void {
+    const list = this.findShownHosts();
+    const etag = `"${list.version}"`;
+    if (exchange.getHeader('if-none-match') === etag) {
+      exchange.send(304, {etag}, '');
+      return;
+    }
+    exchange.sendJson(200, list, {etag});
+  }
+
   private findShownHosts(): HostList {
     const shownUntilMs = Date.now() - this.gate.getFaults().lagMs;
     const shown = this.hostLists.findLast(entry => entry.atMs <= shownUntilMs);
