--- a/packages/daemon/src/placement/slot_broker.ts
+++ b/packages/daemon/src/placement/slot_broker.ts
@@ -83,7 +83,7 @@
         PeerMethod.ACQUIRE_SLOT,
         request,
         SlotAnswerSchema,
-        Math.min(request.waitMs ?? 0, MAX_HELD_MS),
+        this.peers.timeoutMs + Math.min(request.waitMs ?? 0, MAX_HELD_MS),
       )
       .pipe(
         Effect.map(answer => answer.granted),
--- a/packages/peers/src/peer_caller.ts
+++ b/packages/peers/src/peer_caller.ts
@@ -8,13 +8,14 @@
   /**
    * Calls a method and decodes its result.
    *
-   * @param heldMs how long the other may hold the call before it answers.
+   * @param timeoutMs time until the call fails, where the caller's own does
+   *     not fit, in milliseconds
    */
   abstract send<S extends Schema.ConstraintDecoder<unknown>>(
     address: Address,
     method: PeerMethod,
     params: object,
     result: S,
-    heldMs?: number,
+    timeoutMs?: number,
   ): Effect.Effect<S['Type'], PeerError>;
 }
--- a/packages/peers/src/peer_client.ts
+++ b/packages/peers/src/peer_client.ts
@@ -22,7 +22,8 @@
   constructor(
     private readonly client: HttpClient,
     private readonly key: string,
-    private readonly timeoutMs: number,
+    /** Time until a call fails, in milliseconds. */
+    readonly timeoutMs: number,
   ) {
     super();
   }
@@ -32,15 +33,15 @@
     method: PeerMethod,
     params: object,
     result: S,
-    heldMs = 0,
+    timeoutMs = this.timeoutMs,
   ): Effect.Effect<S['Type'], PeerError> {
     const target = formatAddress(address);
     return Effect.tryPromise({
-      try: signal => this.request(address, method, params, heldMs, signal),
+      try: signal => this.request(address, method, params, timeoutMs, signal),
       catch: thrown => new PeerError(method, target, toError(thrown)),
     }).pipe(
       Effect.timeoutOrElse({
-        duration: this.timeoutMs + heldMs,
+        duration: timeoutMs,
         orElse: () => Effect.fail(new PeerError(method, target)),
       }),
       Effect.flatMap(value =>
@@ -56,12 +57,12 @@
     address: Address,
     method: PeerMethod,
     params: object,
-    heldMs: number,
+    timeoutMs: number,
     signal: AbortSignal,
   ): PromiseLike<unknown> {
     const rpc: JSONRPCClient = new JSONRPCClient(async payload => {
       const body = JSON.stringify(payload);
-      const sending = this.sendPayload(address, body, heldMs);
+      const sending = this.sendPayload(address, body, timeoutMs);
       const reply = await Effect.runPromise(sending, {signal});
       if (reply.status !== 200) throw new Error(`status ${reply.status}`);
       rpc.receive(JSON.parse(reply.body.toString()));
@@ -72,7 +73,7 @@
   private sendPayload(
     address: Address,
     body: string,
-    heldMs: number,
+    timeoutMs: number,
   ): Effect.Effect<HttpReply, unknown> {
     return this.client.send({
       address,
@@ -80,8 +81,8 @@
       path: PEER_PATH,
       headers: {authorization: `Bearer ${this.key}`},
       body,
-      connectTimeoutMs: this.timeoutMs,
-      silenceMs: this.timeoutMs + heldMs,
+      connectTimeoutMs: timeoutMs,
+      silenceMs: timeoutMs,
       maxReplyBytes: MAX_PEER_BYTES,
     });
   }
