Ask conflicts again without losing others' changes; test the client whole

Cause: when one side had removed a customer that the other had changed, and the operator chose the change, the answers could not be merged and the operator's whole file was accepted over the revision in force: every change of others since its base was undone without a word. Each conflict was also asked by a prompter of its own, so that a second one found its lines gone.

Now chosen answers are part of the merge: a customer or service that a side removed comes back whole when an answer below it is chosen, and answers that are not right together are refused. One prompter asks all. The new outline, A conflict asked again, covers it: six cases.

Explain asked the first daemon that answered, which need not have served the chat: it asks all and shows the one that served it last, with why each request went where it did. Reading, comparing, accepting and asking daemons show progress after a second; every command's help has its exit codes.

--- a/packages/client/src/client_context.ts
+++ b/packages/client/src/client_context.ts
@@ -9,6 +9,7 @@
 } from '@greengagecross/platform';
 import {readClientSettings, readInputFile} from './client_settings.js';
 import {DaemonCaller} from './daemon_caller.js';
+import {ProgressLine} from './progress_line.js';
 import {FleetReader} from './fleet/fleet_reader.js';
 
 const PLATFORM_TIMEOUT_MS = 3000;
@@ -20,6 +21,7 @@
   readonly hosts: HostDirectory;
   readonly daemons: DaemonCaller;
   readonly fleet: FleetReader;
+  readonly progress = new ProgressLine();
   private readonly client = new HttpClient();
 
   constructor(settingsFile: string) {
--- a/packages/client/src/commands/accept.ts
+++ b/packages/client/src/commands/accept.ts
@@ -2,6 +2,7 @@
 import {Effect} from 'effect';
 import {makeRequestId} from '@greengagecross/common';
 import {PlatformError} from '@greengagecross/platform';
+import type {Answers} from '@greengagecross/questionnaire';
 import {
   ChangeOutcome,
   type AcceptReport,
@@ -10,10 +11,11 @@
 import {Acceptor} from '../accept/acceptor.js';
 import {formatConflicts} from '../accept/format_conflicts.js';
 import {readAnswersInput} from '../accept/read_answers_input.js';
-import {askInTerminal} from '../accept/ask_in_terminal.js';
+import {askConflicts} from '../accept/ask_conflicts.js';
 import type {ClientContext} from '../client_context.js';
 import {ClientError} from '../client_error.js';
 import {ExitCode} from '../exit_code.js';
+import {TerminalPrompter} from '../terminal_prompter.js';
 import {RevisionWatcher} from '../fleet/revision_watcher.js';
 import {COMMON_ARGS, runCommand, type CommandOutput} from '../run_command.js';
 
@@ -34,6 +36,12 @@
     description: 'Write every part again, also when no answer differs.',
     default: false,
   },
+  ask: {
+    type: 'boolean',
+    description:
+      'Ask questions in conflict again; done anyway in a terminal without --json.',
+    default: false,
+  },
   wait: {
     type: 'boolean',
     description: 'Wait until every live daemon has the revision.',
@@ -63,7 +71,10 @@
   run: ({args}) =>
     runCommand(args, context =>
       Effect.gen(function* () {
-        const input = yield* readAnswersInput(context, args.answers, args.base);
+        const input = yield* context.progress.track(
+          'Reading the answers',
+          readAnswersInput(context, args.answers, args.base),
+        );
         const request = {
           ...input,
           operationId: args.operation ?? makeRequestId(),
@@ -76,17 +87,26 @@
     ),
 });
 
+interface AcceptArgs {
+  readonly ask: boolean;
+  readonly wait: boolean;
+  readonly json: boolean;
+}
+
 /** Accepts a change, then waits for the daemons if asked to. */
 export function acceptChange(
   context: ClientContext,
   request: ChangeRequest,
-  args: {readonly wait: boolean; readonly json: boolean},
+  args: AcceptArgs,
 ): Effect.Effect<CommandOutput, Error> {
   return Effect.gen(function* () {
-    const report = yield* tryAccept(context, request);
+    const report = yield* context.progress.track(
+      'Accepting',
+      tryAccept(context, request),
+    );
     if (report.outcome === ChangeOutcome.CONFLICT) {
-      if (args.json || !process.stdin.isTTY) return formatReport(report);
-      process.stdout.write(`${formatConflicts(report.conflicts).join('\n')}\n`);
+      const mustAsk = args.ask || (!args.json && process.stdin.isTTY);
+      if (!mustAsk) return formatReport(report);
       const answers = yield* askInTerminal(context, request, report);
       const again = {
         ...request,
@@ -98,7 +118,7 @@
     }
     const output = formatReport(report);
     if (!args.wait) return output;
-    const watcher = new RevisionWatcher(context.fleet);
+    const watcher = new RevisionWatcher(context.fleet, context.progress);
     const wait = yield* watcher.wait(report.revision);
     return {
       value: {...report, daemons: wait.daemons},
@@ -108,6 +128,18 @@
   });
 }
 
+function askInTerminal(
+  context: ClientContext,
+  request: ChangeRequest,
+  report: AcceptReport,
+): Effect.Effect<Answers, Error> {
+  return Effect.acquireUseRelease(
+    Effect.sync(() => new TerminalPrompter()),
+    prompter => askConflicts(context.store, request, report, prompter),
+    prompter => Effect.sync(() => prompter.close()),
+  );
+}
+
 function tryAccept(
   context: ClientContext,
   request: ChangeRequest,
--- a/packages/client/src/commands/drain.ts
+++ b/packages/client/src/commands/drain.ts
@@ -2,7 +2,6 @@
 import {Clock, Effect, Result} from 'effect';
 import {ExitCode} from '../exit_code.js';
 import type {ClientContext} from '../client_context.js';
-import {printProgress, removeProgress} from '../progress.js';
 import {COMMON_ARGS, runCommand, type CommandOutput} from '../run_command.js';
 import {findDaemon} from './dump.js';
 
@@ -50,7 +49,7 @@
       const elapsedMs = (yield* Clock.currentTimeMillis) - startMs;
       const read = yield* Effect.result(context.fleet.fetchReport(control));
       if (Result.isFailure(read)) {
-        removeProgress();
+        context.progress.remove();
         const seconds = (elapsedMs / 1000).toFixed(1);
         return {
           value: {daemon, state: 'ended', elapsedMs},
@@ -58,14 +57,14 @@
         };
       }
       if (elapsedMs > STOP_LIMIT_MS) {
-        removeProgress();
+        context.progress.remove();
         return {
           value: {daemon, state: 'leaving', elapsedMs},
           lines: [asked, `${daemon} still runs after 120 s.`],
           exitCode: ExitCode.INCOMPLETE,
         };
       }
-      printProgress(`Waiting for ${daemon} to end ...`, elapsedMs);
+      context.progress.print(`Waiting for ${daemon} to end ...`, elapsedMs);
       yield* Effect.sleep(CHECK_MS);
     }
   });
--- a/packages/client/src/commands/dump.ts
+++ b/packages/client/src/commands/dump.ts
@@ -11,7 +11,7 @@
   meta: {
     name: 'dump',
     description:
-      "Print a daemon's whole state, without customers' text or secrets.",
+      "Print a daemon's whole state, without customers' text or secrets. Exit codes: 0 printed, 1 it does not answer, 2 no such daemon.",
   },
   args: {
     ...COMMON_ARGS,
--- a/packages/client/src/commands/explain.ts
+++ b/packages/client/src/commands/explain.ts
@@ -3,8 +3,11 @@
 import {
   decodeDocument,
   PlacementExplanationSchema,
+  PlacementReason,
   toError,
+  type Address,
   type PlacementExplanation,
+  type PlacementRecord,
 } from '@greengagecross/common';
 import {findAnswerPlace, findOrigin} from '@greengagecross/questionnaire';
 import {AnswerArchive} from '../accept/answer_archive.js';
@@ -16,13 +19,23 @@
 import {findDaemon} from './dump.js';
 
 const MAX_SHOWN = 5;
+const CONCURRENT_CALLS = 32;
+const REASONS: Readonly<Record<PlacementReason, string>> = {
+  [PlacementReason.TICKET_WARM]: 'its context is warm there',
+  [PlacementReason.WAIT_WARM]: 'it waited, as its context is warm there',
+  [PlacementReason.HOME]: 'the caller brought no ticket, so it started at home',
+  [PlacementReason.MOVED_BOUND]:
+    'its warm engine was full and waiting cost more',
+  [PlacementReason.ENGINE_LEAVING]: 'its warm engine is leaving or gone',
+  [PlacementReason.FALLBACK]: 'the engines before it gave no slot',
+};
 
 /** `greengagecross explain`: where a value or a chat's engine comes from. */
 export const explainCommand = defineCommand({
   meta: {
     name: 'explain',
     description:
-      'Explain why a chat goes to its engine (--customer, --chat), or which answer a generated value comes from (--value).',
+      'Explain why a chat goes to its engine (--customer, --chat), or which answer a generated value comes from (--value). Exit codes: 0 explained, 1 no daemon answers, 2 no such customer or value.',
   },
   args: {
     ...COMMON_ARGS,
@@ -36,13 +49,17 @@
     ticket: {type: 'string', description: 'Ticket that the caller holds.'},
     daemon: {
       type: 'string',
-      description: 'Daemon to ask; otherwise the first that answers.',
+      description:
+        'Daemon to ask; otherwise the one that served the chat last.',
     },
   },
   run: ({args}) =>
     runCommand(args, context => {
-      if (args.value !== undefined) return explainValue(context, args.value);
-      return explainChat(context, args);
+      const explained =
+        args.value === undefined
+          ? explainChat(context, args)
+          : explainValue(context, args.value);
+      return context.progress.track('Asking', explained);
     }),
 });
 
@@ -115,26 +132,52 @@
       args.daemon === undefined
         ? (yield* context.fleet.listHosts()).hosts
         : [yield* findDaemon(context, args.daemon)];
-    let failure: Error = new Error('there is no daemon');
-    for (const {control} of hosts) {
-      const asked = yield* Effect.result(
-        context.daemons.send(control, 'GET', `/v1/explain?${query}`),
-      );
-      if (Result.isFailure(asked)) {
-        failure = asked.failure;
-        continue;
-      }
-      const explanation = yield* Effect.try({
-        try: () =>
-          decodeDocument(PlacementExplanationSchema, asked.success, 'explain'),
-        catch: toError,
-      });
-      return {value: explanation, lines: formatExplanation(explanation)};
+    const asked = yield* Effect.forEach(
+      hosts,
+      ({control}) =>
+        Effect.result(askDaemon(context, control, `/v1/explain?${query}`)),
+      {concurrency: CONCURRENT_CALLS},
+    );
+    const answers = asked.filter(Result.isSuccess).map(({success}) => success);
+    // The daemon that served the chat last knows why it went there.
+    const [best] = answers.sort((a, b) => getLastMs(b) - getLastMs(a));
+    if (best !== undefined) {
+      return {value: best, lines: formatExplanation(best)};
     }
+    const failed = asked.find(Result.isFailure);
+    const failure = failed?.failure ?? new Error('there is no daemon');
     return yield* Effect.fail(failure);
   });
 }
 
+function askDaemon(
+  context: ClientContext,
+  control: Address,
+  path: string,
+): Effect.Effect<PlacementExplanation, Error> {
+  return Effect.flatMap(context.daemons.send(control, 'GET', path), body =>
+    Effect.try({
+      try: () => decodeDocument(PlacementExplanationSchema, body, 'explain'),
+      catch: toError,
+    }),
+  );
+}
+
+function getLastMs(explanation: PlacementExplanation): number {
+  return explanation.recent[0]?.atMs ?? 0;
+}
+
+/** Says where one of the chat's requests went, and why. */
+function formatRecord(record: PlacementRecord): string {
+  const {atMs, requestId, choices, takenBy, ticketEngine} = record;
+  const at = `${formatTime(atMs)}  request ${requestId}`;
+  if (takenBy === '') return `${at} got no slot on any engine.`;
+  const choice = choices.find(({engine}) => engine === takenBy);
+  const why = choice === undefined ? 'after a wait' : REASONS[choice.reason];
+  const warm = ticketEngine === '' ? '' : ` (warm: ${ticketEngine})`;
+  return `${at} went to ${takenBy}: ${why}${warm}.`;
+}
+
 function formatExplanation(explanation: PlacementExplanation): string[] {
   const {daemon, service, warmEngine, owner, choices, recent} = explanation;
   return [
@@ -157,11 +200,6 @@
           choice.costMs.toFixed(0).padStart(9),
         ].join(''),
       ),
-    ...recent
-      .slice(0, MAX_SHOWN)
-      .map(
-        record =>
-          `${formatTime(record.atMs)}  request ${record.requestId} went to ${record.takenBy || 'no engine'}.`,
-      ),
+    ...recent.slice(0, MAX_SHOWN).map(record => formatRecord(record)),
   ];
 }
--- a/packages/client/src/commands/history.ts
+++ b/packages/client/src/commands/history.ts
@@ -10,18 +10,25 @@
 export const historyCommand = defineCommand({
   meta: {
     name: 'history',
-    description: 'Show who changed which answers, when and why, newest first.',
+    description:
+      'Show who changed which answers, when and why, newest first. Exit codes: 0 shown, 1 the table service does not answer.',
   },
   args: COMMON_ARGS,
   run: ({args}) =>
     runCommand(args, context =>
-      Effect.map(context.store.listHistory(), entries => ({
-        value: {revisions: entries},
-        lines:
-          entries.length === 0
-            ? ['Nothing was accepted yet.']
-            : entries.flatMap(formatEntry),
-      })),
+      Effect.map(
+        context.progress.track(
+          'Reading the history',
+          context.store.listHistory(),
+        ),
+        entries => ({
+          value: {revisions: entries},
+          lines:
+            entries.length === 0
+              ? ['Nothing was accepted yet.']
+              : entries.flatMap(formatEntry),
+        }),
+      ),
     ),
 });
 
--- a/packages/client/src/commands/plan.ts
+++ b/packages/client/src/commands/plan.ts
@@ -36,7 +36,12 @@
     },
   },
   run: ({args}) =>
-    runCommand(args, context => planChange(context, args.answers, args.base)),
+    runCommand(args, context =>
+      context.progress.track(
+        'Comparing the answers',
+        planChange(context, args.answers, args.base),
+      ),
+    ),
 });
 
 function planChange(
--- a/packages/client/src/commands/questionnaire.ts
+++ b/packages/client/src/commands/questionnaire.ts
@@ -62,7 +62,10 @@
   assignments: readonly string[],
 ): Effect.Effect<CommandOutput, Error> {
   return Effect.gen(function* () {
-    const start = yield* readStart(context, args);
+    const start = yield* context.progress.track(
+      'Reading the answers',
+      readStart(context, args),
+    );
     const mustAsk = args.ask || start.answers === undefined;
     const asked = mustAsk
       ? yield* Effect.tryPromise({
--- a/packages/client/src/commands/rollback.ts
+++ b/packages/client/src/commands/rollback.ts
@@ -12,7 +12,7 @@
   meta: {
     name: 'rollback',
     description:
-      'Accept the answers of an earlier revision as a new one. Exit codes as of accept.',
+      'Accept the answers of an earlier revision as a new one. Exit codes: 0 accepted, 2 no such revision, 3 conflict, 4 some daemon has it not yet.',
   },
   args: {
     ...ACCEPT_ARGS,
@@ -31,7 +31,12 @@
         const archive = new AnswerArchive(context.store);
         const isKnown =
           Number.isSafeInteger(to) && to > 0 && to <= baseRevision;
-        const answers = isKnown ? yield* archive.read(to) : undefined;
+        const answers = isKnown
+          ? yield* context.progress.track(
+              'Reading the answers',
+              archive.read(to),
+            )
+          : undefined;
         if (answers === undefined) {
           return yield* Effect.fail(
             new ClientError(
--- a/packages/client/src/commands/status.ts
+++ b/packages/client/src/commands/status.ts
@@ -3,6 +3,7 @@
 import {HostState} from '@greengagecross/platform';
 import type {ClientContext} from '../client_context.js';
 import {ExitCode} from '../exit_code.js';
+import {isColoured} from '../is_coloured.js';
 import {COMMON_ARGS, runCommand, type CommandOutput} from '../run_command.js';
 import {checkPromises} from '../status/check_promises.js';
 import type {FleetView} from '../status/fleet_view.js';
@@ -24,11 +25,12 @@
   context: ClientContext,
 ): Effect.Effect<CommandOutput, Error> {
   return Effect.gen(function* () {
-    const view = yield* readView(context);
+    const view = yield* context.progress.track(
+      'Asking the daemons',
+      readView(context),
+    );
     const promises = checkPromises(view);
     const isHeld = promises.every(({state}) => state === PromiseState.HOLDS);
-    const isColoured =
-      process.stdout.isTTY && (process.env['NO_COLOR'] ?? '') === '';
     const daemons = view.readings.map(({id, report, error}) => ({
       id,
       answers: report !== undefined,
@@ -37,7 +39,11 @@
     }));
     return {
       value: {isHeld, promises, daemons},
-      lines: formatStatus(view, promises, isColoured),
+      lines: formatStatus(
+        view,
+        promises,
+        isColoured(process.env, process.stdout),
+      ),
       exitCode: isHeld ? ExitCode.OK : ExitCode.INCOMPLETE,
     };
   });
--- a/packages/client/src/fleet/revision_watcher.ts
+++ b/packages/client/src/fleet/revision_watcher.ts
@@ -1,5 +1,5 @@
 import {Clock, Effect} from 'effect';
-import {printProgress, removeProgress} from '../progress.js';
+import type {ProgressLine} from '../progress_line.js';
 import type {DaemonReading, FleetReader} from './fleet_reader.js';
 
 const WAIT_LIMIT_MS = 5000;
@@ -20,7 +20,10 @@
 
 /** Waits until a revision is in force on every live daemon. */
 export class RevisionWatcher {
-  constructor(private readonly reader: FleetReader) {}
+  constructor(
+    private readonly reader: FleetReader,
+    private readonly progress: ProgressLine,
+  ) {}
 
   /** Waits until every daemon that answers has it, or for the stated 5 s. */
   wait(revision: number): Effect.Effect<RevisionWait, Error> {
@@ -36,13 +39,13 @@
         open = open.filter(host => isBehind(readings.get(host.id), revision));
         elapsedMs = (yield* Clock.currentTimeMillis) - startMs;
         if (open.length === 0 || elapsedMs >= WAIT_LIMIT_MS) break;
-        printProgress(
+        this.progress.print(
           `Waiting for ${open.length} of ${hosts.length} daemons ...`,
           elapsedMs,
         );
         yield* Effect.sleep(CHECK_MS);
       }
-      removeProgress();
+      this.progress.remove();
       return makeWait(revision, [...readings.values()], elapsedMs);
     });
   }
--- a/packages/client/src/index.ts
+++ b/packages/client/src/index.ts
@@ -11,3 +11,7 @@
 export * from './status/fleet_view.js';
 export * from './status/check_promises.js';
 export * from './status/format_status.js';
+export * from './accept/ask_conflicts.js';
+export * from './is_coloured.js';
+export * from './progress_line.js';
+export * from './terminal_prompter.js';
--- /dev/null
+++ b/packages/client/src/progress_line.ts
@@ -0,0 +1,51 @@
+import {Clock, Effect, Fiber} from 'effect';
+
+const SHOWN_AFTER_MS = 1000;
+const MS_PER_SECOND = 1000;
+
+/** Where progress is shown; only a terminal shows any. */
+export interface ProgressOutput {
+  readonly isTTY?: boolean;
+  write(text: string): unknown;
+}
+
+/** One line on the terminal that says that a command is still at work. */
+export class ProgressLine {
+  constructor(private readonly output: ProgressOutput = process.stderr) {}
+
+  /** Shows a text after the first second. */
+  print(text: string, elapsedMs: number): void {
+    if (elapsedMs < SHOWN_AFTER_MS || this.output.isTTY !== true) return;
+    this.output.write(`\r${text}\u001b[K`);
+  }
+
+  /** Removes the line. */
+  remove(): void {
+    if (this.output.isTTY === true) this.output.write('\r\u001b[K');
+  }
+
+  /** Shows a text with the time each second while work goes on. */
+  track<A, E>(text: string, work: Effect.Effect<A, E>): Effect.Effect<A, E> {
+    if (this.output.isTTY !== true) return work;
+    return Effect.gen({self: this}, function* () {
+      const shown = yield* Effect.forkChild(this.printEachSecond(text));
+      const end = Effect.andThen(
+        Fiber.interrupt(shown),
+        Effect.sync(() => this.remove()),
+      );
+      return yield* Effect.ensuring(work, end);
+    });
+  }
+
+  private printEachSecond(text: string): Effect.Effect<never> {
+    return Effect.gen({self: this}, function* () {
+      const startMs = yield* Clock.currentTimeMillis;
+      for (;;) {
+        yield* Effect.sleep(SHOWN_AFTER_MS);
+        const elapsedMs = (yield* Clock.currentTimeMillis) - startMs;
+        const seconds = Math.floor(elapsedMs / MS_PER_SECOND);
+        this.print(`${text} ... ${seconds} s`, elapsedMs);
+      }
+    });
+  }
+}
--- a/packages/client/src/terminal_prompter.ts
+++ b/packages/client/src/terminal_prompter.ts
@@ -1,12 +1,9 @@
 import {createInterface, type Interface} from 'node:readline/promises';
 import {Prompter} from '@greengagecross/questionnaire';
 
-/** Asks on the terminal. */
+/** Asks on the terminal, or by lines of another stream. */
 export class TerminalPrompter extends Prompter {
-  private readonly lines: Interface = createInterface({
-    input: process.stdin,
-    output: process.stderr,
-  });
+  private readonly lines: Interface;
   private readonly buffered: string[] = [];
   private readonly waiting: {
     readonly resolve: (line: string) => void;
@@ -14,19 +11,23 @@
   }[] = [];
   private isClosed = false;
 
-  constructor() {
+  constructor(
+    input: NodeJS.ReadableStream = process.stdin,
+    private readonly output: NodeJS.WritableStream = process.stderr,
+  ) {
     super();
+    this.lines = createInterface({input, output});
     // Lines may arrive faster than they are asked for when input is a pipe.
     this.lines.on('line', line => this.receive(line));
     this.lines.on('close', () => this.finish());
   }
 
   override print(lines: readonly string[]): void {
-    process.stderr.write(`${lines.join('\n')}\n`);
+    this.output.write(`${lines.join('\n')}\n`);
   }
 
   override ask(prompt: string): Promise<string> {
-    process.stderr.write(prompt);
+    this.output.write(prompt);
     const line = this.buffered.shift();
     if (line !== undefined) return Promise.resolve(line);
     if (this.isClosed) return Promise.reject(makeEndError());
--- a/packages/questionnaire/src/answers.feature
+++ b/packages/questionnaire/src/answers.feature
@@ -44,5 +44,18 @@
       | removal of booking     | a new customer of it    | a problem at customers[10].services             |
       | nothing                | removal of a            | both changes                                    |
 
+  Scenario Outline: A conflict asked again: <mine> against <theirs>, chosen <chosen>
+    Given one operator gives a <mine>, another gives it <theirs> and b limit 8
+    Then choosing <chosen> for a gives it <result> and keeps b's limit 8
+
+    Examples:
+      | mine    | theirs  | chosen  | result  |
+      | limit 7 | limit 9 | limit 5 | limit 5 |
+      | limit 7 | limit 9 | limit 9 | limit 9 |
+      | limit 7 | removal | limit 7 | limit 7 |
+      | limit 7 | removal | removal | removal |
+      | removal | limit 9 | limit 9 | limit 9 |
+      | removal | limit 9 | removal | removal |
+
   Scenario: Answers come back whole from their entries
     Then 100 random sets of answers come back from their entries, seed 11
--- a/packages/questionnaire/src/merge_answers.ts
+++ b/packages/questionnaire/src/merge_answers.ts
@@ -31,11 +31,16 @@
   readonly problems: readonly Problem[];
 }
 
-/** Merges two changes of the same base, answer by answer; no base is empty. */
+/**
+ * Merges two changes of the same base, answer by answer; no base is empty.
+ *
+ * @param chosen answers of conflicts that were asked again; undefined to have none.
+ */
 export function mergeAnswers(
   base: Answers | undefined,
   mine: Answers,
   theirs: Answers,
+  chosen: AnswerEntries = NO_ENTRIES,
 ): MergeResult {
   const {same, rest} = removeSame(
     base === undefined ? [theirs, mine] : [theirs, mine, base],
@@ -54,7 +59,7 @@
     if (isSameAnswer(sides.mine, sides.base)) continue;
     if (isSameAnswer(sides.mine, sides.theirs)) continue;
     if (!isSameAnswer(sides.theirs, sides.base)) {
-      conflicts.push({id, ...sides});
+      if (!chosen.has(id)) conflicts.push({id, ...sides});
       continue;
     }
     if (sides.mine === undefined) merged.delete(id);
@@ -63,9 +68,32 @@
   if (conflicts.length > 0) {
     return {merged: undefined, conflicts, problems: []};
   }
+  for (const [id, value] of chosen) {
+    applyChosen(merged, id, value, [ours, others]);
+  }
   return checkMerged(same, merged);
 }
 
+/** Sets a chosen answer; what it belongs to may have been removed by a side. */
+function applyChosen(
+  merged: Map<string, unknown>,
+  id: string,
+  value: unknown,
+  sides: readonly AnswerEntries[],
+): void {
+  if (value === undefined) {
+    merged.delete(id);
+    return;
+  }
+  const subject = id.split('/').slice(0, 2).join('/');
+  const having = sides.find(side => side.has(subject));
+  const isGone = !merged.has(subject);
+  for (const [key, held] of isGone && having !== undefined ? having : []) {
+    if (key === subject || key.startsWith(`${subject}/`)) merged.set(key, held);
+  }
+  merged.set(id, value);
+}
+
 function checkMerged(
   same: AnswerSubjects,
   entries: AnswerEntries,
--- a/packages/questionnaire/src/update_answers.ts
+++ b/packages/questionnaire/src/update_answers.ts
@@ -57,7 +57,12 @@
   return listEntries(answers).get(id);
 }
 
-function parseAnswerAt(id: string, text: string): unknown {
+/**
+ * Parses the answer to the question with an id.
+ *
+ * @throws ValidationError when there is no such question or it is answered wrong.
+ */
+export function parseAnswerAt(id: string, text: string): unknown {
   const {question, item} = findAnswerPlace(id);
   const [group] = id.split('/');
   const isKnown =
