Judge whole answers, refusals and claims in status, with since when

Cause: status knew members, revisions and loads only; whether callers get whole answers, are refused, or claims wait was to be read from metrics.

Each daemon's dump now tells what callers were told within the last minute by outcome and reason, since when without a break, and how many ends of claims wait to be written, since when. status judges whole answers, not run and at most once by them, names the page or command for each, says each advice once, and reads daemons of an earlier version too. A customer's own limit is no fault; full engines, no backend server, a slow or absent platform are.

--- a/packages/client/src/fleet/daemon_report.ts
+++ b/packages/client/src/fleet/daemon_report.ts
@@ -3,6 +3,7 @@
   AddressSchema,
   EngineCountSchema,
   MemberState,
+  RecentOutcomeSchema,
 } from '@greengagecross/common';
 
 const ReportedMemberSchema = Schema.Struct({
@@ -28,6 +29,10 @@
   live: Schema.Array(ReportedMemberSchema),
   ownedEngines: Schema.Array(EngineCountSchema),
   memoryBytes: Schema.Finite,
+  /** Daemons of an earlier version do not tell these. */
+  recentOutcomes: Schema.optionalKey(Schema.Array(RecentOutcomeSchema)),
+  pendingClaims: Schema.optionalKey(Schema.Int),
+  pendingClaimsSinceMs: Schema.optionalKey(Schema.Finite),
 });
 
 /** Decoded form of {@link DaemonReportSchema}. */
--- a/packages/client/src/status/check_promises.ts
+++ b/packages/client/src/status/check_promises.ts
@@ -1,8 +1,9 @@
 import {MemberState, ServiceKind, type Service} from '@greengagecross/common';
+import {checkAnswers, checkClaims, checkRefusals} from './check_requests.js';
+import {formatNames, toSince} from './format_names.js';
 import {PromiseState, type PromiseReport} from './promise_state.js';
 import type {FleetView} from './fleet_view.js';
 
-const MAX_NAMED = 4;
 /** Requests below which a multiple of the mean says nothing. */
 const MIN_MEAN_IN_FLIGHT = 1;
 
@@ -12,7 +13,9 @@
     checkDaemons(view),
     checkConfiguration(view),
     ...checkLoads(view),
-    checkPlatform(view),
+    checkAnswers(view),
+    checkRefusals(view),
+    checkClaims(view),
     checkLeaving(view),
   ];
 }
@@ -152,27 +155,6 @@
   };
 }
 
-function checkPlatform(view: FleetView): PromiseReport {
-  const name = 'at most once';
-  if (view.storeRevision !== undefined) {
-    return {
-      name,
-      state: PromiseState.HOLDS,
-      detail: 'the table service answers; claims can be made',
-    };
-  }
-  const since = view.readings.map(
-    ({report}) => report?.configuration.notCurrentSinceMs,
-  );
-  return {
-    name,
-    state: PromiseState.DEGRADED,
-    detail: 'the table service is down; what may not be repeated is refused',
-    ...toSince(since),
-    advice: 'Call who runs the platform: docs/operations/platform_outage.md',
-  };
-}
-
 function checkLeaving(view: FleetView): PromiseReport {
   const name = 'leaving servers';
   const lagging = view.readings.flatMap(({report}) =>
@@ -192,16 +174,3 @@
     advice: 'Take no server away before it answers again.',
   };
 }
-
-function toSince(
-  times: readonly (number | undefined)[],
-): {readonly sinceMs: number} | Record<string, never> {
-  const known = times.filter(time => time !== undefined);
-  return known.length === 0 ? {} : {sinceMs: Math.min(...known)};
-}
-
-function formatNames(names: readonly string[]): string {
-  const shown = names.slice(0, MAX_NAMED).join(', ');
-  const more = names.length - MAX_NAMED;
-  return more > 0 ? `${shown} and ${more} more` : shown;
-}
--- a/packages/client/src/status/format_status.ts
+++ b/packages/client/src/status/format_status.ts
@@ -77,7 +77,7 @@
 }
 
 function formatAdvice(wrong: readonly PromiseReport[]): string[] {
-  const advice = wrong.flatMap(promise => promise.advice ?? []);
+  const advice = [...new Set(wrong.flatMap(p => p.advice ?? []))];
   if (advice.length === 0) return [];
   const lines = advice.flatMap(text =>
     formatWrapped(text, WIDTH - 4).map((line, at) =>
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -15,6 +15,7 @@
 export * from './protocol/directory_answer.js';
 export * from './protocol/placement_reason.js';
 export * from './protocol/placement_explanation.js';
+export * from './protocol/recent_outcome.js';
 export * from './ticket/ticket.js';
 export * from './ticket/ticket_codec.js';
 export * from './configuration/enums.js';
--- a/packages/daemon/src/callers/caller_router.ts
+++ b/packages/daemon/src/callers/caller_router.ts
@@ -36,7 +36,8 @@
         ),
       );
       const endMs = yield* Clock.currentTimeMillis;
-      this.metrics.recordRequest(kind, outcome, reason, endMs - startMs);
+      const durationMs = endMs - startMs;
+      this.metrics.recordRequest(kind, outcome, reason, durationMs, endMs);
     });
   }
 
--- a/packages/daemon/src/claims/claim_book.ts
+++ b/packages/daemon/src/claims/claim_book.ts
@@ -1,4 +1,4 @@
-import {Effect, Latch, Result} from 'effect';
+import {Clock, Effect, Latch, Result} from 'effect';
 import {decodeJson, Logger, toError} from '@greengagecross/common';
 import {
   ABSENT_VERSION,
@@ -39,6 +39,7 @@
 export class ClaimBook {
   /** Ends of claims still to be written, by token, the oldest first. */
   private readonly pending = new Map<string, Claim>();
+  private pendingSinceMs: number | undefined;
   private readonly hasPending = Latch.makeUnsafe(false);
 
   constructor(private readonly commits: GroupCommit) {}
@@ -62,7 +63,7 @@
           this.commits.write({key, version, value}),
         );
         if (Result.isFailure(result)) {
-          this.releaseLater(
+          yield* this.releaseLater(
             {key, version, record, isOwn: true},
             result.failure,
           );
@@ -86,11 +87,11 @@
     const ended = {...claim, record};
     return this.write(ended).pipe(
       Effect.catch(error =>
-        Effect.sync(() => {
+        Effect.suspend(() => {
           if (this.pending.size === 0) {
             logger.log('Claims wait to be written.', {error: error.message});
           }
-          this.addPending(ended);
+          return this.addPending(ended);
         }),
       ),
     );
@@ -106,6 +107,11 @@
     return this.pending.size;
   }
 
+  /** Tells since when ends of claims wait to be written, if any do. */
+  getPendingSinceMs(): number | undefined {
+    return this.pendingSinceMs;
+  }
+
   /** Writes pending ends for as long as the daemon runs. */
   run(): Effect.Effect<never> {
     return Effect.gen({self: this}, function* () {
@@ -119,6 +125,7 @@
         );
         if (this.pending.size > 0) continue;
         logger.log('No claim waits to be written.');
+        this.pendingSinceMs = undefined;
         this.hasPending.closeUnsafe();
       }
     });
@@ -151,19 +158,25 @@
   }
 
   /** A claim that may stand although nobody will use it is released later. */
-  private releaseLater(claim: Claim, error: PlatformError): void {
-    if (error.failure !== PlatformFailure.UNCERTAIN) return;
-    this.addPending({...claim, record: toReleased(claim.record)});
+  private releaseLater(
+    claim: Claim,
+    error: PlatformError,
+  ): Effect.Effect<void> {
+    if (error.failure !== PlatformFailure.UNCERTAIN) return Effect.void;
+    return this.addPending({...claim, record: toReleased(claim.record)});
   }
 
-  private addPending(claim: Claim): void {
-    const {token} = claim.record;
-    this.pending.delete(token);
-    this.pending.set(token, claim);
-    this.hasPending.openUnsafe();
-    if (this.pending.size <= MAX_PENDING) return;
-    const [oldest] = this.pending.keys();
-    if (oldest !== undefined) this.pending.delete(oldest);
+  private addPending(claim: Claim): Effect.Effect<void> {
+    return Effect.map(Clock.currentTimeMillis, nowMs => {
+      const {token} = claim.record;
+      this.pendingSinceMs ??= nowMs;
+      this.pending.delete(token);
+      this.pending.set(token, claim);
+      this.hasPending.openUnsafe();
+      if (this.pending.size <= MAX_PENDING) return;
+      const [oldest] = this.pending.keys();
+      if (oldest !== undefined) this.pending.delete(oldest);
+    });
   }
 }
 
--- a/packages/daemon/src/control/state_dump.ts
+++ b/packages/daemon/src/control/state_dump.ts
@@ -1,9 +1,11 @@
 import {Clock, Effect} from 'effect';
-import type {EngineCount, Member} from '@greengagecross/common';
+import type {EngineCount, Member, RecentOutcome} from '@greengagecross/common';
 import type {EngineLedger} from '@greengagecross/decisions';
+import type {ClaimBook} from '../claims/claim_book.js';
 import type {ConfigurationFollower} from '../configuration/configuration_follower.js';
 import type {ConfigurationState} from '../configuration/configuration_state.js';
 import type {HostFollower} from '../hosts/host_follower.js';
+import type {DaemonMetrics} from '../metrics/daemon_metrics.js';
 import type {MemberService} from '../members/member_service.js';
 
 /** A daemon's state, without customers' text or secrets. */
@@ -16,6 +18,11 @@
   readonly live: readonly Member[];
   readonly ownedEngines: readonly EngineCount[];
   readonly memoryBytes: number;
+  /** What callers were told within the last minute. */
+  readonly recentOutcomes: readonly RecentOutcome[];
+  /** Ends of claims that are still to be written. */
+  readonly pendingClaims: number;
+  readonly pendingClaimsSinceMs: number | undefined;
 }
 
 /** Reads a daemon's whole state for operators. */
@@ -25,6 +32,8 @@
     private readonly configuration: ConfigurationFollower,
     private readonly hosts: HostFollower,
     private readonly ledger: EngineLedger,
+    private readonly metrics: DaemonMetrics,
+    private readonly claims: ClaimBook,
     private readonly startedAtMs: number,
   ) {}
 
@@ -40,6 +49,9 @@
         live: this.members.listLive(nowMs),
         ownedEngines: this.ledger.listCounts(),
         memoryBytes: process.memoryUsage().rss,
+        recentOutcomes: this.metrics.listRecent(nowMs),
+        pendingClaims: this.claims.countPending(),
+        pendingClaimsSinceMs: this.claims.getPendingSinceMs(),
       };
     });
   }
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -23,3 +23,4 @@
 export * from './orders/order_holder.js';
 export * from './hosts/host_follower.js';
 export * from './members/member_service.js';
+export * from './metrics/recent_outcomes.js';
--- a/packages/daemon/src/metrics/daemon_metrics.ts
+++ b/packages/daemon/src/metrics/daemon_metrics.ts
@@ -1,6 +1,7 @@
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
-import type {Outcome} from '@greengagecross/common';
+import type {Outcome, RecentOutcome} from '@greengagecross/common';
 import {ControlKind} from './control_kind.js';
+import {RecentOutcomes} from './recent_outcomes.js';
 
 const SECONDS_BUCKETS = [0.005, 0.02, 0.05, 0.1, 0.3, 1, 1.3, 3, 10, 30, 100];
 
@@ -16,6 +17,7 @@
 
 /** Metrics of one daemon; names begin with `greengagecross_`. */
 export class DaemonMetrics {
+  private readonly recent = new RecentOutcomes();
   private readonly registry = new Registry();
   private readonly requests = new Counter({
     name: 'greengagecross_requests_total',
@@ -66,11 +68,18 @@
     outcome: Outcome,
     reason: string,
     durationMs: number,
+    nowMs: number,
   ): void {
+    this.recent.add(outcome, reason, nowMs);
     this.requests.inc({kind, outcome, reason});
     this.seconds.observe({kind}, durationMs / 1000);
   }
 
+  /** Lists what callers were told lately. */
+  listRecent(nowMs: number): readonly RecentOutcome[] {
+    return this.recent.list(nowMs);
+  }
+
   /** Exports every metric as text. */
   export(): Promise<string> {
     return this.registry.metrics();
--- a/packages/daemon/src/wiring/make_control_router.ts
+++ b/packages/daemon/src/wiring/make_control_router.ts
@@ -26,6 +26,8 @@
     parts.configuration,
     parts.hosts,
     parts.ledger,
+    metrics,
+    parts.claims,
     parts.startedAtMs,
   );
   const peers = makePeerServer(parts);
--- a/packages/questionnaire/src/chosen_answers_steps.ts
+++ b/packages/questionnaire/src/chosen_answers_steps.ts
@@ -31,7 +31,7 @@
   return text === 'removal' ? undefined : Number(text.replace('limit ', ''));
 }
 
-function changeA(text: string): Answers {
+function makeChangeOfA(text: string): Answers {
   const limit = parseLimit(text);
   if (limit === undefined) return removeAnswer(BASE, `customers/${A}`);
   return setAnswer(BASE, `customers/${A}/atMostAtOnce`, limit);
@@ -40,9 +40,9 @@
 Given(
   /^one operator gives a (removal|limit \d), another gives it (removal|limit \d) and b limit (\d)$/,
   function (this: ChosenWorld, mine: string, theirs: string, limit: string) {
-    this.mine = changeA(mine);
+    this.mine = makeChangeOfA(mine);
     const id = `customers/${B}/atMostAtOnce`;
-    this.theirs = setAnswer(changeA(theirs), id, Number(limit));
+    this.theirs = setAnswer(makeChangeOfA(theirs), id, Number(limit));
   },
 );
 
--- a/packages/standins/src/operators/status_steps.ts
+++ b/packages/standins/src/operators/status_steps.ts
@@ -1,5 +1,5 @@
 import assert from 'node:assert/strict';
-import {Given, Then, type World} from '@cucumber/cucumber';
+import {Given, Then, type DataTable, type World} from '@cucumber/cucumber';
 import {
   checkPromises,
   formatStatus,
@@ -7,11 +7,19 @@
   type DaemonReport,
   type FleetView,
 } from '@greengagecross/client';
-import {MemberState, ServiceKind} from '@greengagecross/common';
+import {
+  MemberState,
+  Outcome,
+  RefusalReason,
+  ServiceKind,
+  type RecentOutcome,
+} from '@greengagecross/common';
+import {RecentOutcomes} from '@greengagecross/daemon';
 import {makeConfiguration} from '@greengagecross/questionnaire';
 import {Deployment, readFixture} from '../fleet/plan_answers.js';
 
 const NOW_MS = 1_800_000_000_000;
+const SINCE_MS = NOW_MS - 61_000;
 const REVISION = 12;
 const MEAN_IN_FLIGHT = 10;
 const OVERRUN_IN_FLIGHT = 60;
@@ -22,6 +30,23 @@
   view: FleetView;
 }
 
+function listOutcomes(fault: string): RecentOutcome[] {
+  const reason = /^(\S+) refusals$/.exec(fault)?.[1];
+  const times = {count: 20, sinceMs: SINCE_MS, lastMs: NOW_MS};
+  const whole = {outcome: Outcome.COMPLETE, reason: '', ...times};
+  if (reason !== undefined) {
+    return [whole, {outcome: Outcome.NOT_RUN, reason, ...times}];
+  }
+  if (fault !== 'broken answers') return [whole];
+  const silent = RefusalReason.BACKEND_SILENT;
+  const failed = RefusalReason.BACKEND_FAILED;
+  return [
+    whole,
+    {outcome: Outcome.UNKNOWN, reason: silent, ...times},
+    {outcome: Outcome.FAILED, reason: failed, ...times},
+  ];
+}
+
 function makeReading(at: number, zones: number, fault: string): DaemonReading {
   const id = `entry-${at + 1}`;
   const availabilityZone = `tt-north-${at % zones}`;
@@ -65,6 +90,9 @@
                 : MEAN_IN_FLIGHT,
           })),
     memoryBytes: 1,
+    recentOutcomes: listOutcomes(fault),
+    pendingClaims: fault === 'pending claims' ? 3 : 0,
+    ...(fault === 'pending claims' ? {pendingClaimsSinceMs: SINCE_MS} : {}),
   };
   return {id, host, report, error: undefined};
 }
@@ -106,3 +134,32 @@
     assert.ok((promise.advice ?? '').includes(advice), promise.advice);
   },
 );
+
+Then(
+  'it says that {string} is degraded since {int} s ago',
+  function (this: StatusWorld, name: string, seconds: number) {
+    const promises = checkPromises(this.view);
+    const promise = promises.find(found => found.name === name);
+    assert.equal(promise?.state, 'degraded');
+    assert.equal(promise.sinceMs, NOW_MS - seconds * 1000);
+  },
+);
+
+Then(
+  'outcomes at {int}, {int}, {int} and {int} s are told as the table says',
+  function (a: number, b: number, c: number, d: number, table: DataTable) {
+    const rows = table.hashes().map(row => ({...row, at: Number(row['at'])}));
+    const recent = new RecentOutcomes();
+    const ends = [a, b, c, d];
+    for (let second = 0; second <= Math.max(...ends, d + 10); second += 1) {
+      const nowMs = second * 1000;
+      if (ends.includes(second)) recent.add(Outcome.UNKNOWN, 'x', nowMs);
+      const row = rows.find(({at}) => at === second);
+      if (row === undefined) continue;
+      const [told] = recent.list(nowMs);
+      const {count, since} = row as {count?: string; since?: string};
+      assert.equal(told === undefined ? '' : String(told.count), count);
+      if (told !== undefined) assert.equal(told.sinceMs, Number(since) * 1000);
+    }
+  },
+);
