Tell in plan what a change really does to chats, loads and refusals

Cause: plan said that about 7.1 % of returning chats move to a new engine. They do not: a ticket keeps a chat on its warm engine, and only chats without one are spread anew. Removing a customer was told as "nothing more is refused" or as a limit of 0; changes of who waits, of the longest wait, of paths that may not be repeated and of orders were not told at all.

--- a/packages/client/src/accept/read_answers_input.ts
+++ b/packages/client/src/accept/read_answers_input.ts
@@ -6,6 +6,19 @@
 import {readInputFile} from '../client_settings.js';
 import {ExitCode} from '../exit_code.js';
 
+/** Arguments of each command that reads a file of answers. */
+export const ANSWERS_ARGS = {
+  answers: {
+    type: 'string',
+    description: 'JSON file with the answers.',
+    required: true,
+  },
+  base: {
+    type: 'string',
+    description: 'Revision that the answers were made from.',
+  },
+} as const;
+
 /** Answers with the revision that they were made from. */
 export interface AnswersInput {
   readonly answers: Answers;
--- a/packages/client/src/commands/accept.ts
+++ b/packages/client/src/commands/accept.ts
@@ -10,7 +10,7 @@
 } from '../accept/accept_report.js';
 import {Acceptor} from '../accept/acceptor.js';
 import {formatConflicts} from '../accept/format_conflicts.js';
-import {readAnswersInput} from '../accept/read_answers_input.js';
+import {ANSWERS_ARGS, readAnswersInput} from '../accept/read_answers_input.js';
 import {askConflicts} from '../accept/ask_conflicts.js';
 import type {ClientContext} from '../client_context.js';
 import {ClientError} from '../client_error.js';
@@ -58,15 +58,7 @@
   },
   args: {
     ...ACCEPT_ARGS,
-    answers: {
-      type: 'string',
-      description: 'JSON file with the answers.',
-      required: true,
-    },
-    base: {
-      type: 'string',
-      description: 'Revision that the answers were made from.',
-    },
+    ...ANSWERS_ARGS,
   },
   run: ({args}) =>
     runCommand(args, context =>
--- a/packages/questionnaire/src/answer_text.ts
+++ b/packages/questionnaire/src/answer_text.ts
@@ -1,4 +1,4 @@
-import {PlacementPreference, type BackendServer} from '@greengagecross/common';
+import type {BackendServer} from '@greengagecross/common';
 import type {AnswerChange} from './answer_change.js';
 import {AnswerGroup} from './answer_entries.js';
 import {formatAnswer, formatServer} from './parse_answer.js';
@@ -72,49 +72,6 @@
   ];
 }
 
-/** Describes in a sentence what a change does; undefined when nothing. */
-export function describeEffect(change: AnswerChange): string | undefined {
-  const {id, before, after} = change;
-  const {subject, question, item} = findAnswerPlace(id);
-  if (question?.field === 'servers' && item !== undefined) {
-    if (before === undefined) {
-      return `${item} takes its share of ${subject}'s new work; about that share of returning chats moves to it.`;
-    }
-    if (after === undefined) {
-      return `${item} gets no new work; its chats go to the other servers, and what it runs now finishes.`;
-    }
-    return `${item} is reached at its new place; requests it runs now finish.`;
-  }
-  switch (question?.field) {
-    case 'mattersMore':
-      return after === PlacementPreference.REUSE
-        ? `Chats of ${subject} stay on warm engines until one is at 1.5 times the mean load.`
-        : `No engine of ${subject} goes above 1.25 times the mean load; more chats move.`;
-    case 'atMostAtOnce':
-      return Number(after ?? 0) < Number(before ?? 0)
-        ? `Requests of ${subject} above ${String(after ?? 0)} at once are refused.`
-        : undefined;
-    case 'services':
-      return describeLostServices(subject, before, after);
-    case 'keyHashes':
-      return `Only the keys answered now are taken from ${subject}; others get 401.`;
-    default:
-      return undefined;
-  }
-}
-
-function describeLostServices(
-  subject: string,
-  before: unknown,
-  after: unknown,
-): string | undefined {
-  const kept = new Set((after ?? []) as readonly string[]);
-  const old = (before ?? []) as readonly string[];
-  const lost = old.filter(name => !kept.has(name));
-  if (lost.length === 0) return undefined;
-  return `Requests of ${subject} for ${lost.join(', ')} are refused.`;
-}
-
 function formatItem(answer: unknown): string {
   const server = answer as Partial<BackendServer>;
   if (server.port !== undefined) return formatServer(server as BackendServer);
--- a/packages/questionnaire/src/answers.feature
+++ b/packages/questionnaire/src/answers.feature
@@ -57,5 +57,22 @@
       | removal | limit 9 | limit 9 | limit 9 |
       | removal | limit 9 | removal | removal |
 
+  Scenario Outline: What a change does is told in the questionnaire's terms: <change>
+    Given the questionnaire's fixture of registry
+    When its answers are changed by <change>
+    Then the effects told are <effects>
+
+    Examples:
+      | change | effects |
+      | engines/model-desk/servers/engine-14=10.20.2.13:8000 tt-north-b | model-desk: 13 -> 14 servers; engine-14 gain about 7.1 % of new work; each of the 13 others carries about 7.1 % less. + model-desk: returning chats stay on their warm engines; about 7.1 % of those without a ticket move. |
+      | removal of engines/model-desk/servers/engine-3 | model-desk: 13 -> 12 servers; engine-3 get no new work, what they run now finishes; each of the 12 others carries about 8.3 % more. + model-desk: about 7.7 % of returning chats, those of engine-3, move and are read once more. |
+      | engines/model-desk/mattersMore=reuse | Chats of model service model-desk stay on warm engines until one is at 1.5 times the mean load; fewer move. |
+      | engines/model-desk/whoWaits=background | Requests of model service model-desk go last under load. |
+      | customers/arima-cabinets/atMostAtOnce=20 | Requests of customer arima-cabinets above 20 at once are refused. |
+      | customers/arima-cabinets/services=catalogue | Requests of customer arima-cabinets for model-desk, model-desk-finishes, model-desk-labels are refused. |
+      | removal of customers/arima-cabinets | Every request of customer arima-cabinets is refused. |
+      | plainServices/catalogue/mayNotBeRepeated= | Calls of plain service catalogue below /reservations may run more than once. |
+      | plainServices/catalogue/longestWaitSeconds=7 | Requests of plain service catalogue are ended after 7 s, not 10 s. |
+
   Scenario: Answers come back whole from their entries
     Then 100 random sets of answers come back from their entries, seed 11
--- a/packages/questionnaire/src/index.ts
+++ b/packages/questionnaire/src/index.ts
@@ -12,6 +12,7 @@
 export * from './prompter.js';
 export * from './interview.js';
 export * from './answer_text.js';
+export * from './describe_effects.js';
 export * from './update_answers.js';
 export * from './answer_parts.js';
 export * from './find_origin.js';
