--- a/packages/client/src/accept/format_conflicts.ts
+++ b/packages/client/src/accept/format_conflicts.ts
@@ -22,3 +22,14 @@
     ];
   });
 }
+
+/** Says why there is nothing to accept, and how older answers come back. */
+export function formatUnchanged(
+  revision: number,
+  baseRevision: number,
+): string {
+  if (revision === baseRevision) {
+    return `revision ${revision} has these answers.`;
+  }
+  return `revision ${revision} has all that these answers changed since revision ${baseRevision}, and what others changed. To take older answers whole: greengagecross rollback.`;
+}
--- a/packages/client/src/commands/accept.ts
+++ b/packages/client/src/commands/accept.ts
@@ -9,7 +9,7 @@
   type ChangeRequest,
 } from '../accept/accept_report.js';
 import {Acceptor} from '../accept/acceptor.js';
-import {formatConflicts} from '../accept/format_conflicts.js';
+import {formatConflicts, formatUnchanged} from '../accept/format_conflicts.js';
 import {ANSWERS_ARGS, readAnswersInput} from '../accept/read_answers_input.js';
 import {askConflicts} from '../accept/ask_conflicts.js';
 import type {ClientContext} from '../client_context.js';
@@ -98,7 +98,7 @@
     );
     if (report.outcome === ChangeOutcome.CONFLICT) {
       const mustAsk = args.ask || (!args.json && process.stdin.isTTY);
-      if (!mustAsk) return formatReport(report);
+      if (!mustAsk) return formatReport(report, request.baseRevision);
       const answers = yield* askInTerminal(context, request, report);
       const again = {
         ...request,
@@ -108,7 +108,7 @@
       };
       return yield* acceptChange(context, again, args);
     }
-    const output = formatReport(report);
+    const output = formatReport(report, request.baseRevision);
     if (!args.wait) return output;
     const watcher = new RevisionWatcher(context.fleet, context.progress);
     const wait = yield* watcher.wait(report.revision);
@@ -152,7 +152,10 @@
     );
 }
 
-function formatReport(report: AcceptReport): CommandOutput {
+function formatReport(
+  report: AcceptReport,
+  baseRevision: number,
+): CommandOutput {
   const {outcome, revision, changes, isMerged} = report;
   switch (outcome) {
     case ChangeOutcome.ACCEPTED: {
@@ -165,7 +168,9 @@
     case ChangeOutcome.UNCHANGED:
       return {
         value: report,
-        lines: [`Nothing to accept: revision ${revision} has these answers.`],
+        lines: [
+          `Nothing to accept: ${formatUnchanged(revision, baseRevision)}`,
+        ],
       };
     case ChangeOutcome.CONFLICT:
       return {
--- a/packages/client/src/commands/plan.ts
+++ b/packages/client/src/commands/plan.ts
@@ -2,7 +2,7 @@
 import {Effect} from 'effect';
 import {describeEffects, formatChange} from '@greengagecross/questionnaire';
 import {ChangeMerger} from '../accept/change_merger.js';
-import {formatConflicts} from '../accept/format_conflicts.js';
+import {formatConflicts, formatUnchanged} from '../accept/format_conflicts.js';
 import {ANSWERS_ARGS, readAnswersInput} from '../accept/read_answers_input.js';
 import type {ClientContext} from '../client_context.js';
 import {ExitCode} from '../exit_code.js';
@@ -58,7 +58,9 @@
     if (changes.length === 0) {
       return {
         value,
-        lines: [`Nothing changes: revision ${revision} has these answers.`],
+        lines: [
+          `Nothing changes: ${formatUnchanged(revision, input.baseRevision)}`,
+        ],
       };
     }
     const shown = changes.slice(0, MAX_SHOWN_CHANGES).flatMap(formatChange);
--- a/packages/client/src/status/check_promises.ts
+++ b/packages/client/src/status/check_promises.ts
@@ -4,6 +4,7 @@
 import {PromiseState, type PromiseReport} from './promise_state.js';
 import type {FleetView} from './fleet_view.js';
 
+const FIRST_START_ADVICE = 'Accept the answers: docs/operations/first_start.md';
 /** Requests below which a multiple of the mean says nothing. */
 const MIN_MEAN_IN_FLIGHT = 1;
 
@@ -25,8 +26,7 @@
     const groups = listEngineGroups(view);
     return groups.map(service => checkLoad(view, service));
   }
-  const advice =
-    view.storeRevision === 0 ? 'docs/operations/first_start.md' : undefined;
+  const advice = view.storeRevision === 0 ? FIRST_START_ADVICE : undefined;
   return [
     {
       name: 'even load',
@@ -87,6 +87,18 @@
   const behind = reports.filter(
     report => report.configuration.revision < newest,
   );
+  if (view.storeRevision === 0 && newest === 0) {
+    return {
+      name,
+      state: PromiseState.DEGRADED,
+      detail: 'nothing is accepted yet; callers are refused as not run',
+      advice: FIRST_START_ADVICE,
+    };
+  }
+  if (reports.length === 0) {
+    const detail = 'no daemon tells which revision it has';
+    return {name, state: PromiseState.UNKNOWN, detail};
+  }
   const [first] = refused;
   if (first !== undefined) {
     return {
--- a/packages/client/src/status/check_requests.ts
+++ b/packages/client/src/status/check_requests.ts
@@ -25,6 +25,7 @@
 /** Checks that whole answers were told, or that callers know they were not. */
 export function checkAnswers(view: FleetView): PromiseReport {
   const name = 'whole answers';
+  if (hasNoReport(view)) return makeUnknown(name);
   const recent = listRecent(view);
   const broken = recent.filter(
     ({outcome}) => outcome === Outcome.FAILED || outcome === Outcome.UNKNOWN,
@@ -49,6 +50,7 @@
 /** Checks that requests are run; each refused one was told that it was not. */
 export function checkRefusals(view: FleetView): PromiseReport {
   const name = 'not run';
+  if (hasNoReport(view)) return makeUnknown(name);
   const refused = listRecent(view).filter(
     ({outcome}) => outcome === Outcome.NOT_RUN,
   );
@@ -103,6 +105,15 @@
   };
 }
 
+function hasNoReport(view: FleetView): boolean {
+  return view.readings.every(({report}) => report === undefined);
+}
+
+function makeUnknown(name: string): PromiseReport {
+  const detail = 'no daemon tells what its callers were told';
+  return {name, state: PromiseState.UNKNOWN, detail};
+}
+
 function listRecent(view: FleetView): RecentOutcome[] {
   return view.readings.flatMap(({report}) => report?.recentOutcomes ?? []);
 }
--- a/packages/daemon/src/metrics/daemon_metrics.ts
+++ b/packages/daemon/src/metrics/daemon_metrics.ts
@@ -3,6 +3,7 @@
 import {ControlKind} from './control_kind.js';
 import {RecentOutcomes} from './recent_outcomes.js';
 
+const DIRECTORY_KIND = 'directory';
 const SECONDS_BUCKETS = [0.005, 0.02, 0.05, 0.1, 0.3, 1, 1.3, 3, 10, 30, 100];
 
 /** Values that are read when metrics are asked for. */
@@ -70,7 +71,8 @@
     durationMs: number,
     nowMs: number,
   ): void {
-    this.recent.add(outcome, reason, nowMs);
+    // Lookups of addresses would drown what happens to requests.
+    if (kind !== DIRECTORY_KIND) this.recent.add(outcome, reason, nowMs);
     this.requests.inc({kind, outcome, reason});
     this.seconds.observe({kind}, durationMs / 1000);
   }
--- a/packages/questionnaire/src/answers.feature
+++ b/packages/questionnaire/src/answers.feature
@@ -64,8 +64,8 @@
 
     Examples:
       | change | effects |
-      | engines/model-desk/servers/engine-14=10.20.2.13:8000 tt-north-b | model-desk: 13 -> 14 servers; engine-14 gain about 7.1 % of new work; each of the 13 others carries about 7.1 % less. + model-desk: returning chats stay on their warm engines; about 7.1 % of those without a ticket move. |
-      | removal of engines/model-desk/servers/engine-3 | model-desk: 13 -> 12 servers; engine-3 get no new work, what they run now finishes; each of the 12 others carries about 8.3 % more. + model-desk: about 7.7 % of returning chats, those of engine-3, move and are read once more. |
+      | engines/model-desk/servers/engine-14=10.20.2.13:8000 tt-north-b | model-desk: 13 -> 14 servers; about 7.1 % of new work goes to engine-14; each of the 13 others carries about 7.1 % less. + model-desk: returning chats stay on their warm engines; about 7.1 % of those without a ticket move. |
+      | removal of engines/model-desk/servers/engine-3 | model-desk: 13 -> 12 servers; no new work goes to engine-3, what runs there now finishes; each of the 12 others carries about 8.3 % more. + model-desk: about 7.7 % of returning chats, those of engine-3, move and are read once more. |
       | engines/model-desk/mattersMore=reuse | Chats of model service model-desk stay on warm engines until one is at 1.5 times the mean load; fewer move. |
       | engines/model-desk/whoWaits=background | Requests of model service model-desk go last under load. |
       | customers/arima-cabinets/atMostAtOnce=20 | Requests of customer arima-cabinets above 20 at once are refused. |
--- a/packages/questionnaire/src/describe_moves.ts
+++ b/packages/questionnaire/src/describe_moves.ts
@@ -41,13 +41,13 @@
     .filter(server => isElsewhere(places.get(server.id), server))
     .map(server => server.id);
   const {name, isEngine} = now;
-  const cold = isEngine ? ' Their chats find no warm context there.' : '';
+  const cold = isEngine ? ' Returning chats find no warm context there.' : '';
   return [
     ...describeLoads(was, now, added, removed),
     ...(isEngine ? describeChats(was, now, added, removed) : []),
     ...(moved.length > 0
       ? [
-          `${name}: ${formatIds(moved)} are reached at their new places; requests that they run now finish.${cold}`,
+          `${name}: requests now go to the new place of ${formatIds(moved)}; what runs at the old one finishes.${cold}`,
         ]
       : []),
   ];
@@ -71,11 +71,11 @@
       : ` each of the ${stayed} others carries about ${Math.abs(change).toFixed(1)} % ${direction}.`;
   const gains =
     added.length > 0
-      ? ` ${formatIds(added)} gain about ${formatShare(added.length, after)} of new work;`
+      ? ` about ${formatShare(added.length, after)} of new work goes to ${formatIds(added)};`
       : '';
   const losses =
     removed.length > 0
-      ? ` ${formatIds(removed)} get no new work, what they run now finishes;`
+      ? ` no new work goes to ${formatIds(removed)}, what runs there now finishes;`
       : '';
   const text = `${gains}${losses}${others}`.trim().replace(/;$/, '.');
   return [`${now.name}: ${before} -> ${after} servers; ${text}`];
--- a/packages/standins/src/operators/status.feature
+++ b/packages/standins/src/operators/status.feature
@@ -44,3 +44,7 @@
       | 360     | 6     | pending claims           | at most once    | degraded | Do not stop              |
       | 5       | 4     | an old host list         | leaving servers | unknown  | Take no server away      |
       | 0       | 0     | no fault                 | daemons answer  | degraded | first_start.md           |
+      | 0       | 0     | no fault                 | configuration   | unknown  |                          |
+      | 0       | 0     | no fault                 | whole answers   | unknown  |                          |
+      | 0       | 0     | no fault                 | not run         | unknown  |                          |
+      | 5       | 4     | nothing accepted         | configuration   | degraded | first_start.md           |
--- a/packages/standins/src/operators/status_steps.ts
+++ b/packages/standins/src/operators/status_steps.ts
@@ -30,6 +30,11 @@
   view: FleetView;
 }
 
+function findRevision(fault: string, at: number): number {
+  if (fault === 'nothing accepted') return 0;
+  return fault.startsWith('a revision') && at < 90 ? REVISION - 1 : REVISION;
+}
+
 function listOutcomes(fault: string): RecentOutcome[] {
   const reason = /^(\S+) refusals$/.exec(fault)?.[1];
   const times = {count: 20, sinceMs: SINCE_MS, lastMs: NOW_MS};
@@ -70,7 +75,7 @@
     atMs: NOW_MS,
     uptimeMs: 3_600_000,
     configuration: {
-      revision: fault.startsWith('a revision') && at < 90 ? 11 : REVISION,
+      revision: findRevision(fault, at),
       isCurrent: fault !== 'an outage',
       ...(fault === 'an outage' ? {notCurrentSinceMs: NOW_MS - 60_000} : {}),
       ...(fault.startsWith('a refused')
@@ -108,7 +113,7 @@
         makeReading(at, Number(zones), fault),
       ),
       isHostListUp: !isDown,
-      storeRevision: isDown ? undefined : REVISION,
+      storeRevision: isDown ? undefined : findRevision(fault, REVISION * 10),
       services: isDown ? [] : services,
       leaving: [],
     };
