Frame every request body, so that none is read as another request

Cause: Node's client sends the body of a GET, DELETE or OPTIONS without content-length or chunks. A plain service's call with such a body left its bytes unframed on a kept connection, and the worker took them for the next request: a customer could so write a whole request, with another customer's name in its headers, past the daemon. Found by the services' contract cases, whose DELETE lost its body.

--- a/packages/http/src/http_client.ts
+++ b/packages/http/src/http_client.ts
@@ -6,7 +6,7 @@
 import {HttpError} from './http_error.js';
 import {HttpFailure} from './http_failure.js';
 import type {HttpReply, OpenReply} from './http_reply.js';
-import type {OutgoingRequest} from './outgoing_request.js';
+import type {OutgoingHeaders, OutgoingRequest} from './outgoing_request.js';
 import {readBody} from './read_body.js';
 import {RequestPhase} from './request_phase.js';
 import {SilenceWatch} from './silence_watch.js';
@@ -72,13 +72,24 @@
       port: outgoing.address.port,
       method: outgoing.method,
       path: outgoing.path,
-      headers: {...outgoing.headers},
+      headers: {...outgoing.headers, ...buildLength(outgoing.body)},
     });
     sending.end(outgoing.body);
     return sending;
   }
 }
 
+/**
+ * Builds the header that frames a body.
+ *
+ * Node sends the body of a GET or DELETE without it, which the other end then
+ * takes for the next request of the connection.
+ */
+function buildLength(body: string | Buffer | undefined): OutgoingHeaders {
+  if (body === undefined || body.length === 0) return {};
+  return {'content-length': String(Buffer.byteLength(body))};
+}
+
 /** Follows one request: whether it was sent, and whether it went silent. */
 class PhaseTracker {
   private phase = RequestPhase.NOT_SENT;
