--- a/packages/standins/src/contracts/platform_contracts.feature
+++ b/packages/standins/src/contracts/platform_contracts.feature
@@ -18,6 +18,10 @@
       | object store  | over HTTP | gives back the bytes that were put         |
       | object store  | in memory | has nothing under an unknown key           |
       | object store  | over HTTP | has nothing under an unknown key           |
+      | weight store  | in memory | gives a version's bytes                    |
+      | weight store  | over HTTP | gives a version's bytes                    |
+      | weight store  | in memory | has nothing of an absent version           |
+      | weight store  | over HTTP | has nothing of an absent version           |
 
   Scenario Outline: A write while the platform is <fault> is <failure>
     Given the platform contract's table service over HTTP
@@ -33,6 +37,20 @@
       | silent on open connections  | uncertain   | no effect    |
       | not listening               | unreachable | no effect    |
 
+  Scenario Outline: A size asked while the weight store is <fault> fails as <failure>
+    Given the platform contract's weight store over HTTP
+    When a size is asked while the weight store is <fault>
+    Then the asking fails as <failure>
+    And the next size is given once the fault is over
+
+    Examples:
+      | fault                       | failure     |
+      | down                        | unreachable |
+      | slower than the limit       | uncertain   |
+      | losing replies              | uncertain   |
+      | silent on open connections  | uncertain   |
+      | not listening               | unreachable |
+
   Scenario: The host list is shown with its lag
     Given the platform contract's host list over HTTP with a lag of 1500 ms
     When the list is changed and read at once and after the lag
--- a/packages/standins/src/contracts/platform_contracts_steps.ts
+++ b/packages/standins/src/contracts/platform_contracts_steps.ts
@@ -8,15 +8,19 @@
   HttpHostDirectory,
   HttpObjectStore,
   HttpTableService,
+  HttpWeightStore,
   PlatformCaller,
   type HostList,
   type ObjectStore,
   type TableService,
+  type WeightStore,
 } from '@greengagecross/platform';
 import {NO_FAULTS, type StandinFaults} from '../faults.js';
 import {findFreePorts} from '../fleet/free_ports.js';
 import {PlatformServer} from '../platform/platform_server.js';
+import {WEIGHT_CASES} from './backend_cases.js';
 import {makeWrite, OBJECT_CASES, TABLE_CASES} from './contract_cases.js';
+import {MemoryWeights} from './memory_backends.js';
 import {MemoryObjects, MemoryTable} from './memory_platform.js';
 
 const LIMIT_MS = 400;
@@ -34,6 +38,7 @@
 interface ContractWorld extends World {
   contractTable?: TableService;
   contractObjects?: ObjectStore;
+  contractWeights?: WeightStore;
   platformServer?: PlatformServer;
   serverScope?: Scope.Closeable;
   address: Address;
@@ -47,17 +52,19 @@
 });
 
 Given(
-  /^the platform contract's (table service|object store) (in memory|over HTTP)$/,
+  /^the platform contract's (table service|object store|weight store) (in memory|over HTTP)$/,
   async function (this: ContractWorld, kind: string, where: string) {
     if (where === 'in memory') {
       this.contractTable = new MemoryTable();
       this.contractObjects = new MemoryObjects();
+      this.contractWeights = new MemoryWeights();
       return;
     }
     await startServer(this);
     const caller = makeCaller(this);
     this.contractTable = new HttpTableService(caller);
     this.contractObjects = new HttpObjectStore(caller);
+    this.contractWeights = new HttpWeightStore(caller);
   },
 );
 
@@ -66,9 +73,12 @@
   async function (this: ContractWorld, name: string) {
     assert.ok(this.contractTable !== undefined);
     assert.ok(this.contractObjects !== undefined);
+    assert.ok(this.contractWeights !== undefined);
     await TABLE_CASES[name]?.(this.contractTable);
     await OBJECT_CASES[name]?.(this.contractObjects);
-    assert.ok(name in TABLE_CASES || name in OBJECT_CASES, `no case ${name}`);
+    await WEIGHT_CASES[name]?.(this.contractWeights);
+    const cases = {...TABLE_CASES, ...OBJECT_CASES, ...WEIGHT_CASES};
+    assert.ok(name in cases, `no case ${name}`);
   },
 );
 
@@ -114,6 +124,39 @@
   },
 );
 
+When(
+  /^a size is asked while the weight store is (.+)$/,
+  async function (this: ContractWorld, fault: string) {
+    assert.ok(this.contractWeights !== undefined && fault in FAULTS);
+    if (fault === 'not listening') await stopServer(this);
+    else await Effect.runPromise(this.contractWeights.getSize('m', '1'));
+    this.platformServer?.gate.set(FAULTS[fault] ?? {});
+    const result = await Effect.runPromise(
+      Effect.result(this.contractWeights.getSize('m', '1')),
+    );
+    assert.ok(Result.isFailure(result));
+    this.failure = result.failure.failure;
+    if (fault === 'not listening') await startServer(this, this.address);
+    this.platformServer?.gate.set(NO_FAULTS);
+  },
+);
+
+Then(
+  /^the asking fails as (\w+)$/,
+  function (this: ContractWorld, failure: string) {
+    assert.equal(this.failure, failure);
+  },
+);
+
+Then(
+  'the next size is given once the fault is over',
+  async function (this: ContractWorld) {
+    const weights = new HttpWeightStore(makeCaller(this));
+    const bytes = await Effect.runPromise(weights.getSize('m', '1'));
+    assert.ok(bytes !== undefined && bytes > 0);
+  },
+);
+
 Given(
   "the platform contract's host list over HTTP with a lag of {int} ms",
   async function (this: ContractWorld, lagMs: number) {
--- a/packages/standins/src/platform/platform_server.ts
+++ b/packages/standins/src/platform/platform_server.ts
@@ -8,6 +8,8 @@
 const OBJECT_PREFIX = '/v1/objects/';
 const WEIGHT_PREFIX = '/v1/weights/';
 const MAX_SHOWN_ROWS = 100_000;
+/** The version of every model that the weight store has not. */
+const ABSENT_VERSION = '/absent';
 const WEIGHT_BYTES = 20_000_000_000;
 
 /** Calls that the stand-in has answered, by kind. */
@@ -58,7 +60,9 @@
       return;
     }
     if (exchange.path.startsWith(WEIGHT_PREFIX)) {
-      exchange.sendJson(200, {bytes: WEIGHT_BYTES});
+      const isAbsent = exchange.path.endsWith(ABSENT_VERSION);
+      if (isAbsent) exchange.sendJson(404, {});
+      else exchange.sendJson(200, {bytes: WEIGHT_BYTES});
       return;
     }
     switch (exchange.path) {
