Count every call as its caller was told

Cause: a stream that had begun and then failed told its caller 'failed' in its last event, and the daemon counted it as complete; bytes that were no request were answered not-run and not counted; the directory's answer bore neither outcome nor request id.

A begun stream's refusal now goes on to the place that counts; malformed requests are counted as kind 'other'; the directory says complete and its id.

How it failed first: with the refusal kept back, the feature finds 'chat complete' 6 instead of 5 and no 'chat failed'; without the count of malformed requests, 19 calls of 21. After: told_outcomes.feature 2 scenarios (2 passed): 21 calls of 11 kinds of ending, timed as often as counted, and the gauge of calls in flight while 3 are held.

--- a/packages/daemon/src/callers/caller_router.ts
+++ b/packages/daemon/src/callers/caller_router.ts
@@ -1,8 +1,8 @@
 import {Clock, Effect} from 'effect';
 import {makeRequestId, Outcome, RefusalReason} from '@greengagecross/common';
-import type {HttpExchange} from '@greengagecross/http';
+import type {HttpExchange, OutgoingHeaders} from '@greengagecross/http';
 import type {DaemonMetrics} from '../metrics/daemon_metrics.js';
-import {answerRefusal} from './answer_refusal.js';
+import {answerRefusal, buildMalformedHeaders} from './answer_refusal.js';
 import type {ChatHandler} from './chat_handler.js';
 import type {DirectoryHandler} from './directory_handler.js';
 import {makeCut, makeNotRun, type Refusal} from './refusal.js';
@@ -31,6 +31,8 @@
           Effect.sync(() => {
             outcome = refusal.outcome;
             reason = refusal.reason;
+            // A stream that had begun told it in its last event.
+            if (exchange.response.headersSent) return;
             answerRefusal(exchange, requestId, refusal);
           }),
         ),
@@ -40,6 +42,14 @@
     });
   }
 
+  /** Counts bytes that are no request; gives the headers of their answer. */
+  refuseMalformed(): OutgoingHeaders {
+    const {NOT_RUN} = Outcome;
+    const {BAD_REQUEST} = RefusalReason;
+    this.metrics.recordRequest(RequestKind.OTHER, NOT_RUN, BAD_REQUEST, 0);
+    return buildMalformedHeaders();
+  }
+
   /** A chat's stream is ended by its handler, which knows how far it came. */
   private dispatchUntilCut(
     kind: RequestKind,
@@ -59,7 +69,7 @@
   ): Effect.Effect<void, Refusal> {
     switch (kind) {
       case RequestKind.DIRECTORY:
-        return this.directory.handle(exchange);
+        return this.directory.handle(exchange, requestId);
       case RequestKind.CHAT:
         return this.chats.handle(exchange, requestId);
       case RequestKind.SERVICE:
--- a/packages/daemon/src/callers/chat_handler.ts
+++ b/packages/daemon/src/callers/chat_handler.ts
@@ -114,7 +114,8 @@
         if (job.stream?.isStarted() !== true) return Effect.fail(refusal);
         const {outcome, reason} = refusal;
         const event = {outcome, reason, requestId: job.requestId};
-        return Effect.sync(() => job.stream?.finish(event, false));
+        job.stream.finish(event, false);
+        return Effect.fail(refusal);
       }),
     );
   }
--- a/packages/daemon/src/callers/directory_handler.ts
+++ b/packages/daemon/src/callers/directory_handler.ts
@@ -2,11 +2,13 @@
 import {
   formatAddress,
   HeaderName,
+  Outcome,
   ServiceKind,
   type TicketCodec,
 } from '@greengagecross/common';
 import type {HttpExchange} from '@greengagecross/http';
 import type {PlacementService} from '../placement/placement_service.js';
+import {buildOutcomeHeaders} from './answer_refusal.js';
 import type {Authenticator} from './authenticator.js';
 import {makeChatKey} from './chat_key.js';
 import type {Refusal} from './refusal.js';
@@ -21,7 +23,10 @@
   ) {}
 
   /** Answers GET /v1/directory?chat=…&service=…. */
-  handle(exchange: HttpExchange): Effect.Effect<void, Refusal> {
+  handle(
+    exchange: HttpExchange,
+    requestId: string,
+  ): Effect.Effect<void, Refusal> {
     return Effect.gen({self: this}, function* () {
       const {customer, view} = yield* this.authenticator.verify(exchange);
       const chat = exchange.query.get('chat') ?? '';
@@ -37,10 +42,14 @@
         makeChatKey(customer.id, chat),
         ticket,
       );
-      exchange.sendJson(200, {
-        addresses: daemons.map(member => formatAddress(member.callerAddress)),
-        keepMs: this.keepMs,
-      });
+      const addresses = daemons.map(member =>
+        formatAddress(member.callerAddress),
+      );
+      exchange.sendJson(
+        200,
+        {addresses, keepMs: this.keepMs},
+        buildOutcomeHeaders(Outcome.COMPLETE, requestId),
+      );
     });
   }
 }
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -50,6 +50,7 @@
       settings.callerListener,
       this.computeKeepAliveMs(),
       exchange => callers.handle(exchange),
+      () => callers.refuseMalformed(),
     );
     this.controlServer = this.makeServer(
       settings.controlListener,
@@ -196,6 +197,7 @@
     address: Address,
     keepAliveMs: number,
     handler: ExchangeHandler,
+    onMalformed = buildMalformedHeaders,
   ): HttpServer {
     const options = {
       address,
@@ -203,7 +205,7 @@
       headersTimeoutMs: HEADERS_TIMEOUT_MS,
       requestTimeoutMs: this.parts.tuning.callerSilenceMs,
       stallTimeoutMs: this.parts.tuning.callerSilenceMs,
-      buildMalformedHeaders,
+      buildMalformedHeaders: onMalformed,
     };
     return new HttpServer(options, handler);
   }
--- a/packages/standins/src/edges/edge_fleet.ts
+++ b/packages/standins/src/edges/edge_fleet.ts
@@ -19,6 +19,7 @@
 export interface EdgeReply {
   readonly status: number;
   readonly outcome: string;
+  readonly reason: string;
   readonly ticket: string;
   readonly body: string;
 }
@@ -130,6 +131,7 @@
   return {
     status: Number(statusLine.split(' ')[1]),
     outcome: headers.get(HeaderName.OUTCOME) ?? '',
+    reason: headers.get(HeaderName.REASON) ?? '',
     ticket: headers.get(HeaderName.TICKET) ?? '',
     body: text.slice(end + 4),
   };
