--- a/packages/client/src/commands/accept.ts
+++ b/packages/client/src/commands/accept.ts
@@ -2,18 +2,20 @@
 import {Effect} from 'effect';
 import {makeRequestId} from '@greengagecross/common';
 import {PlatformError} from '@greengagecross/platform';
+import type {Answers} from '@greengagecross/questionnaire';
 import {
   ChangeOutcome,
   type AcceptReport,
   type ChangeRequest,
 } from '../accept/accept_report.js';
 import {Acceptor} from '../accept/acceptor.js';
-import {formatConflicts} from '../accept/format_conflicts.js';
-import {readAnswersInput} from '../accept/read_answers_input.js';
-import {askInTerminal} from '../accept/ask_in_terminal.js';
+import {formatConflicts, formatUnchanged} from '../accept/format_conflicts.js';
+import {ANSWERS_ARGS, readAnswersInput} from '../accept/read_answers_input.js';
+import {askConflicts} from '../accept/ask_conflicts.js';
 import type {ClientContext} from '../client_context.js';
 import {ClientError} from '../client_error.js';
 import {ExitCode} from '../exit_code.js';
+import {TerminalPrompter} from '../terminal_prompter.js';
 import {RevisionWatcher} from '../fleet/revision_watcher.js';
 import {COMMON_ARGS, runCommand, type CommandOutput} from '../run_command.js';
 
@@ -34,6 +36,12 @@
     description: 'Write every part again, also when no answer differs.',
     default: false,
   },
+  ask: {
+    type: 'boolean',
+    description:
+      'Ask questions in conflict again; done anyway in a terminal without --json.',
+    default: false,
+  },
   wait: {
     type: 'boolean',
     description: 'Wait until every live daemon has the revision.',
@@ -50,20 +58,15 @@
   },
   args: {
     ...ACCEPT_ARGS,
-    answers: {
-      type: 'string',
-      description: 'JSON file with the answers.',
-      required: true,
-    },
-    base: {
-      type: 'string',
-      description: 'Revision that the answers were made from.',
-    },
+    ...ANSWERS_ARGS,
   },
   run: ({args}) =>
     runCommand(args, context =>
       Effect.gen(function* () {
-        const input = yield* readAnswersInput(context, args.answers, args.base);
+        const input = yield* context.progress.track(
+          'Reading the answers',
+          readAnswersInput(context, args.answers, args.base),
+        );
         const request = {
           ...input,
           operationId: args.operation ?? makeRequestId(),
@@ -76,17 +79,26 @@
     ),
 });
 
+interface AcceptArgs {
+  readonly ask: boolean;
+  readonly wait: boolean;
+  readonly json: boolean;
+}
+
 /** Accepts a change, then waits for the daemons if asked to. */
 export function acceptChange(
   context: ClientContext,
   request: ChangeRequest,
-  args: {readonly wait: boolean; readonly json: boolean},
+  args: AcceptArgs,
 ): Effect.Effect<CommandOutput, Error> {
   return Effect.gen(function* () {
-    const report = yield* tryAccept(context, request);
+    const report = yield* context.progress.track(
+      'Accepting',
+      tryAccept(context, request),
+    );
     if (report.outcome === ChangeOutcome.CONFLICT) {
-      if (args.json || !process.stdin.isTTY) return formatReport(report);
-      process.stdout.write(`${formatConflicts(report.conflicts).join('\n')}\n`);
+      const mustAsk = args.ask || (!args.json && process.stdin.isTTY);
+      if (!mustAsk) return formatReport(report, request.baseRevision);
       const answers = yield* askInTerminal(context, request, report);
       const again = {
         ...request,
@@ -96,9 +108,9 @@
       };
       return yield* acceptChange(context, again, args);
     }
-    const output = formatReport(report);
+    const output = formatReport(report, request.baseRevision);
     if (!args.wait) return output;
-    const watcher = new RevisionWatcher(context.fleet);
+    const watcher = new RevisionWatcher(context.fleet, context.progress);
     const wait = yield* watcher.wait(report.revision);
     return {
       value: {...report, daemons: wait.daemons},
@@ -108,6 +120,18 @@
   });
 }
 
+function askInTerminal(
+  context: ClientContext,
+  request: ChangeRequest,
+  report: AcceptReport,
+): Effect.Effect<Answers, Error> {
+  return Effect.acquireUseRelease(
+    Effect.sync(() => new TerminalPrompter()),
+    prompter => askConflicts(context.store, request, report, prompter),
+    prompter => Effect.sync(() => prompter.close()),
+  );
+}
+
 function tryAccept(
   context: ClientContext,
   request: ChangeRequest,
@@ -128,7 +152,10 @@
     );
 }
 
-function formatReport(report: AcceptReport): CommandOutput {
+function formatReport(
+  report: AcceptReport,
+  baseRevision: number,
+): CommandOutput {
   const {outcome, revision, changes, isMerged} = report;
   switch (outcome) {
     case ChangeOutcome.ACCEPTED: {
@@ -141,7 +168,9 @@
     case ChangeOutcome.UNCHANGED:
       return {
         value: report,
-        lines: [`Nothing to accept: revision ${revision} has these answers.`],
+        lines: [
+          `Nothing to accept: ${formatUnchanged(revision, baseRevision)}`,
+        ],
       };
     case ChangeOutcome.CONFLICT:
       return {
--- a/packages/daemon/src/metrics/daemon_metrics.ts
+++ b/packages/daemon/src/metrics/daemon_metrics.ts
@@ -1,7 +1,9 @@
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
-import type {Outcome} from '@greengagecross/common';
+import type {Outcome, RecentOutcome} from '@greengagecross/common';
 import {ControlKind} from './control_kind.js';
+import {RecentOutcomes} from './recent_outcomes.js';
 
+const DIRECTORY_KIND = 'directory';
 const SECONDS_BUCKETS = [0.005, 0.02, 0.05, 0.1, 0.3, 1, 1.3, 3, 10, 30, 100];
 
 /** Values that are read when metrics are asked for. */
@@ -16,6 +18,7 @@
 
 /** Metrics of one daemon; names begin with `greengagecross_`. */
 export class DaemonMetrics {
+  private readonly recent = new RecentOutcomes();
   private readonly registry = new Registry();
   private readonly requests = new Counter({
     name: 'greengagecross_requests_total',
@@ -66,11 +69,19 @@
     outcome: Outcome,
     reason: string,
     durationMs: number,
+    nowMs: number,
   ): void {
+    // Lookups of addresses would drown what happens to requests.
+    if (kind !== DIRECTORY_KIND) this.recent.add(outcome, reason, nowMs);
     this.requests.inc({kind, outcome, reason});
     this.seconds.observe({kind}, durationMs / 1000);
   }
 
+  /** Lists what callers were told lately. */
+  listRecent(nowMs: number): readonly RecentOutcome[] {
+    return this.recent.list(nowMs);
+  }
+
   /** Exports every metric as text. */
   export(): Promise<string> {
     return this.registry.metrics();
--- a/packages/http/src/http_client.ts
+++ b/packages/http/src/http_client.ts
@@ -3,10 +3,11 @@
 import {Effect} from 'effect';
 import {formatAddress} from '@greengagecross/common';
 import {ConnectionPool} from './connection_pool.js';
+import {finishMessage} from './finish_message.js';
 import {HttpError} from './http_error.js';
 import {HttpFailure} from './http_failure.js';
 import type {HttpReply, OpenReply} from './http_reply.js';
-import type {OutgoingRequest} from './outgoing_request.js';
+import type {OutgoingHeaders, OutgoingRequest} from './outgoing_request.js';
 import {readBody} from './read_body.js';
 import {RequestPhase} from './request_phase.js';
 import {SilenceWatch} from './silence_watch.js';
@@ -37,7 +38,7 @@
 
   /** Sends a request and gives its reply once the headers are in. */
   open(outgoing: OutgoingRequest): Effect.Effect<OpenReply, HttpError> {
-    return Effect.callback<OpenReply, HttpError>((resume, signal) => {
+    return Effect.callback<OpenReply, HttpError>(resume => {
       const sending = this.start(outgoing);
       const tracker = new PhaseTracker(sending, outgoing, this.pool);
       sending.once('response', stream =>
@@ -56,7 +57,7 @@
       sending.once('close', () =>
         resume(Effect.suspend(() => Effect.fail(tracker.makeError()))),
       );
-      signal.addEventListener('abort', () => tracker.onAborted());
+      return Effect.sync(() => tracker.onAborted());
     });
   }
 
@@ -72,13 +73,24 @@
       port: outgoing.address.port,
       method: outgoing.method,
       path: outgoing.path,
-      headers: {...outgoing.headers},
+      headers: {...outgoing.headers, ...buildLength(outgoing.body)},
     });
-    sending.end(outgoing.body);
+    finishMessage(sending, outgoing.body);
     return sending;
   }
 }
 
+/**
+ * Builds the header that frames a body.
+ *
+ * Node sends the body of a GET or DELETE without it, which the other end then
+ * takes for the next request of the connection.
+ */
+function buildLength(body: string | Buffer | undefined): OutgoingHeaders {
+  if (body === undefined || body.length === 0) return {};
+  return {'content-length': String(Buffer.byteLength(body))};
+}
+
 /** Follows one request: whether it was sent, and whether it went silent. */
 class PhaseTracker {
   private phase = RequestPhase.NOT_SENT;
