--- a/packages/daemon/src/callers/caller_router.ts
+++ b/packages/daemon/src/callers/caller_router.ts
@@ -2,6 +2,7 @@
 import {makeRequestId, Outcome, RefusalReason} from '@greengagecross/common';
 import type {HttpExchange, OutgoingHeaders} from '@greengagecross/http';
 import type {DaemonMetrics} from '../metrics/daemon_metrics.js';
+import {RequestKind} from '../metrics/request_kind.js';
 import {answerRefusal, buildMalformedHeaders} from './answer_refusal.js';
 import type {ChatHandler} from './chat_handler.js';
 import type {DirectoryHandler} from './directory_handler.js';
@@ -47,7 +48,9 @@
   refuseMalformed(): OutgoingHeaders {
     const {NOT_RUN} = Outcome;
     const {BAD_REQUEST} = RefusalReason;
-    this.metrics.recordRequest(RequestKind.OTHER, NOT_RUN, BAD_REQUEST, 0);
+    const nowMs = Effect.runSync(Clock.currentTimeMillis);
+    const {OTHER} = RequestKind;
+    this.metrics.recordRequest(OTHER, NOT_RUN, BAD_REQUEST, 0, nowMs);
     return buildMalformedHeaders();
   }
 
@@ -83,14 +86,6 @@
   }
 }
 
-/** What a path asks for. */
-enum RequestKind {
-  DIRECTORY = 'directory',
-  CHAT = 'chat',
-  SERVICE = 'service',
-  OTHER = 'other',
-}
-
 function findKind(exchange: HttpExchange): RequestKind {
   if (exchange.path.startsWith(SERVICE_PREFIX)) return RequestKind.SERVICE;
   if (exchange.path === '/v1/directory') return RequestKind.DIRECTORY;
--- a/packages/daemon/src/metrics/daemon_metrics.ts
+++ b/packages/daemon/src/metrics/daemon_metrics.ts
@@ -2,8 +2,8 @@
 import type {Outcome, RecentOutcome} from '@greengagecross/common';
 import {ControlKind} from './control_kind.js';
 import {RecentOutcomes} from './recent_outcomes.js';
+import {RequestKind} from './request_kind.js';
 
-const DIRECTORY_KIND = 'directory';
 const SECONDS_BUCKETS = [0.005, 0.02, 0.05, 0.1, 0.3, 1, 1.3, 3, 10, 30, 100];
 
 /** Values that are read when metrics are asked for. */
@@ -65,14 +65,14 @@
 
   /** Records the end of one request. */
   recordRequest(
-    kind: string,
+    kind: RequestKind,
     outcome: Outcome,
     reason: string,
     durationMs: number,
     nowMs: number,
   ): void {
     // Lookups of addresses would drown what happens to requests.
-    if (kind !== DIRECTORY_KIND) this.recent.add(outcome, reason, nowMs);
+    if (kind !== RequestKind.DIRECTORY) this.recent.add(outcome, reason, nowMs);
     this.requests.inc({kind, outcome, reason});
     this.seconds.observe({kind}, durationMs / 1000);
   }
