Bound what the store keeps of old configurations

The newest 3,000 revisions are kept. Parts lie in segments whose names are never made twice; a segment and its rows are removed when all its revisions are older than what is kept, so that a removal may be lost, repeated or land at any later time. Whoever accepts a change removes a bounded number after it. A change from a revision that is no longer kept is refused; it could otherwise be accepted twice once its operation's row is gone. Ruled out: counting references and a lease for one cleaner, which a late or paused cleaner breaks when a part comes back by going back.

The object store's interface gets a list by prefix and a removal, with two contract cases. A conflict now names who changed an answer also when more than 100 revisions ago; it said "somebody".

--- a/packages/client/src/accept/acceptor.ts
+++ b/packages/client/src/accept/acceptor.ts
@@ -110,6 +110,8 @@
       const offer = makeOffer(request, change, answers, nowMs);
       const result = yield* this.store.accept(offer);
       if (result.outcome !== AcceptOutcome.ACCEPTED) return undefined;
+      // The change stands, whether or not this is done.
+      yield* Effect.ignore(this.store.removeOld(result.current?.revision ?? 0));
       return makeReport(request, ChangeOutcome.ACCEPTED, {
         revision: result.current?.revision ?? 0,
         changes: offer.changes,
--- a/packages/client/src/accept/answer_archive.ts
+++ b/packages/client/src/accept/answer_archive.ts
@@ -51,7 +51,7 @@
     conflicts: readonly AnswerConflict[],
     baseRevision: number,
   ): Effect.Effect<readonly ReportedConflict[], ReadError> {
-    return Effect.map(this.store.listHistory(baseRevision), history =>
+    return Effect.map(this.store.listSince(baseRevision), history =>
       conflicts.map(conflict => toReported(conflict, history)),
     );
   }
--- a/packages/client/src/accept/change_merger.ts
+++ b/packages/client/src/accept/change_merger.ts
@@ -1,9 +1,10 @@
 import {Effect} from 'effect';
 import {ValidationError} from '@greengagecross/common';
-import type {
-  ConfigurationRevision,
-  ConfigurationStore,
-  ReadError,
+import {
+  ConfigurationError,
+  type ConfigurationRevision,
+  type ConfigurationStore,
+  type ReadError,
 } from '@greengagecross/platform';
 import {
   listChanges,
@@ -30,7 +31,7 @@
 export class ChangeMerger {
   readonly archive: AnswerArchive;
 
-  constructor(store: ConfigurationStore) {
+  constructor(private readonly store: ConfigurationStore) {
     this.archive = new AnswerArchive(store);
   }
 
@@ -41,6 +42,13 @@
     current: ConfigurationRevision | undefined,
   ): Effect.Effect<MergedChange, ReadError | ValidationError> {
     return Effect.gen({self: this}, function* () {
+      if (!this.store.isKept(baseRevision, current?.revision ?? 0)) {
+        yield* Effect.fail(
+          new ConfigurationError(
+            `revision ${baseRevision} is no longer kept; start from the answers in force`,
+          ),
+        );
+      }
       const currentAnswers =
         current === undefined ? undefined : yield* this.archive.readOf(current);
       if ((current?.revision ?? 0) === baseRevision) {
--- a/packages/platform/src/configuration/configuration_revision.ts
+++ b/packages/platform/src/configuration/configuration_revision.ts
@@ -8,6 +8,8 @@
   digest: Schema.NonEmptyString,
   /** SHA-256 of the root part of the answers that it was generated from. */
   answersDigest: Schema.NonEmptyString,
+  /** Where its parts are in the object store; names sort by their first revision. */
+  segment: Schema.NonEmptyString,
   /** Part that names the packs; empty while there are none. */
   packIndex: Schema.String,
   /** Parts written since the packs. */
--- a/packages/platform/src/configuration/configuration_store.ts
+++ b/packages/platform/src/configuration/configuration_store.ts
@@ -8,6 +8,7 @@
 import {AcceptOutcome, type AcceptResult} from './accept_result.js';
 import type {AcceptedConfiguration} from './accepted_configuration.js';
 import type {ConfigurationOffer} from './configuration_offer.js';
+import {ConfigurationCleaner} from './configuration_cleaner.js';
 import {ConfigurationReader} from './configuration_reader.js';
 import type {
   ConfigurationRevision,
@@ -23,30 +24,43 @@
   parseValue,
   REVISION_PREFIX,
 } from './configuration_rows.js';
-import {makePart, type Part} from './part.js';
 import {
-  makePacks,
+  FallbackPartSource,
+  makePackParts,
   PackedPartSource,
   PackIndexSchema,
   readPacks,
   type PackIndex,
 } from './part_pack.js';
 import type {PartSource, ReadError} from './part_source.js';
+import {computeOldestKept, DEFAULT_RETENTION} from './retention.js';
+import {makeSegment} from './segment.js';
 import {StorePartSource} from './store_part_source.js';
 
 const MAX_HISTORY = 100;
-const MAX_PARTS_SINCE_PACKS = 256;
 
 /** Reads and accepts configurations in the platform's stores. */
 export class ConfigurationStore {
-  private readonly parts: StorePartSource;
   private readonly reader = new ConfigurationReader();
+  private readonly cleaner: ConfigurationCleaner;
 
   constructor(
     private readonly table: TableService,
-    objects: ObjectStore,
+    private readonly objects: ObjectStore,
+    private readonly retention = DEFAULT_RETENTION,
   ) {
-    this.parts = new StorePartSource(objects);
+    this.cleaner = new ConfigurationCleaner(table, objects, retention);
+  }
+
+  /** Tells whether changes may still be made from a revision's answers. */
+  isKept(revision: number, currentRevision: number): boolean {
+    const oldest = computeOldestKept(currentRevision, this.retention);
+    return revision >= oldest || (revision === 0 && oldest === 1);
+  }
+
+  /** Removes some of what no kept revision needs. */
+  removeOld(currentRevision: number): Effect.Effect<void, ReadError> {
+    return this.cleaner.removeOld(currentRevision);
   }
 
   /** Reads the record of the revision that stands, if there is one. */
@@ -65,7 +79,7 @@
       const source =
         earlier === undefined
           ? yield* this.makeSource(record, index => index.configuration)
-          : this.parts;
+          : this.makeSourceForFew(record, index => index.configuration);
       const {digest} = record;
       const index = yield* this.reader.read(digest, source, earlier?.index);
       return {record, index};
@@ -76,7 +90,8 @@
   readServices(
     record: ConfigurationRevision,
   ): Effect.Effect<readonly Service[], ReadError> {
-    return this.reader.readServices(record.digest, this.parts);
+    const source = this.makeSourceForFew(record, index => index.configuration);
+    return this.reader.readServices(record.digest, source);
   }
 
   /** Makes the source of a record's answers; without packs if few are asked. */
@@ -84,8 +99,10 @@
     record: ConfigurationRevision,
     isForFew = false,
   ): Effect.Effect<PartSource, ReadError> {
-    if (isForFew) return Effect.succeed(this.parts);
-    return this.makeSource(record, index => index.answers);
+    const choose = (index: PackIndex): readonly string[] => index.answers;
+    return isForFew
+      ? Effect.succeed(this.makeSourceForFew(record, choose))
+      : this.makeSource(record, choose);
   }
 
   /** Reads one revision with what it changed. */
@@ -110,6 +127,24 @@
     });
   }
 
+  /** Lists every revision after one that is kept, newest first. */
+  listSince(after: number): Effect.Effect<readonly HistoryEntry[], ReadError> {
+    return Effect.gen({self: this}, function* () {
+      const entries: HistoryEntry[] = [];
+      let start = makeRevisionKey(after);
+      for (;;) {
+        const rows = yield* this.table.list(
+          REVISION_PREFIX,
+          start,
+          MAX_HISTORY,
+        );
+        entries.push(...(yield* Effect.forEach(rows, parseEntry)));
+        if (rows.length < MAX_HISTORY) return entries.reverse();
+        start = rows.at(-1)?.key ?? start;
+      }
+    });
+  }
+
   /**
    * Accepts an offer in one transaction over its base revision.
    *
@@ -176,44 +211,52 @@
     const all = [...offer.configuration.parts, ...offer.answers.parts];
     const fresh = all.filter(part => !offer.storedParts.has(part.digest));
     const since = (current?.partsSincePacks ?? 0) + fresh.length;
-    const isPacked = since > MAX_PARTS_SINCE_PACKS;
+    const isPacked = since > this.retention.maxLooseParts;
     const packs = isPacked ? makePackParts(offer) : [];
+    // A segment has everything that its revisions need.
+    const isNew = isPacked || offer.storedParts.size === 0;
+    const revision = offer.baseRevision + 1;
+    const own = makeSegment(revision, offer.operationId);
+    const segment = isNew ? own : (current?.segment ?? own);
+    const packIndex = isNew ? '' : (current?.packIndex ?? '');
     const record: ConfigurationRevision = {
-      revision: offer.baseRevision + 1,
+      revision,
+      segment,
       digest: offer.configuration.digest,
       answersDigest: offer.answers.digest,
-      packIndex: packs.at(-1)?.digest ?? current?.packIndex ?? '',
+      packIndex: packs.at(-1)?.digest ?? packIndex,
       partsSincePacks: isPacked ? 0 : since,
       operationId: offer.operationId,
       acceptedBy: offer.acceptedBy,
       acceptedAtMs: offer.acceptedAtMs,
       reason: offer.reason,
     };
-    return Effect.as(this.parts.put([...fresh, ...packs]), record);
+    const parts = new StorePartSource(this.objects, segment);
+    return Effect.as(parts.put([...fresh, ...packs]), record);
   }
 
   private makeSource(
     record: ConfigurationRevision,
     choose: (index: PackIndex) => readonly string[],
   ): Effect.Effect<PartSource, ReadError> {
-    if (record.packIndex === '') return Effect.succeed(this.parts);
-    return Effect.gen({self: this}, function* () {
-      const bodies = yield* this.parts.fetchChecked([record.packIndex]);
+    const parts = new StorePartSource(this.objects, record.segment);
+    if (record.packIndex === '') return Effect.succeed(parts);
+    return Effect.gen(function* () {
+      const bodies = yield* parts.fetchChecked([record.packIndex]);
       const body = bodies.get(record.packIndex) ?? '';
       const index = yield* parseValue(PackIndexSchema, body, 'the pack index');
-      const packed = yield* readPacks(choose(index), this.parts);
-      return new PackedPartSource(packed, this.parts);
+      const packed = yield* readPacks(choose(index), parts);
+      return new PackedPartSource(packed, parts);
     });
   }
-}
 
-/** Makes the packs of an offer; the last part names the others. */
-function makePackParts(offer: ConfigurationOffer): Part[] {
-  const configuration = makePacks(offer.configuration.parts);
-  const answers = makePacks(offer.answers.parts);
-  const index: PackIndex = {
-    configuration: configuration.map(part => part.digest),
-    answers: answers.map(part => part.digest),
-  };
-  return [...configuration, ...answers, makePart(index)];
+  /** Few parts are read singly; those before the segment are in its packs. */
+  private makeSourceForFew(
+    record: ConfigurationRevision,
+    choose: (index: PackIndex) => readonly string[],
+  ): PartSource {
+    const parts = new StorePartSource(this.objects, record.segment);
+    if (record.packIndex === '') return parts;
+    return new FallbackPartSource(parts, this.makeSource(record, choose));
+  }
 }
--- a/packages/platform/src/configuration/part_pack.ts
+++ b/packages/platform/src/configuration/part_pack.ts
@@ -1,6 +1,7 @@
 import {Effect, Schema} from 'effect';
 import {decodeJson, toError} from '@greengagecross/common';
 import {ConfigurationError} from './configuration_error.js';
+import type {ConfigurationOffer} from './configuration_offer.js';
 import {computeDigest} from './digest.js';
 import {makePart, type Part} from './part.js';
 import {PartSource, type PartBodies, type ReadError} from './part_source.js';
@@ -36,6 +37,17 @@
   return packs;
 }
 
+/** Makes the packs of an offer; the last part names the others. */
+export function makePackParts(offer: ConfigurationOffer): Part[] {
+  const configuration = makePacks(offer.configuration.parts);
+  const answers = makePacks(offer.answers.parts);
+  const index: PackIndex = {
+    configuration: configuration.map(part => part.digest),
+    answers: answers.map(part => part.digest),
+  };
+  return [...configuration, ...answers, makePart(index)];
+}
+
 /** Reads the parts held by packs. */
 export function readPacks(
   digests: readonly string[],
@@ -82,3 +94,28 @@
     });
   }
 }
+
+/** Parts of one source, and those that it does not have of another. */
+export class FallbackPartSource extends PartSource {
+  private rest: PartSource | undefined;
+
+  constructor(
+    private readonly first: PartSource,
+    private readonly makeRest: Effect.Effect<PartSource, ReadError>,
+  ) {
+    super();
+  }
+
+  override fetch(
+    digests: readonly string[],
+  ): Effect.Effect<PartBodies, ReadError> {
+    return Effect.gen({self: this}, function* () {
+      const found = yield* this.first.fetch(digests);
+      const missing = digests.filter(digest => !found.has(digest));
+      if (missing.length === 0) return found;
+      this.rest ??= yield* this.makeRest;
+      const others = yield* this.rest.fetch(missing);
+      return new Map([...found, ...others]);
+    });
+  }
+}
--- a/packages/platform/src/configuration/store_part_source.ts
+++ b/packages/platform/src/configuration/store_part_source.ts
@@ -4,11 +4,17 @@
 import type {Part} from './part.js';
 import {PartSource, type PartBodies} from './part_source.js';
 
+/** Prefix of the keys of all parts. */
+export const PART_PREFIX = 'configuration/part/';
 const CONCURRENT_CALLS = 32;
 
 /** Parts in the object store, one object each. */
 export class StorePartSource extends PartSource {
-  constructor(private readonly objects: ObjectStore) {
+  /** @param segment parts of the revisions since some packs were written. */
+  constructor(
+    private readonly objects: ObjectStore,
+    private readonly segment: string,
+  ) {
     super();
   }
 
@@ -18,7 +24,7 @@
     const fetchOne = (
       digest: string,
     ): Effect.Effect<readonly [string, string] | undefined, PlatformError> =>
-      Effect.map(this.objects.get(makePartKey(digest)), body =>
+      Effect.map(this.objects.get(this.makeKey(digest)), body =>
         body === undefined ? undefined : [digest, body.toString()],
       );
     return Effect.map(
@@ -32,12 +38,12 @@
     return Effect.forEach(
       parts,
       part =>
-        this.objects.put(makePartKey(part.digest), Buffer.from(part.body)),
+        this.objects.put(this.makeKey(part.digest), Buffer.from(part.body)),
       {concurrency: CONCURRENT_CALLS, discard: true},
     );
   }
-}
 
-function makePartKey(digest: string): string {
-  return `configuration/part/${digest}`;
+  private makeKey(digest: string): string {
+    return `${PART_PREFIX}${this.segment}/${digest}`;
+  }
 }
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -28,6 +28,8 @@
 export * from './configuration/tree_node.js';
 export * from './configuration/tree_reader.js';
 export * from './configuration/part_pack.js';
+export * from './configuration/retention.js';
+export * from './configuration/segment.js';
 export * from './configuration/configuration_parts.js';
 export * from './configuration/configuration_index.js';
 export * from './configuration/configuration_reader.js';
--- a/packages/platform/src/object_store.ts
+++ b/packages/platform/src/object_store.ts
@@ -8,4 +8,14 @@
 
   /** Reads an object whole, or undefined when there is none. */
   abstract get(key: string): Effect.Effect<Buffer | undefined, PlatformError>;
+
+  /** Lists the keys of a prefix after a key, in their order. */
+  abstract list(
+    prefix: string,
+    after: string,
+    limit: number,
+  ): Effect.Effect<readonly string[], PlatformError>;
+
+  /** Removes an object; one that is absent counts as removed. */
+  abstract remove(key: string): Effect.Effect<void, PlatformError>;
 }
--- a/packages/standins/src/contracts/contract_cases.ts
+++ b/packages/standins/src/contracts/contract_cases.ts
@@ -77,6 +77,18 @@
     const found = await Effect.runPromise(objects.get('folder/a name'));
     assert.deepEqual(found, body);
   },
+  'lists a prefix in key order and removes': async objects => {
+    const body = Buffer.from('x');
+    for (const key of ['p/2', 'p/1', 'q/1', 'p/3']) {
+      await Effect.runPromise(objects.put(key, body));
+    }
+    const rest = await Effect.runPromise(objects.list('p/', 'p/1', 1));
+    assert.deepEqual(rest, ['p/2']);
+    await Effect.runPromise(objects.remove('p/2'));
+    await Effect.runPromise(objects.remove('p/2'));
+    const left = await Effect.runPromise(objects.list('p/', '', 9));
+    assert.deepEqual(left, ['p/1', 'p/3']);
+  },
   'has nothing under an unknown key': async objects => {
     const found = await Effect.runPromise(objects.get('unknown'));
     assert.equal(found, undefined);
--- a/packages/standins/src/contracts/memory_platform.ts
+++ b/packages/standins/src/contracts/memory_platform.ts
@@ -6,6 +6,7 @@
   type Transaction,
   type TransactionResult,
 } from '@greengagecross/platform';
+import {listKeys} from '../platform/list_keys.js';
 import {TableState} from '../platform/table_state.js';
 
 /** The stand-in's table without a network before it. */
@@ -44,4 +45,20 @@
   override get(key: string): Effect.Effect<Buffer | undefined> {
     return Effect.sync(() => this.objects.get(key));
   }
+
+  override list(
+    prefix: string,
+    after: string,
+    limit: number,
+  ): Effect.Effect<readonly string[]> {
+    return Effect.sync(() =>
+      listKeys(this.objects.keys(), prefix, after, limit),
+    );
+  }
+
+  override remove(key: string): Effect.Effect<void> {
+    return Effect.sync(() => {
+      this.objects.delete(key);
+    });
+  }
 }
--- a/packages/standins/src/contracts/platform_contracts.feature
+++ b/packages/standins/src/contracts/platform_contracts.feature
@@ -16,6 +16,8 @@
       | table service | over HTTP | raises a row's version with each write     |
       | object store  | in memory | gives back the bytes that were put         |
       | object store  | over HTTP | gives back the bytes that were put         |
+      | object store  | in memory | lists a prefix in key order and removes    |
+      | object store  | over HTTP | lists a prefix in key order and removes    |
       | object store  | in memory | has nothing under an unknown key           |
       | object store  | over HTTP | has nothing under an unknown key           |
 
--- a/packages/standins/src/operators/faulty_stores.ts
+++ b/packages/standins/src/operators/faulty_stores.ts
@@ -9,6 +9,7 @@
   type Transaction,
   type TransactionResult,
 } from '@greengagecross/platform';
+import {listKeys} from '../platform/list_keys.js';
 import {TableState} from '../platform/table_state.js';
 
 const MAX_YIELDS = 4;
@@ -186,4 +187,20 @@
       return body;
     });
   }
+
+  override list(
+    prefix: string,
+    after: string,
+    limit: number,
+  ): Effect.Effect<readonly string[], PlatformError> {
+    return this.plan.run('list', false, () =>
+      listKeys(this.bodies.keys(), prefix, after, limit),
+    );
+  }
+
+  override remove(key: string): Effect.Effect<void, PlatformError> {
+    return this.plan.run('remove', true, () => {
+      this.bodies.delete(key);
+    });
+  }
 }
--- a/packages/standins/src/operators/race_stage.ts
+++ b/packages/standins/src/operators/race_stage.ts
@@ -5,7 +5,7 @@
   type AcceptReport,
 } from '@greengagecross/client';
 import {SeededRandom} from '@greengagecross/common';
-import {ConfigurationStore} from '@greengagecross/platform';
+import {ConfigurationStore, DEFAULT_RETENTION} from '@greengagecross/platform';
 import type {Answers} from '@greengagecross/questionnaire';
 import {FaultyObjects, FaultyTable, StoreFaultPlan} from './faulty_stores.js';
 
@@ -29,11 +29,11 @@
   readonly objects: FaultyObjects;
   readonly store: ConfigurationStore;
 
-  constructor(seed: number) {
+  constructor(seed: number, retention = DEFAULT_RETENTION) {
     this.faults = new StoreFaultPlan(new SeededRandom(seed));
     this.table = new FaultyTable(this.faults);
     this.objects = new FaultyObjects(this.faults);
-    this.store = new ConfigurationStore(this.table, this.objects);
+    this.store = new ConfigurationStore(this.table, this.objects, retention);
   }
 
   /** Makes the effect that accepts answers; an interrupted one is a killed client. */
--- a/packages/standins/src/platform/platform_server.ts
+++ b/packages/standins/src/platform/platform_server.ts
@@ -3,6 +3,7 @@
 import type {HttpExchange} from '@greengagecross/http';
 import type {Host, HostList, Transaction} from '@greengagecross/platform';
 import {StandinServer} from '../standin_server.js';
+import {listKeys} from './list_keys.js';
 import {TableState} from './table_state.js';
 
 const OBJECT_PREFIX = '/v1/objects/';
@@ -17,6 +18,12 @@
   hostReads: number;
 }
 
+interface ListCall {
+  readonly prefix: string;
+  readonly after: string;
+  readonly limit: number;
+}
+
 /** Stand-in of the platform's services, all state in memory. */
 export class PlatformServer extends StandinServer {
   private readonly table = new TableState();
@@ -70,11 +77,7 @@
       }
       case '/v1/table/list': {
         this.counts.reads += 1;
-        const {prefix, after, limit} = JSON.parse(body.toString()) as {
-          prefix: string;
-          after: string;
-          limit: number;
-        };
+        const {prefix, after, limit} = JSON.parse(body.toString()) as ListCall;
         exchange.sendJson(200, {rows: this.table.list(prefix, after, limit)});
         return;
       }
@@ -84,6 +87,14 @@
         exchange.sendJson(200, this.table.transact(transaction));
         return;
       }
+      case '/v1/objects-list': {
+        this.counts.reads += 1;
+        const {prefix, after, limit} = JSON.parse(body.toString()) as ListCall;
+        const held = [...this.objects.keys()].map(decodeURIComponent);
+        const keys = listKeys(held, prefix, after, limit);
+        exchange.sendJson(200, {keys});
+        return;
+      }
       case '/v1/hosts':
         this.counts.hostReads += 1;
         exchange.sendJson(200, this.findShownHosts());
@@ -117,6 +128,12 @@
       exchange.sendJson(200, {});
       return;
     }
+    if (exchange.method === 'DELETE') {
+      this.counts.writes += 1;
+      this.objects.delete(key);
+      exchange.sendJson(200, {});
+      return;
+    }
     this.counts.reads += 1;
     const found = this.objects.get(key);
     if (found === undefined) {
