Measure fleets whose processes begin and end together

Each process of the socket bench settled and ended by its own clock; on a busy machine the last ones measured the loss of the others (53 of 60 known, 93 KB/s, was partly that). All measure from one moment now and end 3 s later. A course of more than 120 daemons begins with members that know each other.

--- a/packages/standins/src/bench/members/fleet_course.ts
+++ b/packages/standins/src/bench/members/fleet_course.ts
@@ -9,6 +9,8 @@
 const IDLE_MS = 10_000;
 const FAULT_MS = 10_000;
 const RACK = 10;
+/** A larger fleet begins with members that know each other. */
+const LARGEST_START = 120;
 const ZONES = 6;
 const REVISION = 7;
 const MS_PER_SECOND = 1000;
@@ -38,8 +40,12 @@
   run(): Promise<void> {
     const program = Effect.gen({self: this}, function* () {
       const {fleet, size} = this;
-      const wholeMs = yield* fleet.startAll(size);
-      this.printTime('start:until_whole', wholeMs);
+      if (size > LARGEST_START) {
+        yield* fleet.startKnown(size);
+      } else {
+        const wholeMs = yield* fleet.startAll(size);
+        this.printTime('start:until_whole', wholeMs);
+      }
       yield* fleet.wait(IDLE_MS);
       yield* this.runIdle();
       yield* this.runRevision();
--- a/packages/standins/src/bench/members/measure_fleet.ts
+++ b/packages/standins/src/bench/members/measure_fleet.ts
@@ -34,9 +34,10 @@
   const folder = mkdtempSync(join(tmpdir(), 'greengagecross-members-'));
   const plans = await planNodes(size);
   const parts = listParts(plans);
+  const measureAtMs = Date.now() + settleMs;
   const runs = parts.map(async (nodes, index) => {
     const file = join(folder, `${index}.json`);
-    writeFileSync(file, JSON.stringify({way, nodes, settleMs, measureMs}));
+    writeFileSync(file, JSON.stringify({way, nodes, measureAtMs, measureMs}));
     const env = {...process.env, DEBUG: 'none'};
     const {stdout} = await execute(process.execPath, [SCRIPT, file], {env});
     return JSON.parse(stdout) as ProcessFigures;
--- a/packages/standins/src/bench/members/member_node.ts
+++ b/packages/standins/src/bench/members/member_node.ts
@@ -4,6 +4,7 @@
   type Address,
   type DaemonSettings,
   type EngineCount,
+  type Member,
 } from '@greengagecross/common';
 import {HostFollower, MemberService} from '@greengagecross/daemon';
 import {
@@ -37,6 +38,7 @@
     configurationRevision: 0,
     engines: [],
   };
+  private readonly table: MemberTable;
   private scope: Scope.Closeable | undefined;
 
   constructor(
@@ -48,13 +50,14 @@
     this.hosts = new HostFollower(directory, () =>
       computePollMs(hostListPollMs, this.service.countRemembered()),
     );
+    this.table = new MemberTable(plan.id, {
+      forgetAfterMs: FORGET_AFTER_MS,
+      refuteMs: plan.heartbeatMs ?? heartbeatMs,
+    });
     this.service = new MemberService(
       makeSettings(plan),
       plan.incarnation,
-      new MemberTable(plan.id, {
-        forgetAfterMs: FORGET_AFTER_MS,
-        refuteMs: plan.heartbeatMs ?? heartbeatMs,
-      }),
+      this.table,
       this.hosts,
       peers,
       plan.heartbeatMs ?? heartbeatMs,
@@ -75,6 +78,11 @@
     });
   }
 
+  /** Takes in members as if they had been known for long. */
+  addKnown(members: readonly Member[], nowMs: number): void {
+    for (const member of members) this.table.observe(member, nowMs);
+  }
+
   /** Ends its fibers at once, as a kill does. */
   stop(): Effect.Effect<void> {
     const {scope} = this;
--- a/packages/standins/src/bench/members/member_process.ts
+++ b/packages/standins/src/bench/members/member_process.ts
@@ -6,6 +6,7 @@
 const LOAD_CHANGE_MS = 500;
 const ENGINES_PER_MEMBER = 2;
 const START_GAP_MS = 500;
+const END_GAP_MS = 3000;
 
 /** Ways of choosing neighbours that the bench compares. */
 export enum NeighbourWay {
@@ -18,7 +19,8 @@
 export interface ProcessPlan {
   readonly way: NeighbourWay;
   readonly nodes: readonly NodePlan[];
-  readonly settleMs: number;
+  /** When all processes of the fleet begin to measure, by the wall clock. */
+  readonly measureAtMs: number;
   readonly measureMs: number;
 }
 
@@ -37,12 +39,11 @@
 export async function runProcess(plan: ProcessPlan): Promise<ProcessFigures> {
   const nodes = plan.nodes.map(node => makeNode(node, plan.way));
   const timer = setInterval(() => nodes.forEach(setLoad), LOAD_CHANGE_MS);
-  const startMs = performance.now();
   for (const node of nodes) {
     await node.start();
     await wait(START_GAP_MS);
   }
-  await wait(plan.settleMs - (performance.now() - startMs));
+  await wait(plan.measureAtMs - Date.now());
   const bytes = countBytes(nodes);
   const cpu = process.cpuUsage();
   await wait(plan.measureMs);
@@ -54,6 +55,8 @@
     fewestLive: Math.min(...nodes.map(countLive)),
     meanLoadAgeMs: computeMeanLoadAge(nodes),
   };
+  // Others may still measure; the first to end would be a loss to them.
+  await wait(END_GAP_MS);
   clearInterval(timer);
   await Promise.all(nodes.map(node => node.stop()));
   return figures;
--- a/packages/standins/src/bench/members/run_members.ts
+++ b/packages/standins/src/bench/members/run_members.ts
@@ -7,14 +7,14 @@
 const SEED = 3;
 const CASE_SIZES = [5, 12];
 const COURSE_SIZES = [5, 20, 60, 120];
-const SETTLE_MS = 18_000;
+const SETTLE_MS = 30_000;
 const MEASURE_MS = 10_000;
 
 /** Sizes at which each way is run over real sockets. */
 const SOCKET_SIZES: Readonly<Record<NeighbourWay, readonly number[]>> = {
   [NeighbourWay.DOUBLE_MESH]: [5, 10],
   [NeighbourWay.MESH]: [5, 20],
-  [NeighbourWay.RINGS]: [5, 20, 60],
+  [NeighbourWay.RINGS]: [5, 20, 60, 120],
 };
 
 /** Prints the figures of the membership between daemons, a line each. */
--- a/packages/standins/src/bench/members/virtual_fleet.ts
+++ b/packages/standins/src/bench/members/virtual_fleet.ts
@@ -61,6 +61,20 @@
     });
   }
 
+  /** Starts members that know each other already. */
+  startKnown(count: number): Effect.Effect<number> {
+    return Effect.gen({self: this}, function* () {
+      const plans = Array.from({length: count}, (unused, index) =>
+        this.makePlan(`entry-${index + 1}`),
+      );
+      this.hosts.setPlans(plans);
+      for (const plan of plans) yield* this.start(plan);
+      const members = this.nodes.map(({service}) => service.getSelf());
+      for (const node of this.nodes) node.addKnown(members, this.nowMs);
+      return yield* this.waitUntil(60_000, () => this.isWhole());
+    });
+  }
+
   /** Ends a member at once, as a kill does. */
   stopNode(node: MemberNode): Effect.Effect<void> {
     this.expectedGone.add(node.plan.id);
