Tell calls and refusals of a bench's last quarter apart

Cause: at the target's size the first minute from idle decides the calls for each request, so that the figure says nothing of a fleet at its load.

--- a/packages/standins/src/bench/decisions/placement/placement_simulation.ts
+++ b/packages/standins/src/bench/decisions/placement/placement_simulation.ts
@@ -63,6 +63,8 @@
     this.trace.start();
     this.scheduleEvery(HEARTBEAT_MS, () => this.way.sendHeartbeats());
     this.scheduleEvery(SAMPLE_MS, () => this.sample());
+    const lastQuarterMs = this.size.durationMs * (3 / 4);
+    this.queue.schedule(lastQuarterMs, () => this.tally.startLastQuarter());
     this.queue.run(this.size.durationMs);
     return this.tally;
   }
--- a/packages/standins/src/bench/decisions/placement/placement_tally.ts
+++ b/packages/standins/src/bench/decisions/placement/placement_tally.ts
@@ -5,6 +5,8 @@
   requests = 0;
   refused = 0;
   messages = 0;
+  /** The first three counts when the last quarter of the run began. */
+  private late = {requests: 0, refused: 0, messages: 0};
   /** Returns whose context some engine had cached, up or not. */
   returns = 0;
   /** Returns that ran where their context was not cached. */
@@ -17,6 +19,12 @@
   private readonly firstToken: Histogram = build();
   private readonly skewPercent: Histogram = build();
 
+  /** Marks the beginning of the run's last quarter. */
+  startLastQuarter(): void {
+    const {requests, refused, messages} = this;
+    this.late = {requests, refused, messages};
+  }
+
   /** Records the time to a first token, waits included. */
   recordFirstToken(ms: number): void {
     this.firstToken.recordValue(Math.round(ms));
@@ -33,6 +41,7 @@
   listValues(): {name: string; value: number; unit: string}[] {
     const share = (count: number, of: number): number =>
       computeRounded(of === 0 ? 0 : count / of);
+    const lateRequests = this.requests - this.late.requests;
     return [
       {name: 'requests', value: this.requests, unit: 'requests'},
       {name: 'returns', value: this.returns, unit: 'requests'},
@@ -91,6 +100,16 @@
         value: share(this.refused, this.requests),
         unit: 'share of requests',
       },
+      {
+        name: 'peer_messages_last_quarter',
+        value: share(this.messages - this.late.messages, lateRequests),
+        unit: 'calls per request',
+      },
+      {
+        name: 'refused_share_last_quarter',
+        value: share(this.refused - this.late.refused, lateRequests),
+        unit: 'share of requests',
+      },
     ];
   }
 }
