Give orders to engines from the daemons

The holder of orders was proved in process, but no daemon ran it. Answers may now name a model version, adapters and a role; the daemon that a service falls to takes the service's lease and brings its engines there.

- Questions about weights are asked only where the fleet is to manage them; the default is that it does not.
The scripted interview has one empty line more for the new question.
- Loads of all services are paced by permits in one row.
A permit belongs to a service, so that the next holder of its lease gives it back.
- Role changes and removal of adapters wait until nothing is in flight, as loads do.
- Any new holder waits out one order's time before engines that ignore the number; a released lease too, since an order may have been interrupted.
- An engine that was drained takes work again at its owner's next load report, not 30 s later.

--- a/packages/common/src/configuration/configuration.ts
+++ b/packages/common/src/configuration/configuration.ts
@@ -33,6 +33,21 @@
 /** Decoded form of {@link PlacementRulesSchema}. */
 export type PlacementRules = typeof PlacementRulesSchema.Type;
 
+/** What a service's engines should have loaded, and how fast they change. */
+export const DesiredWeightsSchema = Schema.Struct({
+  modelVersion: Schema.NonEmptyString,
+  adapters: Schema.Array(Schema.NonEmptyString),
+  /** Role that engines are ordered to take; empty for none. */
+  role: Schema.String,
+  /** Most engines of the service that are out of work at once. */
+  outOfWorkAtOnce: Schema.Int,
+  /** Most engines of all services that load from the weight store at once. */
+  loadsAtOnce: Schema.Int,
+});
+
+/** Decoded form of {@link DesiredWeightsSchema}. */
+export type DesiredWeights = typeof DesiredWeightsSchema.Type;
+
 /** One service that callers name: a model, or a path of a plain service. */
 export const ServiceSchema = Schema.Struct({
   name: Schema.NonEmptyString,
@@ -40,6 +55,8 @@
   backendServers: Schema.Array(BackendServerSchema),
   placement: PlacementRulesSchema,
   fencing: Schema.Enum(FencingSupport),
+  /** Absent where the fleet gives its engines no orders. */
+  weights: Schema.optionalKey(DesiredWeightsSchema),
   /** Path prefixes of a plain service whose calls may not be repeated. */
   nonRepeatablePaths: Schema.Array(Schema.NonEmptyString),
   priority: Schema.Enum(PriorityClass),
--- a/packages/common/src/settings/tuning.ts
+++ b/packages/common/src/settings/tuning.ts
@@ -18,6 +18,12 @@
   callerSilenceMs: Schema.optionalKey(DurationMsSchema),
   directoryKeepMs: Schema.optionalKey(DurationMsSchema),
   stopGraceMs: Schema.optionalKey(DurationMsSchema),
+  /** How long the right to give orders lasts after its last renewal. */
+  orderLeaseMs: Schema.optionalKey(DurationMsSchema),
+  /** Longest that one order to an engine may take. */
+  orderTimeoutMs: Schema.optionalKey(DurationMsSchema),
+  /** How often the holder of that right looks for the next step. */
+  orderPollMs: Schema.optionalKey(DurationMsSchema),
 });
 
 /** Every duration with its value, in milliseconds. */
@@ -36,4 +42,7 @@
   callerSilenceMs: 30_000,
   directoryKeepMs: 5000,
   stopGraceMs: 60_000,
+  orderLeaseMs: 9000,
+  orderTimeoutMs: 2000,
+  orderPollMs: 1000,
 };
--- a/packages/daemon/src/control/state_dump.ts
+++ b/packages/daemon/src/control/state_dump.ts
@@ -5,6 +5,8 @@
 import type {ConfigurationState} from '../configuration/configuration_state.js';
 import type {HostFollower} from '../hosts/host_follower.js';
 import type {MemberService} from '../members/member_service.js';
+import type {OrderReport} from '../orders/order_report.js';
+import type {OrderService} from '../orders/order_service.js';
 
 /** A daemon's state, without customers' text or secrets. */
 export interface DaemonState {
@@ -15,6 +17,8 @@
   readonly hostListIsCurrent: boolean;
   readonly live: readonly Member[];
   readonly ownedEngines: readonly EngineCount[];
+  /** Services whose engines this daemon gives orders to. */
+  readonly orders: readonly OrderReport[];
   readonly memoryBytes: number;
 }
 
@@ -25,6 +29,7 @@
     private readonly configuration: ConfigurationFollower,
     private readonly hosts: HostFollower,
     private readonly ledger: EngineLedger,
+    private readonly orders: OrderService,
     private readonly startedAtMs: number,
   ) {}
 
@@ -39,6 +44,7 @@
         hostListIsCurrent: this.hosts.isCurrent(),
         live: this.members.listLive(nowMs),
         ownedEngines: this.ledger.listCounts(),
+        orders: this.orders.listReports(),
         memoryBytes: process.memoryUsage().rss,
       };
     });
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -93,6 +93,7 @@
       yield* Effect.forkScoped(parts.commits.run());
       yield* Effect.forkScoped(parts.claims.run());
       yield* Effect.forkScoped(parts.sweeper.run());
+      yield* Effect.forkScoped(parts.orders.run());
       yield* this.callerServer.start();
       yield* Effect.forkScoped(this.runJoining());
       yield* Effect.forkScoped(this.watchOwnHost());
@@ -180,7 +181,7 @@
   }
 
   private makeMetrics(): DaemonMetrics {
-    const {members, configuration} = this.parts;
+    const {members, configuration, orders} = this.parts;
     return new DaemonMetrics({
       countLiveMembers: () => members.countLive(),
       getRevision: () => configuration.getView()?.revision ?? 0,
@@ -189,6 +190,9 @@
         configuration.getUnconfirmedSeconds(Date.now()),
       countControlBytes: kind => this.countControlBytes(kind),
       countInFlight: () => this.callerServer.countActive(),
+      countOrderLeases: () => orders.listReports().length,
+      countEnginesBehind: () => orders.countBehind(),
+      countOrdersSent: () => orders.countSent(),
     });
   }
 
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -21,5 +21,7 @@
 export type {PlacementService} from './placement/placement_service.js';
 export type {SlotBroker} from './placement/slot_broker.js';
 export * from './orders/order_holder.js';
+export * from './orders/order_report.js';
+export * from './orders/ordered_service.js';
 export * from './hosts/host_follower.js';
 export * from './members/member_service.js';
--- a/packages/daemon/src/leaving/leaving_news.ts
+++ b/packages/daemon/src/leaving/leaving_news.ts
@@ -22,7 +22,7 @@
   /** Takes what another daemon was told. */
   answer(id: string): Effect.Effect<{known: boolean}> {
     return Effect.map(Clock.currentTimeMillis, nowMs => {
-      this.leaving.record(id, nowMs);
+      this.leaving.record(id, nowMs, true);
       return {known: true};
     });
   }
@@ -31,9 +31,10 @@
   private sendToOwner(id: string): Effect.Effect<void> {
     return Effect.gen({self: this}, function* () {
       const nowMs = yield* Clock.currentTimeMillis;
-      if (!this.leaving.record(id, nowMs)) return;
       const owner = this.fleet.findOwner(id, nowMs);
-      if (owner.id === this.selfId) return;
+      const isOwner = owner.id === this.selfId;
+      const isNews = this.leaving.record(id, nowMs, isOwner);
+      if (isOwner || !isNews) return;
       const params = {backend: id};
       yield* this.peers
         .send(
--- a/packages/daemon/src/limits/engine_limits.ts
+++ b/packages/daemon/src/limits/engine_limits.ts
@@ -33,6 +33,7 @@
     private readonly listOwned: ListOwnedEngines,
     private readonly countInFlight: CountInFlight,
     private readonly onLeaving: (engine: string) => void,
+    private readonly onWorking: (engine: string, saidAtMs: number) => void,
   ) {}
 
   /** Gets the most requests that may be in flight on an engine. */
@@ -85,6 +86,7 @@
       const nowMs = yield* Clock.currentTimeMillis;
       engine.isAnswering = true;
       if (load.leaving) this.onLeaving(engine.server.id);
+      else this.onWorking(engine.server.id, nowMs - load.ageMs);
       // What the engine names is where the search for its limit begins.
       engine.limit ??= new AdaptiveLimit(Math.max(1, load.capacity));
       const report = {
--- a/packages/daemon/src/metrics/daemon_metrics.ts
+++ b/packages/daemon/src/metrics/daemon_metrics.ts
@@ -12,6 +12,9 @@
   readonly getUnconfirmedSeconds: () => number;
   readonly countControlBytes: (kind: ControlKind) => number;
   readonly countInFlight: () => number;
+  readonly countOrderLeases: () => number;
+  readonly countEnginesBehind: () => number;
+  readonly countOrdersSent: () => number;
 }
 
 /** Metrics of one daemon; names begin with `greengagecross_`. */
@@ -58,6 +61,7 @@
       'Caller requests now being served.',
       readers.countInFlight,
     );
+    this.addOrders(readers);
   }
 
   /** Records the end of one request. */
@@ -76,6 +80,24 @@
     return this.registry.metrics();
   }
 
+  private addOrders(readers: GaugeReaders): void {
+    this.addGauge(
+      'greengagecross_order_leases',
+      'Services whose engines this daemon gives orders to.',
+      readers.countOrderLeases,
+    );
+    this.addGauge(
+      'greengagecross_engines_not_as_wanted',
+      'Engines of those services without the wanted version, adapters or role.',
+      readers.countEnginesBehind,
+    );
+    this.addGauge(
+      'greengagecross_orders_sent',
+      'Orders that this daemon sent to engines since its start.',
+      readers.countOrdersSent,
+    );
+  }
+
   private addControlBytes(count: (kind: ControlKind) => number): void {
     new Gauge({
       name: 'greengagecross_control_bytes',
--- a/packages/daemon/src/orders/order_holder.ts
+++ b/packages/daemon/src/orders/order_holder.ts
@@ -1,41 +1,21 @@
 import {Clock, Effect} from 'effect';
+import {OrderKind, type EngineControl} from '@greengagecross/backend';
+import {Logger, type BackendServer} from '@greengagecross/common';
 import {
-  OrderKind,
-  type EngineControl,
-  type EngineState,
-} from '@greengagecross/backend';
-import {
-  FencingSupport,
-  Logger,
-  type BackendServer,
-} from '@greengagecross/common';
-import {
-  isOutOfWork,
-  LeaseTerm,
-  LeaseWatch,
   OrderStep,
-  planStep,
-  type DesiredEngine,
+  planRollout,
+  type EngineStep,
   type LeasePeriods,
 } from '@greengagecross/decisions';
-import type {
-  LeaseStore,
-  PlatformError,
-  StandingLease,
-} from '@greengagecross/platform';
+import type {LeaseStore, LoadPermits} from '@greengagecross/platform';
+import {EngineSights} from './engine_sights.js';
+import {LoadPacer} from './load_pacer.js';
+import {OrderLease} from './order_lease.js';
+import type {OrderReport} from './order_report.js';
+import type {OrderedService} from './ordered_service.js';
 
 const logger = new Logger('orders');
 
-/** The engines of one service and what they should have loaded. */
-export interface OrderedService {
-  readonly name: string;
-  readonly engines: readonly BackendServer[];
-  readonly desired: DesiredEngine;
-  readonly fencing: FencingSupport;
-  /** Most engines that are out of work at once, so that loads are paced. */
-  readonly maxOutOfWork: number;
-}
-
 const ORDER_KINDS: Readonly<Partial<Record<OrderStep, OrderKind>>> = {
   [OrderStep.DRAIN]: OrderKind.DRAIN,
   [OrderStep.LOAD]: OrderKind.LOAD,
@@ -44,153 +24,157 @@
   [OrderStep.SET_ROLE]: OrderKind.SET_ROLE,
   [OrderStep.RESUME]: OrderKind.RESUME,
 };
-
-interface Held {
-  readonly lease: StandingLease;
-  readonly term: LeaseTerm;
-  /** Before this an order of the holder before may still be under way. */
-  readonly quietUntilMs: number;
-}
+const LOADING_STEPS: ReadonlySet<OrderStep> = new Set([
+  OrderStep.LOAD,
+  OrderStep.ADD_ADAPTER,
+]);
 
 /**
  * Holds the lease of one service's orders and brings its engines to what the
  * configuration wants, one step for each engine at a time.
  */
 export class OrderHolder {
-  private readonly watch: LeaseWatch;
-  private held: Held | undefined;
+  private readonly lease: OrderLease;
+  private readonly pacer: LoadPacer;
+  private readonly sights: EngineSights;
+  private sent = 0;
 
+  /** @param self name of this process, of no other and of none before it. */
   constructor(
-    /** Name of this process, of no other and of none before it. */
-    private readonly self: string,
-    private readonly leases: LeaseStore,
+    self: string,
+    leases: LeaseStore,
+    permits: LoadPermits,
     private readonly control: EngineControl,
     private readonly periods: LeasePeriods,
   ) {
-    this.watch = new LeaseWatch(periods.leaseMs);
+    this.lease = new OrderLease(self, leases, periods);
+    this.pacer = new LoadPacer(permits);
+    this.sights = new EngineSights(control, periods.orderMs);
   }
 
   /** Tells whether this daemon may give orders now. */
   isHolding(nowMs: number): boolean {
-    return this.held?.term.isValid(nowMs) ?? false;
+    return this.lease.isValid(nowMs);
+  }
+
+  /** Counts the orders that it sent. */
+  countSent(): number {
+    return this.sent;
   }
 
   /** Takes or renews the lease, then takes one step for each engine. */
   run(service: OrderedService): Effect.Effect<void> {
-    return Effect.andThen(
-      this.updateLease(service.name).pipe(
+    const {name} = service;
+    return Effect.gen({self: this}, function* () {
+      yield* this.lease.update(name).pipe(
         Effect.catch(error =>
           Effect.sync(() =>
             logger.log('The lease of orders cannot be written.', {
-              service: service.name,
+              service: name,
               error: error.message,
             }),
           ),
         ),
-      ),
-      this.sendSteps(service),
-    );
+      );
+      if (!this.lease.isValid(yield* Clock.currentTimeMillis)) return;
+      const fencingNumber = this.lease.getFencingNumber();
+      yield* this.pacer.update(name, fencingNumber);
+      yield* this.sendSteps(service);
+    });
   }
 
   /** Releases the lease, so that the next holder need not wait. */
   release(name: string): Effect.Effect<void> {
-    const {held} = this;
-    this.held = undefined;
-    if (held === undefined) return Effect.void;
-    return Effect.ignore(this.leases.release(name, held.lease));
+    return this.lease.release(name);
   }
 
-  private updateLease(name: string): Effect.Effect<void, PlatformError> {
-    return this.held === undefined
-      ? this.takeLease(name)
-      : this.renewLease(name, this.held);
-  }
-
-  private takeLease(name: string): Effect.Effect<void, PlatformError> {
-    return Effect.gen({self: this}, function* () {
-      const standing = yield* this.leases.read(name);
-      const beforeMs = yield* Clock.currentTimeMillis;
-      const holder = standing?.row.holder ?? '';
-      // Its own name stands there after a reply of its own was lost.
-      const isFree = holder === '' || holder === this.self;
-      const version = standing?.version ?? 0;
-      if (!isFree && !this.watch.observe(version, beforeMs)) return;
-      const lease = yield* this.leases.take(name, this.self, standing);
-      if (lease === undefined) return;
-      this.held = {
-        lease,
-        term: new LeaseTerm(this.periods, beforeMs),
-        quietUntilMs: isFree ? beforeMs : beforeMs + this.periods.orderMs,
-      };
-      logger.log('This daemon gives orders.', {
-        service: name,
-        fencing: lease.row.fencingNumber,
-      });
-    });
+  /** Makes the report of a service; undefined when another daemon holds it. */
+  makeReport(service: OrderedService): OrderReport | undefined {
+    const fencingNumber = this.lease.getFencingNumber();
+    if (fencingNumber === undefined) return undefined;
+    return {
+      service: service.name,
+      fencingNumber,
+      modelVersion: service.desired.modelVersion,
+      engines: service.engines.length,
+      ...this.sights.makeSummary(service),
+    };
   }
 
-  private renewLease(
-    name: string,
-    held: Held,
-  ): Effect.Effect<void, PlatformError> {
+  private sendSteps(service: OrderedService): Effect.Effect<void> {
+    const {desired, engines} = service;
     return Effect.gen({self: this}, function* () {
-      const beforeMs = yield* Clock.currentTimeMillis;
-      const lease = yield* this.leases.renew(name, held.lease);
-      if (lease === undefined) {
-        this.held = undefined;
-        logger.log('Another daemon gives orders now.', {service: name});
-        return;
+      const looked = yield* this.sights.update(engines);
+      const known = this.sights.get(engines);
+      const steps = planRollout(
+        desired,
+        known,
+        looked,
+        desired.outOfWorkAtOnce,
+      );
+      yield* this.releasePermits(service, steps);
+      const servers = new Map(engines.map(server => [server.id, server]));
+      for (const step of steps) {
+        if (!LOADING_STEPS.has(step.step)) continue;
+        if (!this.isHolding(yield* Clock.currentTimeMillis)) return;
+        const granted = yield* this.pacer.acquire(service, step.engine);
+        if (!granted) servers.delete(step.engine);
       }
-      held.term.update(beforeMs);
-      this.held = {...held, lease};
+      yield* Effect.forEach(
+        steps,
+        step => this.send(service, servers.get(step.engine), step),
+        {concurrency: 'unbounded', discard: true},
+      );
     });
   }
 
-  private sendSteps(service: OrderedService): Effect.Effect<void> {
-    return Effect.gen({self: this}, function* () {
-      let outOfWork = 0;
-      for (const server of service.engines) {
-        if (!this.isHolding(yield* Clock.currentTimeMillis)) return;
-        const state = yield* Effect.option(this.control.fetchState(server));
-        if (state._tag === 'None') continue;
-        const next = planStep(service.desired, state.value);
-        if (isOutOfWork(next.step, state.value)) outOfWork += 1;
-        const isPaced =
-          next.step === OrderStep.DRAIN && outOfWork > service.maxOutOfWork;
-        if (isPaced) continue;
-        const kind = ORDER_KINDS[next.step];
-        if (kind === undefined) continue;
-        yield* this.send(service, server, state.value, kind, next.value);
-      }
+  /** An engine gives its permit back once it was seen to have what it wants. */
+  private releasePermits(
+    service: OrderedService,
+    steps: readonly EngineStep[],
+  ): Effect.Effect<void> {
+    const loading = new Set(
+      steps.filter(s => LOADING_STEPS.has(s.step)).map(s => s.engine),
+    );
+    return Effect.flatMap(Clock.currentTimeMillis, nowMs => {
+      if (!this.isHolding(nowMs)) return Effect.void;
+      return this.pacer.release(
+        service.name,
+        engine =>
+          loading.has(engine) || this.sights.isMaybeLoading(engine, nowMs),
+      );
     });
   }
 
   private send(
     service: OrderedService,
-    server: BackendServer,
-    state: EngineState,
-    kind: OrderKind,
-    value: string,
+    server: BackendServer | undefined,
+    {step, value}: EngineStep,
   ): Effect.Effect<void> {
+    const kind = ORDER_KINDS[step];
+    if (kind === undefined || server === undefined) return Effect.void;
     return Effect.gen({self: this}, function* () {
-      const {held} = this;
       const nowMs = yield* Clock.currentTimeMillis;
-      if (held === undefined || !held.term.isValid(nowMs)) return;
-      // An engine that refuses old numbers needs no quiet time.
-      const mustWait = service.fencing === FencingSupport.IGNORED;
-      if (mustWait && nowMs < held.quietUntilMs) return;
-      const {fencingNumber} = held.lease.row;
-      const sent = yield* Effect.option(
-        this.control.send(server, {kind, value, fencingNumber}),
-      );
+      const fencingNumber = this.lease.getFencingNumber();
+      if (fencingNumber === undefined) return;
+      if (!this.lease.isOrdering(service.fencing, nowMs)) return;
+      this.sent += 1;
+      const answer = yield* this.control
+        .send(server, {kind, value, fencingNumber})
+        .pipe(
+          Effect.timeoutOption(this.periods.orderMs),
+          Effect.catch(() => Effect.succeedNone),
+        );
+      const isRefused = answer._tag === 'Some' && !answer.value.accepted;
       logger.log('An order was sent.', {
         engine: server.id,
         kind,
         value,
-        was: state.modelVersion,
-        answered: sent._tag === 'Some',
+        fencing: fencingNumber,
+        answered: answer._tag === 'Some',
+        refused: isRefused,
       });
-      if (sent._tag === 'Some' && !sent.value.accepted) this.held = undefined;
+      if (isRefused) this.lease.remove();
     });
   }
 }
--- a/packages/daemon/src/wiring/daemon_parts.ts
+++ b/packages/daemon/src/wiring/daemon_parts.ts
@@ -41,6 +41,7 @@
 import {HostFollower} from '../hosts/host_follower.js';
 import {LeavingBackends} from '../leaving/leaving_backends.js';
 import {LeavingNews} from '../leaving/leaving_news.js';
+import type {OrderService} from '../orders/order_service.js';
 import {MemberService} from '../members/member_service.js';
 import {EngineIndex} from '../placement/engine_index.js';
 import {FleetView} from '../placement/fleet_view.js';
@@ -48,6 +49,7 @@
 import {PlacementService} from '../placement/placement_service.js';
 import {SlotBroker} from '../placement/slot_broker.js';
 import {listConfigurationPeers} from './list_configuration_peers.js';
+import {makeOrderService} from './make_order_service.js';
 import {SLOT_LEASE_MS, SlotKeeper} from '../placement/slot_keeper.js';
 
 const FORGET_AFTER_MS = 60_000;
@@ -84,6 +86,7 @@
   readonly engines: HttpEngineClient;
   readonly limits: EngineLimits;
   readonly workers: HttpServiceClient;
+  readonly orders: OrderService;
 
   constructor(
     readonly settings: DaemonSettings,
@@ -164,7 +167,9 @@
       nowMs => this.listOwnedEngines(nowMs),
       engine => this.ledger.count(engine),
       onLeaving,
+      (engine, saidAtMs) => this.leaving.remove(engine, saidAtMs),
     );
+    this.orders = makeOrderService(this);
   }
 
   /** Closes every outgoing connection. */
--- a/packages/daemon/src/wiring/make_control_router.ts
+++ b/packages/daemon/src/wiring/make_control_router.ts
@@ -26,6 +26,7 @@
     parts.configuration,
     parts.hosts,
     parts.ledger,
+    parts.orders,
     parts.startedAtMs,
   );
   const peers = makePeerServer(parts);
--- /dev/null
+++ b/packages/daemon/src/wiring/make_order_service.ts
@@ -0,0 +1,38 @@
+import {findRendezvousHome} from '@greengagecross/common';
+import {HttpEngineControl} from '@greengagecross/backend';
+import {LeaseStore, LoadPermits} from '@greengagecross/platform';
+import {OrderHolder} from '../orders/order_holder.js';
+import {OrderService} from '../orders/order_service.js';
+import type {DaemonParts} from './daemon_parts.js';
+
+/** Wires what gives orders to engines. */
+export function makeOrderService(parts: DaemonParts): OrderService {
+  const {settings, tuning, table, members, configuration, hosts} = parts;
+  const self = `${settings.id}/${parts.startedAtMs}`;
+  const periods = {
+    leaseMs: tuning.orderLeaseMs,
+    orderMs: tuning.orderTimeoutMs,
+  };
+  const control = new HttpEngineControl(parts.backendClient, {
+    connectTimeoutMs: Math.min(
+      tuning.backendConnectTimeoutMs,
+      tuning.orderTimeoutMs,
+    ),
+    silenceMs: tuning.orderTimeoutMs,
+  });
+  const leases = new LeaseStore(table);
+  const permits = new LoadPermits(table);
+  return new OrderService(
+    {
+      listServices: () => configuration.getView()?.listServices() ?? [],
+      isHome: (service, nowMs) => {
+        const live = members.listLive(nowMs).map(member => member.id);
+        return findRendezvousHome(`orders ${service}`, live) === settings.id;
+      },
+      isLeaving: engine => hosts.isLeaving(engine),
+      makeHolder: () =>
+        new OrderHolder(self, leases, permits, control, periods),
+    },
+    tuning.orderPollMs,
+  );
+}
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -31,4 +31,6 @@
 export * from './orders/lease_term.js';
 export * from './orders/lease_watch.js';
 export * from './orders/plan_orders.js';
+export * from './orders/engine_sight.js';
+export * from './orders/plan_rollout.js';
 export * from './limits/room_rule.js';
--- a/packages/decisions/src/orders/plan_orders.ts
+++ b/packages/decisions/src/orders/plan_orders.ts
@@ -34,8 +34,9 @@
 const NOTHING: PlannedStep = {step: OrderStep.NONE, value: ''};
 
 /**
- * Plans one engine's next step. Weights are loaded only after it was drained,
- * so that no request is cut, and it takes work again only once all is there.
+ * Plans one engine's next step. Weights and role change, and adapters go, only
+ * once it was drained and nothing is in flight, so that no request is cut; it
+ * takes work again only once all is there.
  */
 export function planStep(
   desired: DesiredEngine,
@@ -43,7 +44,7 @@
 ): PlannedStep {
   if (actual.loadingVersion !== '') return {step: OrderStep.WAIT, value: ''};
   if (actual.modelVersion !== desired.modelVersion) {
-    return planLoad(desired, actual);
+    return planIdle(actual, OrderStep.LOAD, desired.modelVersion);
   }
   const missing = desired.adapters.find(a => !actual.adapters.includes(a));
   if (missing !== undefined) {
@@ -51,18 +52,23 @@
   }
   const extra = actual.adapters.find(a => !desired.adapters.includes(a));
   if (extra !== undefined) {
-    return {step: OrderStep.REMOVE_ADAPTER, value: extra};
+    return planIdle(actual, OrderStep.REMOVE_ADAPTER, extra);
   }
   if (actual.role !== desired.role) {
-    return {step: OrderStep.SET_ROLE, value: desired.role};
+    return planIdle(actual, OrderStep.SET_ROLE, desired.role);
   }
   return actual.isDraining ? {step: OrderStep.RESUME, value: ''} : NOTHING;
 }
 
-function planLoad(desired: DesiredEngine, actual: ActualEngine): PlannedStep {
+/** Plans a step that an engine may take only with nothing in flight. */
+function planIdle(
+  actual: ActualEngine,
+  step: OrderStep,
+  value: string,
+): PlannedStep {
   if (!actual.isDraining) return {step: OrderStep.DRAIN, value: ''};
   if (actual.inFlight > 0) return {step: OrderStep.WAIT, value: ''};
-  return {step: OrderStep.LOAD, value: desired.modelVersion};
+  return {step, value};
 }
 
 /** Tells whether a step begins or continues to take an engine out of work. */
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -21,6 +21,7 @@
 export * from './configuration/digest.js';
 export * from './lease/lease_row.js';
 export * from './lease/lease_store.js';
+export * from './lease/load_permits.js';
 export * from './configuration/part.js';
 export * from './configuration/part_source.js';
 export * from './configuration/store_part_source.js';
--- a/packages/questionnaire/src/answer_text.ts
+++ b/packages/questionnaire/src/answer_text.ts
@@ -8,6 +8,7 @@
   DEPLOYMENT_QUESTIONS,
   ENGINE_QUESTIONS,
   PLAIN_QUESTIONS,
+  WEIGHT_QUESTIONS,
 } from './questions.js';
 
 const GROUP_NAMES: Readonly<Record<string, string>> = {
@@ -16,7 +17,7 @@
   [AnswerGroup.CUSTOMERS]: 'customer',
 };
 const GROUP_QUESTIONS: Readonly<Record<string, readonly Question[]>> = {
-  [AnswerGroup.ENGINES]: ENGINE_QUESTIONS,
+  [AnswerGroup.ENGINES]: [...ENGINE_QUESTIONS, ...WEIGHT_QUESTIONS],
   [AnswerGroup.PLAIN_SERVICES]: PLAIN_QUESTIONS,
   [AnswerGroup.CUSTOMERS]: CUSTOMER_QUESTIONS,
 };
@@ -96,6 +97,13 @@
         : undefined;
     case 'services':
       return describeLostServices(subject, before, after);
+    case 'modelVersion':
+      return after === undefined
+        ? `Engines of ${subject} get no more orders and stay as they are.`
+        : `Engines of ${subject} finish their work, load ${String(after)} and take work again, a few at a time; their warm chats are read again.`;
+    case 'adapters':
+    case 'role':
+      return `Engines of ${subject} are given other adapters or another role, a few at a time.`;
     case 'keyHashes':
       return `Only the keys answered now are taken from ${subject}; others get 401.`;
     default:
--- a/packages/questionnaire/src/answers.ts
+++ b/packages/questionnaire/src/answers.ts
@@ -10,6 +10,10 @@
   Schema.isBetween({minimum: 1, maximum: 3600}),
 );
 
+const AtOnceSchema = Schema.Int.check(
+  Schema.isBetween({minimum: 1, maximum: 1000}),
+);
+
 /** Answers about one more kind of work that runs on the same engines. */
 export const OtherWorkSchema = Schema.Struct({
   name: Schema.NonEmptyString,
@@ -31,6 +35,14 @@
   checksOrders: Schema.Boolean,
   longestWaitSeconds: WaitSecondsSchema,
   servers: Schema.Array(BackendServerSchema),
+  /** Version that the fleet loads; absent where it does not manage weights. */
+  modelVersion: Schema.optionalKey(Schema.NonEmptyString),
+  adapters: Schema.optionalKey(Schema.Array(Schema.NonEmptyString)),
+  role: Schema.optionalKey(Schema.String),
+  /** Engines of this service that may be out of work at once. */
+  outOfWorkAtOnce: Schema.optionalKey(AtOnceSchema),
+  /** Engines of all services that may load weights at once. */
+  loadsAtOnce: Schema.optionalKey(AtOnceSchema),
   /** Further kinds of work on these engines, each a name that callers use. */
   otherWork: Schema.optionalKey(Schema.Array(OtherWorkSchema)),
 });
--- a/packages/questionnaire/src/check_answers.ts
+++ b/packages/questionnaire/src/check_answers.ts
@@ -33,6 +33,7 @@
     ...answers.plainServices.flatMap((service, index) =>
       checkServers(`plainServices[${index}].servers`, service.servers),
     ),
+    ...checkManaged(answers),
     ...checkCustomers(answers, new Set(services)),
   ];
 }
@@ -71,6 +72,14 @@
   return [{path, expected: 'at least one server', found: 'none'}];
 }
 
+/** An engine ordered by two services would change back and forth. */
+function checkManaged(answers: Answers): Problem[] {
+  const managed = answers.engines
+    .filter(engine => engine.modelVersion !== undefined)
+    .flatMap(engine => engine.servers.map(({host, port}) => `${host}:${port}`));
+  return checkUnique('engines that get a model version', managed);
+}
+
 function checkCustomers(
   answers: Answers,
   services: ReadonlySet<string>,
--- a/packages/questionnaire/src/find_origin.ts
+++ b/packages/questionnaire/src/find_origin.ts
@@ -28,6 +28,7 @@
   ...SERVICE_FIELDS,
   placement: 'mattersMore',
   fencing: 'checksOrders',
+  weights: 'modelVersion',
 };
 const PLAIN_FIELDS: Readonly<Record<string, string>> = {
   ...SERVICE_FIELDS,
--- a/packages/questionnaire/src/generate.ts
+++ b/packages/questionnaire/src/generate.ts
@@ -4,6 +4,7 @@
   ServiceKind,
   type Configuration,
   type Customer,
+  type DesiredWeights,
   type PlacementRules,
   type Service,
 } from '@greengagecross/common';
@@ -16,6 +17,8 @@
 } from './answers.js';
 
 const MS_PER_SECOND = 1000;
+const OUT_OF_WORK_AT_ONCE = 1;
+const LOADS_AT_ONCE = 2;
 const REUSE_RULES: PlacementRules = {
   preference: PlacementPreference.REUSE,
   maxLoadMultiple: 1.5,
@@ -45,8 +48,27 @@
 
 /** Makes one service for each kind of work on the same engines. */
 function makeEngineServices(answers: EngineAnswers): Service[] {
-  const works = [answers, ...(answers.otherWork ?? [])];
-  return works.map(work => makeEngineService(answers, work));
+  const [main, ...others] = [answers, ...(answers.otherWork ?? [])].map(work =>
+    makeEngineService(answers, work),
+  );
+  const weights = makeWeights(answers);
+  if (main === undefined || weights === undefined) {
+    return main === undefined ? others : [main, ...others];
+  }
+  // The engines are ordered once, not for each kind of work.
+  return [{...main, weights}, ...others];
+}
+
+function makeWeights(answers: EngineAnswers): DesiredWeights | undefined {
+  const {modelVersion, adapters, role, outOfWorkAtOnce, loadsAtOnce} = answers;
+  if (modelVersion === undefined) return undefined;
+  return {
+    modelVersion,
+    adapters: [...(adapters ?? [])].sort(),
+    role: role ?? '',
+    outOfWorkAtOnce: outOfWorkAtOnce ?? OUT_OF_WORK_AT_ONCE,
+    loadsAtOnce: loadsAtOnce ?? LOADS_AT_ONCE,
+  };
 }
 
 function makeEngineService(answers: EngineAnswers, work: OtherWork): Service {
--- a/packages/questionnaire/src/interview.feature
+++ b/packages/questionnaire/src/interview.feature
@@ -18,6 +18,7 @@
       | engine-1 10.0.1.10:8000 centro-a, engine-2 10.0.2.10:8000 centro-b |
       |             |
       |             |
+      |             |
       | no          |
       | yes         |
       | parish      |
--- a/packages/questionnaire/src/interview.ts
+++ b/packages/questionnaire/src/interview.ts
@@ -17,6 +17,7 @@
   ENGINE_QUESTIONS,
   OTHER_WORK_QUESTIONS,
   PLAIN_QUESTIONS,
+  WEIGHT_QUESTIONS,
 } from './questions.js';
 
 type Fields = Readonly<Record<string, Schema.ConstraintDecoder<unknown>>>;
@@ -114,12 +115,30 @@
       EngineAnswersSchema.fields,
       earlier,
     );
+    const weights = await this.askWeights(earlier, String(answers['name']));
     const otherWork = await this.askSubjects(
       `further kind of work on the engines of ${String(answers['name'])}`,
       earlier?.['otherWork'] as readonly Subject[] | undefined,
       old => this.askAll(OTHER_WORK_QUESTIONS, OtherWorkSchema.fields, old),
     );
-    return otherWork.length === 0 ? answers : {...answers, otherWork};
+    const all = {...answers, ...weights};
+    return otherWork.length === 0 ? all : {...all, otherWork};
+  }
+
+  /** Asks what to load, only where the fleet is to load it. */
+  private async askWeights(
+    earlier: Subject | undefined,
+    name: string,
+  ): Promise<Record<string, unknown>> {
+    const isManaged = earlier?.['modelVersion'] !== undefined;
+    const line = await this.prompter.ask(
+      `Should the fleet load model versions into the engines of ${name}? ` +
+        `[${isManaged ? 'yes' : 'no: we do not manage weights'}] > `,
+    );
+    const isWanted = line.trim() === '' ? isManaged : YES.test(line.trim());
+    if (!isWanted) return {};
+    const {fields} = EngineAnswersSchema;
+    return this.askAll(WEIGHT_QUESTIONS, fields, earlier);
   }
 
   /** Goes through earlier ones, then asks for new ones until there are none. */
--- a/packages/questionnaire/src/questions.ts
+++ b/packages/questionnaire/src/questions.ts
@@ -88,6 +88,50 @@
   SERVERS,
 ];
 
+/** Asked of each service whose weights the fleet manages. */
+export const WEIGHT_QUESTIONS: readonly Question[] = [
+  {
+    field: 'modelVersion',
+    kind: AnswerKind.TEXT,
+    text: 'Which version of the model should its engines have?',
+    explanation:
+      'Engines with another one finish their work, load it and take work again, a few at a time.',
+    example: '2026-11-a, as the weight store names it',
+  },
+  {
+    field: 'adapters',
+    kind: AnswerKind.LIST,
+    text: 'Which adapters should they have beside it?',
+    explanation: 'Others are taken away from the engines.',
+    example: 'letters, tagging; nothing where there are none',
+    fallback: '',
+  },
+  {
+    field: 'role',
+    kind: AnswerKind.TEXT,
+    text: 'Which role should they take?',
+    explanation: 'Needed only where engines of one model do different parts.',
+    example: 'prefill; nothing where there are no roles',
+    fallback: '',
+  },
+  {
+    field: 'outOfWorkAtOnce',
+    kind: AnswerKind.NUMBER,
+    text: 'How many of its engines may be out of work at once?',
+    explanation: 'The others must carry the whole load meanwhile.',
+    example: '1 of 13',
+    fallback: '1',
+  },
+  {
+    field: 'loadsAtOnce',
+    kind: AnswerKind.NUMBER,
+    text: 'How many engines of all services may load weights at once?',
+    explanation: 'The weight store limits how much it gives at once.',
+    example: '2',
+    fallback: '2',
+  },
+];
+
 /** Asked of each further kind of work on the same engines. */
 export const OTHER_WORK_QUESTIONS: readonly Question[] = [
   SERVICE_NAME,
--- a/packages/standins/src/orders/orders_harness.ts
+++ b/packages/standins/src/orders/orders_harness.ts
@@ -12,6 +12,7 @@
 import {OrderHolder, type OrderedService} from '@greengagecross/daemon';
 import {
   LeaseStore,
+  LoadPermits,
   PlatformError,
   PlatformFailure,
   TableService,
@@ -144,14 +145,15 @@
         availabilityZone: 'a',
       })),
       fencing: isFencing ? FencingSupport.ENFORCED : FencingSupport.IGNORED,
-      maxOutOfWork: MAX_OUT_OF_WORK,
+      services: new Set(['assistant']),
     };
     const leases = new LeaseStore(this.table);
+    const permits = new LoadPermits(this.table);
     for (let index = 0; index < holders; index += 1) {
       const control = new MemoryControl(this.engines, () => this.nowMs);
       this.controls.push(control);
       this.holders.push(
-        new OrderHolder(`daemon-${index}`, leases, control, PERIODS),
+        new OrderHolder(`daemon-${index}`, leases, permits, control, PERIODS),
       );
     }
   }
@@ -178,7 +180,13 @@
   }
 
   private getDesired() {
-    return {modelVersion: this.desiredVersion, adapters: [], role: ''};
+    return {
+      modelVersion: this.desiredVersion,
+      adapters: [],
+      role: '',
+      outOfWorkAtOnce: MAX_OUT_OF_WORK,
+      loadsAtOnce: MAX_OUT_OF_WORK,
+    };
   }
 
   /** A request ends a while after its engine takes no new work. */
