--- a/packages/daemon/src/control/state_dump.ts
+++ b/packages/daemon/src/control/state_dump.ts
@@ -44,7 +44,7 @@
         hostListIsCurrent: this.hosts.isCurrent(),
         live: this.members.listLive(nowMs),
         ownedEngines: this.ledger.listCounts(),
-        orders: this.orders.listReports(),
+        orders: this.orders.listReports(nowMs),
         memoryBytes: process.memoryUsage().rss,
       };
     });
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -190,8 +190,8 @@
         configuration.getUnconfirmedSeconds(Date.now()),
       countControlBytes: kind => this.countControlBytes(kind),
       countInFlight: () => this.callerServer.countActive(),
-      countOrderLeases: () => orders.listReports().length,
-      countEnginesBehind: () => orders.countBehind(),
+      countOrderLeases: () => orders.listReports(Date.now()).length,
+      countEnginesBehind: () => orders.countBehind(Date.now()),
       countOrdersSent: () => orders.countSent(),
     });
   }
--- a/packages/daemon/src/orders/order_holder.ts
+++ b/packages/daemon/src/orders/order_holder.ts
@@ -88,10 +88,10 @@
     return this.lease.release(name);
   }
 
-  /** Makes the report of a service; undefined when another daemon holds it. */
-  makeReport(service: OrderedService): OrderReport | undefined {
+  /** Makes the report of a service; undefined when it may not give orders. */
+  makeReport(service: OrderedService, nowMs: number): OrderReport | undefined {
     const fencingNumber = this.lease.getFencingNumber();
-    if (fencingNumber === undefined) return undefined;
+    if (fencingNumber === undefined || !this.isHolding(nowMs)) return undefined;
     return {
       service: service.name,
       fencingNumber,
--- a/packages/daemon/src/orders/order_service.ts
+++ b/packages/daemon/src/orders/order_service.ts
@@ -43,9 +43,8 @@
           if (!names.has(name)) yield* FiberMap.remove(fibers, name);
         }
         for (const name of names) {
-          yield* FiberMap.run(fibers, name, this.runService(name), {
-            onlyIfMissing: true,
-          });
+          const work = Effect.suspend(() => this.runService(name));
+          yield* FiberMap.run(fibers, name, work, {onlyIfMissing: true});
         }
         yield* Effect.sleep(this.pollMs);
       }
@@ -53,15 +52,16 @@
   }
 
   /** Lists how far the services are whose orders this daemon gives. */
-  listReports(): OrderReport[] {
+  listReports(nowMs: number): OrderReport[] {
     return this.listOrdered().flatMap(
-      service => this.holders.get(service.name)?.makeReport(service) ?? [],
+      service =>
+        this.holders.get(service.name)?.makeReport(service, nowMs) ?? [],
     );
   }
 
   /** Counts engines that are not yet as they should be, as seen here. */
-  countBehind(): number {
-    return this.listReports().reduce(
+  countBehind(nowMs: number): number {
+    return this.listReports(nowMs).reduce(
       (sum, report) => sum + report.engines - report.asWanted,
       0,
     );
--- a/packages/standins/src/backends/engine_server.ts
+++ b/packages/standins/src/backends/engine_server.ts
@@ -3,6 +3,7 @@
 import type {Address} from '@greengagecross/common';
 import type {HttpExchange} from '@greengagecross/http';
 import {CRASH_MARKER} from '../faults.js';
+import {OrderDesk} from '../orders/order_desk.js';
 import {StandinServer} from '../standin_server.js';
 import {
   computeAnswerTokens,
@@ -23,6 +24,7 @@
 export class EngineServer extends StandinServer {
   private readonly cache: PrefixCache;
   private readonly slots: PriorityGate;
+  private readonly orders: OrderDesk;
   private refusals = 0;
   private readonly generations = new Map<string, Generation>();
 
@@ -34,6 +36,12 @@
     super(address);
     this.cache = new PrefixCache(profile.cacheTokens);
     this.slots = new PriorityGate(profile.capacity);
+    const listOpen = () =>
+      [...this.generations.values()].filter(made => !made.isClosed());
+    this.orders = new OrderDesk(profile, {
+      countInFlight: () => listOpen().length,
+      cut: () => listOpen().forEach(made => made.close()),
+    });
   }
 
   protected override handle(
@@ -43,6 +51,8 @@
     if (exchange.path.startsWith(STREAM_PREFIX)) {
       return this.handleStream(exchange);
     }
+    const ordered = this.orders.handle(exchange, body.toString());
+    if (ordered !== undefined) return ordered;
     switch (exchange.path) {
       case '/v1/chat/completions':
         return this.handleChat(exchange, body.toString());
@@ -50,7 +60,6 @@
         return Effect.sync(() => exchange.sendJson(200, this.describeLoad()));
       case '/observe/record':
         return Effect.sync(() => exchange.sendJson(200, this.runs.records));
-        return Effect.sync(() => exchange.sendJson(200, this.runs.records));
       case '/observe/refusals':
         return Effect.sync(() => exchange.sendJson(200, this.refusals));
       case '/observe/load':
@@ -60,12 +69,16 @@
     }
   }
 
+  private isLeaving(): boolean {
+    return this.gate.getFaults().leaving || this.orders.isDraining();
+  }
+
   private describeLoad() {
     return {
       running: this.slots.countRunning(),
       waiting: this.slots.countWaiting(),
       capacity: this.profile.capacity,
-      leaving: this.gate.getFaults().leaving,
+      leaving: this.isLeaving(),
       ageMs: 0,
     };
   }
@@ -76,7 +89,7 @@
   ): Effect.Effect<void> {
     return Effect.gen({self: this}, function* () {
       const faults = this.gate.getFaults();
-      if (faults.leaving) {
+      if (this.isLeaving()) {
         this.refusals += 1;
         refuse(exchange, true);
         return;
--- a/packages/standins/src/orders/ordered_engine.ts
+++ b/packages/standins/src/orders/ordered_engine.ts
@@ -4,7 +4,8 @@
   type FencedOrder,
 } from '@greengagecross/backend';
 
-const LOAD_MS = 3000;
+/** Time that a load takes where nothing else is asked for. */
+export const DEFAULT_LOAD_MS = 3000;
 
 /** What a stand-in engine does with orders; times come from its caller. */
 export class OrderedEngine {
@@ -23,6 +24,7 @@
   constructor(
     modelVersion: string,
     private readonly isFencing: boolean,
+    private readonly loadMs = DEFAULT_LOAD_MS,
   ) {
     this.modelVersion = modelVersion;
   }
@@ -64,7 +66,7 @@
       case OrderKind.LOAD:
         if (value === this.modelVersion) return;
         this.loadingVersion = value;
-        this.loadedAtMs = nowMs + LOAD_MS;
+        this.loadedAtMs = nowMs + this.loadMs;
         return;
       case OrderKind.ADD_ADAPTER:
         this.adapters = [...new Set([...this.adapters, value])];
