Choose engines anew after a leaving one refused a request

Cause: under orders that drain engines in turn, 1 of 90 chats was refused with no-backend. Its first engine had just been drained and refused it as not run, the others of its list were at their bound, and after a refusal no further round of choosing was begun, although no engine had been given work.

A refusal that gave no engine work now counts like a full list: up to 5 rounds of choosing, within the same 3 attempts and the deadline, and never once an attempt may have run.

--- a/packages/daemon/src/callers/chat_dispatcher.ts
+++ b/packages/daemon/src/callers/chat_dispatcher.ts
@@ -1,10 +1,11 @@
 import {Clock, Effect, Result} from 'effect';
 import {isKnownNotRun, type BackendError} from '@greengagecross/backend';
 import {Logger, Outcome, RefusalReason} from '@greengagecross/common';
-import type {
-  RequestDeadline,
-  RetryPolicy,
-  ServiceTimes,
+import {
+  AttemptCost,
+  type RequestDeadline,
+  type RetryPolicy,
+  type ServiceTimes,
 } from '@greengagecross/decisions';
 import type {
   PlacedServer,
@@ -22,7 +23,7 @@
 import {makeNotRun, Refusal} from './refusal.js';
 
 const OVERLOAD_RETRY_MS = 1000;
-/** Times that engines are chosen anew while all are at their bound. */
+/** Times that engines are chosen anew while none took the request. */
 const MAX_ROUNDS = 5;
 const ROUND_MS = 250;
 const logger = new Logger('chats');
@@ -48,8 +49,8 @@
       let rounds = 1;
       const queue = yield* this.listPlaced(job);
       for (let index = 0; ; index += 1) {
-        const isRefused = failed === undefined && rounds < MAX_ROUNDS;
-        if (queue.length === 0 && isRefused) {
+        const isFree = !mayHaveRun && hasCostNothing(failed);
+        if (queue.length === 0 && isFree && rounds < MAX_ROUNDS) {
           rounds += 1;
           yield* Effect.sleep(ROUND_MS);
           queue.push(...(yield* this.listPlaced(job)));
@@ -141,6 +142,12 @@
   }
 }
 
+/** Tells whether no engine was given work, so that others may be asked anew. */
+function hasCostNothing(failed: BackendError | undefined): boolean {
+  if (failed === undefined) return true;
+  return computeAttemptCost(failed.failure) === AttemptCost.NONE;
+}
+
 function makeNoBackend(): Refusal {
   return makeNotRun(
     RefusalReason.NO_BACKEND,
--- a/packages/standins/src/orders/order_fleet_world.ts
+++ b/packages/standins/src/orders/order_fleet_world.ts
@@ -10,6 +10,13 @@
 import type {Answers} from '@greengagecross/questionnaire';
 import type {MetOrder} from './order_desk.js';
 
+/** Time that the fleet's engines take to load a version. */
+export const WEIGHTS_LOAD_MS = 300;
+/** Longest that a condition is waited for. */
+export const LIMIT_MS = 90_000;
+/** Options of the steps that wait. */
+export const STEP = {timeout: LIMIT_MS + 10_000};
+
 /** What a stand-in engine tells of the orders that it met. */
 export interface ObservedOrders {
   readonly met: readonly MetOrder[];
