Show operators how far model versions are; check what is read of them

status names each ordered service: how many engines are as wanted, which change and which are silent. Lease rows, load permits and engines' states join the property test of what comes from outside; two services may not order the same engine.

--- a/packages/client/src/fleet/daemon_report.ts
+++ b/packages/client/src/fleet/daemon_report.ts
@@ -27,6 +27,20 @@
   hostListIsCurrent: Schema.Boolean,
   live: Schema.Array(ReportedMemberSchema),
   ownedEngines: Schema.Array(EngineCountSchema),
+  /** Absent in daemons that know no orders yet. */
+  orders: Schema.optionalKey(
+    Schema.Array(
+      Schema.Struct({
+        service: Schema.NonEmptyString,
+        fencingNumber: Schema.Int,
+        modelVersion: Schema.String,
+        engines: Schema.Int,
+        asWanted: Schema.Int,
+        outOfWork: Schema.Array(Schema.String),
+        silent: Schema.Array(Schema.String),
+      }),
+    ),
+  ),
   memoryBytes: Schema.Finite,
 });
 
--- a/packages/client/src/status/check_promises.ts
+++ b/packages/client/src/status/check_promises.ts
@@ -1,4 +1,5 @@
 import {MemberState, ServiceKind, type Service} from '@greengagecross/common';
+import {checkOrders} from './check_orders.js';
 import {PromiseState, type PromiseReport} from './promise_state.js';
 import type {FleetView} from './fleet_view.js';
 
@@ -12,6 +13,7 @@
     checkDaemons(view),
     checkConfiguration(view),
     ...checkLoads(view),
+    ...checkOrders(view),
     checkPlatform(view),
     checkLeaving(view),
   ];
--- a/packages/questionnaire/src/answers.feature
+++ b/packages/questionnaire/src/answers.feature
@@ -26,6 +26,7 @@
       | a customer of an unknown service   | customers[0].services            |
       | an engine without servers          | engines[0].servers               |
       | two servers at one address         | plainServices[0].servers         |
+      | one engine ordered by two services | engines that get a model version |
       | a question that is not asked       | engines[0].colour                |
 
   Scenario Outline: Two changes of the same answers: <mine> and <theirs>
--- a/packages/questionnaire/src/answers_steps.ts
+++ b/packages/questionnaire/src/answers_steps.ts
@@ -21,8 +21,7 @@
   type CustomerAnswers,
 } from './index.js';
 
-const A = 'diocesis-del-valle';
-const B = 'parroquia-san-jose';
+const [A, B] = ['diocesis-del-valle', 'parroquia-san-jose'] as const;
 
 type Mutable = Record<string, Record<string, unknown>[]>;
 
@@ -47,6 +46,10 @@
     const servers = a['plainServices']![0]!['servers'] as {host: string}[];
     servers[1]!.host = servers[0]!.host;
   },
+  'one engine ordered by two services': a => {
+    const first = {...a['engines']![0]!, modelVersion: 'v2', otherWork: []};
+    a['engines'] = [first, {...first, name: 'second'}];
+  },
   'a question that is not asked': a => (a['engines']![0]!['colour'] = 'blue'),
 };
 
--- a/packages/questionnaire/src/interview.feature
+++ b/packages/questionnaire/src/interview.feature
@@ -35,6 +35,26 @@
     And it said "A key has at least 16 characters."
     And it never showed "a-key-of-sixteen-characters"
 
+  Scenario: Weights are asked about only where the fleet is to manage them
+    Given the questionnaire's fixture of velo_compartido
+    When the questionnaire is asked again with the lines
+      |             |
+      | change      |
+      |             |
+      |             |
+      |             |
+      |             |
+      |             |
+      |             |
+      | yes         |
+      | 2026-11-a   |
+      | letters, tagging |
+      |             |
+      |             |
+      |             |
+    Then it said "Which version of the model should its engines have?"
+    And the interview's engines get version "2026-11-a" and adapters "letters,tagging", 1 at once
+
   Scenario: Earlier answers are kept by empty lines
     Given the questionnaire's fixture of registry
     When the questionnaire is asked again with empty lines only
@@ -51,6 +71,9 @@
       | engines/assistant/servers/engine-14     | 10.10.1.20:8000 centro-a | differs |
       | engines/assistant/servers/engine-14     | 10.10.1.10:8000 centro-a | refused |
       | engines/assistant/mattersMore           | evenness                | differs |
+      | engines/assistant/modelVersion          | 2026-11-a               | differs |
+      | engines/assistant/adapters              | letters, tagging        | differs |
+      | engines/assistant/outOfWorkAtOnce       | 0                       | refused |
       | engines/assistant/mattersMore           | speed                   | refused |
       | customers/parroquia-san-jose/atMostAtOnce | 0                     | refused |
       | customers/parroquia-san-jose/colour     | blue                    | refused |
--- a/packages/questionnaire/src/interview_steps.ts
+++ b/packages/questionnaire/src/interview_steps.ts
@@ -4,6 +4,7 @@
 import {
   Interview,
   listChanges,
+  makeConfiguration,
   Prompter,
   sortAnswers,
   updateAnswer,
@@ -51,6 +52,32 @@
   },
 );
 
+When(
+  'the questionnaire is asked again with the lines',
+  async function (this: InterviewWorld, table: DataTable) {
+    const lines = table.raw().map(row => row[0] ?? '');
+    this.prompter = new ScriptedPrompter(lines);
+    this.given = await new Interview(this.prompter).run(this.answers);
+  },
+);
+
+Then(
+  "the interview's engines get version {string} and adapters {string}, {int} at once",
+  function (
+    this: InterviewWorld,
+    version: string,
+    adapters: string,
+    atOnce: number,
+  ) {
+    const services = makeConfiguration(this.given).services;
+    const ordered = services.flatMap(service => service.weights ?? []);
+    assert.equal(ordered.length, 1);
+    assert.equal(ordered[0]?.modelVersion, version);
+    assert.equal(ordered[0]?.adapters.join(), adapters);
+    assert.equal(ordered[0]?.outOfWorkAtOnce, atOnce);
+  },
+);
+
 When(
   'the questionnaire is asked again with empty lines only',
   async function (this: InterviewWorld) {
--- a/packages/standins/src/edges/bad_input.feature
+++ b/packages/standins/src/edges/bad_input.feature
@@ -31,6 +31,9 @@
       | a heartbeat        |
       | a slot request     |
       | a table row        |
+      | a lease            |
+      | the permits to load |
+      | an engine's state  |
       | a host list        |
       | an engine's load   |
 
--- a/packages/standins/src/edges/bad_input_steps.ts
+++ b/packages/standins/src/edges/bad_input_steps.ts
@@ -2,7 +2,11 @@
 import {Then, When} from '@cucumber/cucumber';
 import fc from 'fast-check';
 import {Schema} from 'effect';
-import {ChatRequestSchema, EngineLoadSchema} from '@greengagecross/backend';
+import {
+  ChatRequestSchema,
+  EngineLoadSchema,
+  EngineStateSchema,
+} from '@greengagecross/backend';
 import {
   DaemonSettingsSchema,
   decodeDocument,
@@ -14,7 +18,12 @@
   ValidationError,
 } from '@greengagecross/common';
 import {AcquireSlotSchema, HeartbeatSchema} from '@greengagecross/peers';
-import {HostListSchema, TableRowSchema} from '@greengagecross/platform';
+import {
+  HostListSchema,
+  LeaseRowSchema,
+  LoadPermitsSchema,
+  TableRowSchema,
+} from '@greengagecross/platform';
 import type {EdgeWorld} from './callers_rights_steps.js';
 import {buildCustomerHeaders, buildRequest, sendRaw} from './edge_fleet.js';
 
@@ -59,6 +68,9 @@
   'a heartbeat': HeartbeatSchema,
   'a slot request': AcquireSlotSchema,
   'a table row': TableRowSchema,
+  'a lease': LeaseRowSchema,
+  'the permits to load': LoadPermitsSchema,
+  "an engine's state": EngineStateSchema,
   'a host list': HostListSchema,
   "an engine's load": EngineLoadSchema,
 };
