Let each engine that checks meet a new holder's number

An engine that already was as wanted got no order from a new holder, so it did not know the higher number and took a late order of the holder before. A new holder now sends it a resume, which has no effect on an engine at work, at the first look.

--- a/packages/daemon/src/orders/order_holder.ts
+++ b/packages/daemon/src/orders/order_holder.ts
@@ -8,6 +8,7 @@
   type LeasePeriods,
 } from '@greengagecross/decisions';
 import type {LeaseStore, LoadPermits} from '@greengagecross/platform';
+import {EngineFences} from './engine_fences.js';
 import {EngineSights} from './engine_sights.js';
 import {LoadPacer} from './load_pacer.js';
 import {OrderLease} from './order_lease.js';
@@ -37,6 +38,7 @@
   private readonly lease: OrderLease;
   private readonly pacer: LoadPacer;
   private readonly sights: EngineSights;
+  private readonly fences = new EngineFences();
   private sent = 0;
 
   /** @param self name of this process, of no other and of none before it. */
@@ -106,12 +108,21 @@
     return Effect.gen({self: this}, function* () {
       const looked = yield* this.sights.update(engines);
       const known = this.sights.get(engines);
-      const steps = planRollout(
+      const changes = planRollout(
         desired,
         known,
         looked,
         desired.outOfWorkAtOnce,
       );
+      const fencingNumber = this.lease.getFencingNumber();
+      const fences = this.fences.plan(service, fencingNumber, known, looked);
+      const changed = new Set(
+        changes.filter(c => isOrder(c.step)).map(c => c.engine),
+      );
+      const steps = [
+        ...changes,
+        ...fences.filter(fence => !changed.has(fence.engine)),
+      ];
       yield* this.releasePermits(service, steps);
       const servers = new Map(engines.map(server => [server.id, server]));
       for (const step of steps) {
@@ -174,7 +185,12 @@
         answered: answer._tag === 'Some',
         refused: isRefused,
       });
+      if (answer._tag === 'Some') this.fences.add(server.id, fencingNumber);
       if (isRefused) this.lease.remove();
     });
   }
 }
+
+function isOrder(step: OrderStep): boolean {
+  return ORDER_KINDS[step] !== undefined;
+}
--- a/packages/standins/src/orders/order_fleet.feature
+++ b/packages/standins/src/orders/order_fleet.feature
@@ -50,6 +50,17 @@
       | check   | refused                                     |
       | ignore  | taken and then repaired with a newer number |
 
+  Scenario: An engine that needs no change refuses a late order too
+    Given a fleet of 3 daemons whose 3 engines check old fencing numbers
+    When the next order to engine-1 is kept under way
+    And model version "v2" with adapter "letters" is accepted
+    Then every engine of the fleet has version "v2" and takes work
+    When the holder of the orders is frozen once engine-1 was ordered
+    And another daemon holds the orders
+    Then every engine of the fleet meets the new holder's number
+    When the frozen holder goes on and the orders to engine-1 arrive
+    Then the late order to engine-1 was refused
+
   Scenario: The platform is down midway
     Given a loaded fleet of 3 daemons whose 6 engines check old fencing numbers
     When orders to engine-6 are kept under way
--- a/packages/standins/src/orders/order_verdicts_steps.ts
+++ b/packages/standins/src/orders/order_verdicts_steps.ts
@@ -47,8 +47,11 @@
   async function (this: OrderFleetWorld, most: number) {
     const orders = await readAllOrders(this);
     const changes = orders.flatMap(({met}) => {
-      const drained = met.find(order => order.kind === OrderKind.DRAIN);
-      const resumed = met.find(order => order.kind === OrderKind.RESUME);
+      const at = met.findIndex(order => order.kind === OrderKind.DRAIN);
+      const drained = met[at];
+      const resumed = met
+        .slice(at + 1)
+        .find(order => order.kind === OrderKind.RESUME);
       assert.ok(drained && resumed);
       return [
         {atMs: drained.atMs, step: 1},
@@ -79,6 +82,17 @@
   },
 );
 
+Then(
+  "every engine of the fleet meets the new holder's number",
+  STEP,
+  async function (this: OrderFleetWorld) {
+    await waitUntil('every engine met it', LIMIT_MS, async () => {
+      const orders = await readAllOrders(this);
+      return orders.every(({met}) => met.some(o => o.fencingNumber > 1));
+    });
+  },
+);
+
 Then(
   'the fencing number of the orders has risen',
   async function (this: OrderFleetWorld) {
