Merge branch 'orders'

# Conflicts: # packages/client/src/status/check_promises.ts # packages/daemon/src/control/state_dump.ts # packages/daemon/src/wiring/make_control_router.ts # packages/questionnaire/src/answer_text.ts # packages/standins/src/edges/bad_input.feature # packages/standins/src/edges/bad_input_steps.ts

--- a/packages/client/src/status/check_promises.ts
+++ b/packages/client/src/status/check_promises.ts
@@ -1,6 +1,7 @@
 import {MemberState, ServiceKind, type Service} from '@greengagecross/common';
 import {checkAnswers, checkClaims, checkRefusals} from './check_requests.js';
 import {formatNames, toSince} from './format_names.js';
+import {checkOrders} from './check_orders.js';
 import {PromiseState, type PromiseReport} from './promise_state.js';
 import type {FleetView} from './fleet_view.js';
 
@@ -17,6 +18,7 @@
     checkAnswers(view),
     checkRefusals(view),
     checkClaims(view),
+    ...checkOrders(view),
     checkLeaving(view),
   ];
 }
--- a/packages/daemon/src/control/state_dump.ts
+++ b/packages/daemon/src/control/state_dump.ts
@@ -7,6 +7,8 @@
 import type {HostFollower} from '../hosts/host_follower.js';
 import type {DaemonMetrics} from '../metrics/daemon_metrics.js';
 import type {MemberService} from '../members/member_service.js';
+import type {OrderReport} from '../orders/order_report.js';
+import type {OrderService} from '../orders/order_service.js';
 
 /** A daemon's state, without customers' text or secrets. */
 export interface DaemonState {
@@ -17,6 +19,8 @@
   readonly hostListIsCurrent: boolean;
   readonly live: readonly Member[];
   readonly ownedEngines: readonly EngineCount[];
+  /** Services whose engines this daemon gives orders to. */
+  readonly orders: readonly OrderReport[];
   readonly memoryBytes: number;
   /** What callers were told within the last minute. */
   readonly recentOutcomes: readonly RecentOutcome[];
@@ -34,6 +38,7 @@
     private readonly ledger: EngineLedger,
     private readonly metrics: DaemonMetrics,
     private readonly claims: ClaimBook,
+    private readonly orders: OrderService,
     private readonly startedAtMs: number,
   ) {}
 
@@ -48,6 +53,7 @@
         hostListIsCurrent: this.hosts.isCurrent(),
         live: this.members.listLive(nowMs),
         ownedEngines: this.ledger.listCounts(),
+        orders: this.orders.listReports(nowMs),
         memoryBytes: process.memoryUsage().rss,
         recentOutcomes: this.metrics.listRecent(nowMs),
         pendingClaims: this.claims.countPending(),
--- a/packages/daemon/src/wiring/make_control_router.ts
+++ b/packages/daemon/src/wiring/make_control_router.ts
@@ -28,6 +28,7 @@
     parts.ledger,
     metrics,
     parts.claims,
+    parts.orders,
     parts.startedAtMs,
   );
   const peers = makePeerServer(parts);
--- a/packages/questionnaire/src/answer_text.ts
+++ b/packages/questionnaire/src/answer_text.ts
@@ -8,6 +8,7 @@
   DEPLOYMENT_QUESTIONS,
   ENGINE_QUESTIONS,
   PLAIN_QUESTIONS,
+  WEIGHT_QUESTIONS,
 } from './questions.js';
 
 const GROUP_NAMES: Readonly<Record<string, string>> = {
@@ -16,7 +17,7 @@
   [AnswerGroup.CUSTOMERS]: 'customer',
 };
 const GROUP_QUESTIONS: Readonly<Record<string, readonly Question[]>> = {
-  [AnswerGroup.ENGINES]: ENGINE_QUESTIONS,
+  [AnswerGroup.ENGINES]: [...ENGINE_QUESTIONS, ...WEIGHT_QUESTIONS],
   [AnswerGroup.PLAIN_SERVICES]: PLAIN_QUESTIONS,
   [AnswerGroup.CUSTOMERS]: CUSTOMER_QUESTIONS,
 };
--- a/packages/questionnaire/src/describe_effects.ts
+++ b/packages/questionnaire/src/describe_effects.ts
@@ -71,6 +71,13 @@
       return after === true
         ? `Orders to engines of ${subject} rely on the engines to refuse old ones.`
         : `Orders to engines of ${subject} wait until none of an earlier holder can be on its way.`;
+    case 'modelVersion':
+      return after === undefined
+        ? `Engines of ${subject} get no more orders and stay as they are.`
+        : `Engines of ${subject} finish their work, load ${String(after)} and take work again, a few at a time; their warm chats are read again.`;
+    case 'adapters':
+    case 'role':
+      return `Engines of ${subject} are given other adapters or another role, a few at a time.`;
     case 'mayNotBeRepeated':
       return describeLists(before, after, {
         gained: list =>
--- a/packages/standins/src/edges/bad_input.feature
+++ b/packages/standins/src/edges/bad_input.feature
@@ -45,6 +45,7 @@
       | an engine's load          |
       | an engine's state         |
       | an order                  |
+      | the permits to load       |
 
   Scenario: Random tickets are never taken
     Then 500 random and altered tickets read as no ticket
--- a/packages/standins/src/edges/documents.ts
+++ b/packages/standins/src/edges/documents.ts
@@ -29,6 +29,7 @@
   HostRole,
   HostState,
   LeaseRowSchema,
+  LoadPermitsSchema,
   TableRowSchema,
 } from '@greengagecross/platform';
 
@@ -176,6 +177,10 @@
     schema: LeaseRowSchema,
     right: {holder: 'entry-1', token: 'write-1', fencingNumber: 1},
   },
+  'the permits to load': {
+    schema: LoadPermitsSchema,
+    right: {loads: [{service: 'assistant', engine: 'engine-1'}]},
+  },
   "an engine's load": {
     schema: EngineLoadSchema,
     right: {running: 1, waiting: 0, capacity: 4, leaving: false, ageMs: 0},
