Name the configuration store's fault classes apart, one a file

Two classes named FaultyTable stood in the stand-ins. They were not made one: the claims' table loses calls for good and lands late ones after a number of calls, the other follows a plan of rates, kills and outages shared with the objects; joining them would change what every seed of both features means.

--- a/packages/standins/src/operators/follower_stage.ts
+++ b/packages/standins/src/operators/follower_stage.ts
@@ -13,7 +13,9 @@
   type PartBodies,
 } from '@greengagecross/platform';
 import type {Answers} from '@greengagecross/questionnaire';
-import {FaultyObjects, FaultyTable, StoreFaultPlan} from './faulty_stores.js';
+import {PlannedObjects} from './planned_objects.js';
+import {PlannedTable} from './planned_table.js';
+import {StoreFaultPlan} from './store_fault_plan.js';
 
 const POLL_MS = 1000;
 
@@ -58,8 +60,8 @@
 /** A store with faults, a follower and one peer of it. */
 export class FollowerStage {
   readonly faults = new StoreFaultPlan(new SeededRandom(1));
-  readonly table = new FaultyTable(this.faults);
-  readonly objects = new FaultyObjects(this.faults);
+  readonly table = new PlannedTable(this.faults);
+  readonly objects = new PlannedObjects(this.faults);
   readonly store = new ConfigurationStore(this.table, this.objects);
   isPeerWrong = false;
   other: ConfigurationFollower | undefined;
--- a/packages/standins/src/operators/race_stage.ts
+++ b/packages/standins/src/operators/race_stage.ts
@@ -7,7 +7,9 @@
 import {SeededRandom} from '@greengagecross/common';
 import {ConfigurationStore, DEFAULT_RETENTION} from '@greengagecross/platform';
 import type {Answers} from '@greengagecross/questionnaire';
-import {FaultyObjects, FaultyTable, StoreFaultPlan} from './faulty_stores.js';
+import {PlannedObjects} from './planned_objects.js';
+import {PlannedTable} from './planned_table.js';
+import {StoreFaultPlan} from './store_fault_plan.js';
 
 // A retry gives way to the others instead of waiting, so that the order of
 // calls depends on the seed only.
@@ -25,14 +27,14 @@
 /** A configuration store with faults, and operators who use it. */
 export class RaceStage {
   readonly faults: StoreFaultPlan;
-  readonly table: FaultyTable;
-  readonly objects: FaultyObjects;
+  readonly table: PlannedTable;
+  readonly objects: PlannedObjects;
   readonly store: ConfigurationStore;
 
   constructor(seed: number, retention = DEFAULT_RETENTION) {
     this.faults = new StoreFaultPlan(new SeededRandom(seed));
-    this.table = new FaultyTable(this.faults);
-    this.objects = new FaultyObjects(this.faults);
+    this.table = new PlannedTable(this.faults);
+    this.objects = new PlannedObjects(this.faults);
     this.store = new ConfigurationStore(this.table, this.objects, retention);
   }
 
--- a/packages/standins/src/operators/races_steps.ts
+++ b/packages/standins/src/operators/races_steps.ts
@@ -4,7 +4,7 @@
 import {ChangeOutcome, type AcceptReport} from '@greengagecross/client';
 import {setAnswer, type Answers} from '@greengagecross/questionnaire';
 import {Deployment, readFixture} from '../fleet/plan_answers.js';
-import {NO_STORE_FAULTS, type StoreFaultRates} from './faulty_stores.js';
+import {NO_STORE_FAULTS, type StoreFaultRates} from './store_fault_plan.js';
 import {RaceStage} from './race_stage.js';
 
 const OUTAGE_CALLS = 40;
--- a/packages/standins/src/operators/retention_steps.ts
+++ b/packages/standins/src/operators/retention_steps.ts
@@ -13,7 +13,7 @@
 } from '@greengagecross/platform';
 import {setAnswer, type Answers} from '@greengagecross/questionnaire';
 import {Deployment, readFixture} from '../fleet/plan_answers.js';
-import {NO_STORE_FAULTS} from './faulty_stores.js';
+import {NO_STORE_FAULTS} from './store_fault_plan.js';
 import {RaceStage} from './race_stage.js';
 
 const FIXTURE = readFixture(Deployment.VELO_COMPARTIDO);
--- a/packages/standins/src/operators/faulty_stores.ts
+++ b/packages/standins/src/operators/store_fault_plan.ts
@@ -1,19 +1,8 @@
 import {Effect} from 'effect';
 import type {SeededRandom} from '@greengagecross/common';
-import {
-  ObjectStore,
-  PlatformError,
-  PlatformFailure,
-  TableService,
-  type TableRow,
-  type Transaction,
-  type TransactionResult,
-} from '@greengagecross/platform';
-import {listKeys} from '../platform/list_keys.js';
-import {TableState} from '../platform/table_state.js';
+import {PlatformError, PlatformFailure} from '@greengagecross/platform';
 
 const MAX_YIELDS = 4;
-const MAX_ROWS = 10_000;
 
 /** Shares of calls that fail, 0 to 1. */
 export interface StoreFaultRates {
@@ -114,93 +103,3 @@
     for (const call of this.late.splice(0)) call();
   }
 }
-
-/** A table service in memory, with faults. */
-export class FaultyTable extends TableService {
-  readonly state = new TableState();
-  private past: readonly TableRow[] | undefined;
-
-  constructor(private readonly plan: StoreFaultPlan) {
-    super();
-  }
-
-  override read(
-    keys: readonly string[],
-  ): Effect.Effect<readonly TableRow[], PlatformError> {
-    return this.plan.run('read', false, () => {
-      const {past} = this;
-      if (past === undefined) return this.state.read(keys);
-      return past.filter(row => keys.includes(row.key));
-    });
-  }
-
-  /** Lists all rows as they stand, to be shown later. */
-  listAll(): readonly TableRow[] {
-    return this.state.list('', '', MAX_ROWS);
-  }
-
-  /** Shows readers these rows instead of those that stand. */
-  setPast(rows: readonly TableRow[] | undefined): void {
-    this.past = rows;
-  }
-
-  override list(
-    prefix: string,
-    after: string,
-    limit: number,
-  ): Effect.Effect<readonly TableRow[], PlatformError> {
-    return this.plan.run('list', false, () =>
-      this.state.list(prefix, after, limit),
-    );
-  }
-
-  override transact(
-    transaction: Transaction,
-  ): Effect.Effect<TransactionResult, PlatformError> {
-    return this.plan.run('transact', true, () =>
-      this.state.transact(transaction),
-    );
-  }
-}
-
-/** An object store in memory, with faults. */
-export class FaultyObjects extends ObjectStore {
-  readonly bodies = new Map<string, Buffer>();
-  writtenBytes = 0;
-  readBytes = 0;
-
-  constructor(private readonly plan: StoreFaultPlan) {
-    super();
-  }
-
-  override put(key: string, body: Buffer): Effect.Effect<void, PlatformError> {
-    return this.plan.run('put', true, () => {
-      this.writtenBytes += body.length;
-      this.bodies.set(key, body);
-    });
-  }
-
-  override get(key: string): Effect.Effect<Buffer | undefined, PlatformError> {
-    return this.plan.run('get', false, () => {
-      const body = this.bodies.get(key);
-      this.readBytes += body?.length ?? 0;
-      return body;
-    });
-  }
-
-  override list(
-    prefix: string,
-    after: string,
-    limit: number,
-  ): Effect.Effect<readonly string[], PlatformError> {
-    return this.plan.run('list', false, () =>
-      listKeys(this.bodies.keys(), prefix, after, limit),
-    );
-  }
-
-  override remove(key: string): Effect.Effect<void, PlatformError> {
-    return this.plan.run('remove', true, () => {
-      this.bodies.delete(key);
-    });
-  }
-}
