--- a/packages/client/src/commands/explain.ts
+++ b/packages/client/src/commands/explain.ts
@@ -174,7 +174,8 @@
   if (takenBy === '') return `${at} got no slot on any engine.`;
   const choice = choices.find(({engine}) => engine === takenBy);
   const why = choice === undefined ? 'after a wait' : REASONS[choice.reason];
-  const warm = ticketEngine === '' ? '' : ` (warm: ${ticketEngine})`;
+  const isElsewhere = ticketEngine !== '' && ticketEngine !== takenBy;
+  const warm = isElsewhere ? ` (warm: ${ticketEngine})` : '';
   return `${at} went to ${takenBy}: ${why}${warm}.`;
 }
 
