--- a/packages/standins/src/edges/documents.ts
+++ b/packages/standins/src/edges/documents.ts
@@ -167,6 +167,7 @@
       answersDigest: 'bb',
       packIndex: '',
       partsSincePacks: 0,
+      segment: '1',
       operationId: 'operation-1',
       acceptedBy: 'operator-1',
       acceptedAtMs: 1,
