Show that a late order is found by reading engines in turn

The scenario with the paused holder also passed with that reading off, because the holder that went on read every engine anew.

--- a/packages/standins/src/orders/order_fleet.feature
+++ b/packages/standins/src/orders/order_fleet.feature
@@ -61,6 +61,18 @@
     When the frozen holder goes on and the orders to engine-1 arrive
     Then the late order to engine-1 was refused
 
+  Scenario: A late order is repaired by the holder that had finished
+    Given a fleet of 3 daemons whose 3 engines ignore old fencing numbers
+    When the next order to engine-1 is kept under way
+    And model version "v2" with adapter "letters" is accepted
+    And the holder of the orders is frozen once engine-1 was ordered
+    And another daemon holds the orders
+    And model version "v3" with adapter "letters" is accepted
+    Then every engine of the fleet has version "v3" and takes work
+    When the orders to engine-1 arrive
+    Then the late order to engine-1 was taken and then repaired with a newer number
+    And every engine of the fleet has version "v3" and takes work
+
   Scenario: The platform is down midway
     Given a loaded fleet of 3 daemons whose 6 engines check old fencing numbers
     When orders to engine-6 are kept under way
