Hold back requests that crash the back ends which run them

Cause: a request that crashes its backend server was tried on up to three of them at each send, and again at each send of its caller.

An attempt that ends with its backend server's crash makes the request a suspect on all daemons before its caller is told. A suspect runs again only as a trial, one for each suspect and each backend server; a crash in the trial condemns it, an end clears it. Daemons refuse what is condemned before dispatch, with 422 and no time to retry. What a crash cut short looks for room until its deadline, outside the retry budget.

Ruled out: taking each cut for a crash, blaming all that were there, entries on heartbeats (later than the next send), rows in the table service. A probe that only connects was tried and missed a crash (3 workers lost): a listener outlives its process's connections by a moment; it now has to stay open.

packages/standins/src/killing/killing_request.feature, 50 sends through five daemons, backend servers lost to it.

Tests changed: chat_rig and deadlines_steps pass a guard that lets all run.

Conclusion: at most two are lost when sends come one after the other; sends at once before the first crash are not bounded (docs/PROMISES.md).

--- a/packages/backend/src/backend_failure.ts
+++ b/packages/backend/src/backend_failure.ts
@@ -12,6 +12,8 @@
   CUT = 'cut',
   /** It answered with something that breaks its protocol. */
   BROKEN = 'broken',
+  /** It crashed while it ran the request. */
+  CRASHED = 'crashed',
 }
 
 /** Tells whether the request is known not to have run. */
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -11,6 +11,7 @@
 export * from './protocol/outcome.js';
 export * from './protocol/headers.js';
 export * from './protocol/refusal_reason.js';
+export * from './protocol/suspect_state.js';
 export * from './protocol/outcome_event.js';
 export * from './protocol/directory_answer.js';
 export * from './protocol/placement_reason.js';
--- a/packages/common/src/settings/tuning.ts
+++ b/packages/common/src/settings/tuning.ts
@@ -18,6 +18,8 @@
   callerSilenceMs: Schema.optionalKey(DurationMsSchema),
   directoryKeepMs: Schema.optionalKey(DurationMsSchema),
   stopGraceMs: Schema.optionalKey(DurationMsSchema),
+  /** How long a request that crashed backend servers is remembered. */
+  suspectKeepMs: Schema.optionalKey(DurationMsSchema),
 });
 
 /** Every duration with its value, in milliseconds. */
@@ -36,4 +38,5 @@
   callerSilenceMs: 30_000,
   directoryKeepMs: 5000,
   stopGraceMs: 60_000,
+  suspectKeepMs: 600_000,
 };
--- a/packages/daemon/src/callers/chat_dispatcher.ts
+++ b/packages/daemon/src/callers/chat_dispatcher.ts
@@ -12,6 +12,7 @@
 } from '../placement/placement_service.js';
 import type {SlotBroker} from '../placement/slot_broker.js';
 import type {Slot} from '../placement/slot_keeper.js';
+import type {GuardedRequest, RequestGuard} from '../suspects/request_guard.js';
 import type {ChatAttempt, ChatJob} from './chat_attempt.js';
 import {makeChatKey} from './chat_key.js';
 import {
@@ -19,12 +20,11 @@
   makeDeadline,
   makeDeadlinePassed,
 } from './deadlines.js';
+import {EngineQueue} from './engine_queue.js';
 import {makeNotRun, Refusal} from './refusal.js';
+import {makeSuspected} from './suspected_refusal.js';
 
 const OVERLOAD_RETRY_MS = 1000;
-/** Times that engines are chosen anew while all are at their bound. */
-const MAX_ROUNDS = 5;
-const ROUND_MS = 250;
 const logger = new Logger('chats');
 
 /** Takes a chat request through engines until one has answered it whole. */
@@ -35,26 +35,26 @@
     private readonly attempts: ChatAttempt,
     private readonly retries: RetryPolicy,
     private readonly times: ServiceTimes,
+    private readonly guard: RequestGuard,
   ) {}
 
   /** Dispatches a job; a refusal says whether anything may have run. */
   dispatch(job: ChatJob): Effect.Effect<void, Refusal> {
     return Effect.gen({self: this}, function* () {
       const deadline = makeDeadline(job.exchange, job.service);
+      const guarded = makeGuarded(job, deadline);
       this.retries.recordFirstTry(job.service.name);
       let failed: BackendError | undefined;
       let mayHaveRun = false;
       let attempts = 0;
-      let rounds = 1;
-      const queue = yield* this.listPlaced(job);
+      const queue = new EngineQueue(this.listPlaced(job), deadline);
       for (let index = 0; ; index += 1) {
-        const isRefused = failed === undefined && rounds < MAX_ROUNDS;
-        if (queue.length === 0 && isRefused) {
-          rounds += 1;
-          yield* Effect.sleep(ROUND_MS);
-          queue.push(...(yield* this.listPlaced(job)));
+        if (yield* this.guard.isCondemned(guarded)) {
+          yield* Effect.fail(makeSuspected(mayHaveRun));
         }
-        const placed = queue.shift();
+        // A stream that has begun cannot be begun again elsewhere.
+        if (failed !== undefined && job.stream?.isStarted() === true) break;
+        const placed = yield* queue.take();
         if (placed === undefined) break;
         const leftMs = deadline.computeLeftMs(yield* Clock.currentTimeMillis);
         if (failed !== undefined) {
@@ -65,12 +65,17 @@
           yield* Effect.fail(makeDeadlinePassed());
         }
         const attemptId = `${job.requestId}.${index}`;
-        const result = yield* this.runOn(job, placed, attemptId, deadline);
+        const result = yield* this.guard.run(guarded, {
+          attemptId,
+          server: placed.server,
+          run: this.runOn(job, placed, attemptId, deadline),
+        });
         if (result === undefined) continue;
         if (Result.isSuccess(result)) return;
         attempts += 1;
         failed = result.failure;
         mayHaveRun = mayHaveRun || !isKnownNotRun(failed.failure);
+        queue.recordFailure(placed.server.id, failed.failure);
         logger.log('An attempt failed.', {
           request: job.requestId,
           engine: placed.server.id,
@@ -81,14 +86,12 @@
     });
   }
 
-  /** A stream that has begun cannot be begun again elsewhere. */
   private chooseWaitMs(
     job: ChatJob,
     failed: BackendError,
     attempts: number,
     leftMs: number,
   ): number | undefined {
-    if (job.stream?.isStarted() === true) return undefined;
     const service = job.service.name;
     const cost = computeAttemptCost(failed.failure);
     return this.retries.chooseWaitMs({service, attempts, cost, leftMs});
@@ -141,6 +144,13 @@
   }
 }
 
+function makeGuarded(job: ChatJob, deadline: RequestDeadline): GuardedRequest {
+  const {requestId, body} = job;
+  const customer = job.customer.id;
+  const service = job.service.name;
+  return {requestId, deadline, parts: {customer, service, call: '', body}};
+}
+
 function makeNoBackend(): Refusal {
   return makeNotRun(
     RefusalReason.NO_BACKEND,
--- a/packages/daemon/src/callers/deadlines.ts
+++ b/packages/daemon/src/callers/deadlines.ts
@@ -15,9 +15,15 @@
 
 /** Computes what a failed attempt cost the backend server. */
 export function computeAttemptCost(failure: BackendFailure): AttemptCost {
-  const isFree =
-    failure === BackendFailure.NOT_SENT || failure === BackendFailure.LEAVING;
-  return isFree ? AttemptCost.NONE : AttemptCost.LOAD;
+  switch (failure) {
+    case BackendFailure.NOT_SENT:
+    case BackendFailure.LEAVING:
+    // What runs again after a crash is paced by its trial.
+    case BackendFailure.CRASHED:
+      return AttemptCost.NONE;
+    default:
+      return AttemptCost.LOAD;
+  }
 }
 
 /** Makes the refusal of a request whose deadline passed before it was sent. */
--- a/packages/daemon/src/callers/deadlines_steps.ts
+++ b/packages/daemon/src/callers/deadlines_steps.ts
@@ -12,6 +12,7 @@
 import {BudgetedRetries, RetryBudget} from '@greengagecross/decisions';
 import type {HttpReply} from '@greengagecross/http';
 import type {PlacementService} from '../placement/placement_service.js';
+import {OpenGuard} from '../suspects/open_guard.js';
 import type {Refusal} from './refusal.js';
 import {RepeatableDispatcher} from './repeatable_dispatcher.js';
 import type {ServiceJob} from './service_job.js';
@@ -78,6 +79,7 @@
       placement as unknown as PlacementService,
       this.failing,
       new BudgetedRetries(new RetryBudget(), new SeededRandom(3)),
+      new OpenGuard(),
     );
     const program = Effect.gen({self: this}, function* () {
       const ending = Effect.flip(dispatcher.dispatch(this.lookup));
--- a/packages/daemon/src/callers/once_dispatcher.ts
+++ b/packages/daemon/src/callers/once_dispatcher.ts
@@ -1,11 +1,13 @@
 import {Clock, Effect, Result} from 'effect';
 import {isKnownNotRun, type ServiceClient} from '@greengagecross/backend';
 import {HeaderName} from '@greengagecross/common';
+import {RequestDeadline} from '@greengagecross/decisions';
 import {computeDigest} from '@greengagecross/platform';
 import type {Claim, ClaimBook} from '../claims/claim_book.js';
 import {ClaimState, type ClaimRecord} from '../claims/claim_record.js';
 import {checkIdempotencyKey, KeyStanding} from '../claims/idempotency_key.js';
 import type {PlacementService} from '../placement/placement_service.js';
+import type {RequestGuard} from '../suspects/request_guard.js';
 import {
   answerService,
   toServiceAnswer,
@@ -24,7 +26,12 @@
   makePlatformDown,
 } from './once_refusals.js';
 import type {Refusal} from './refusal.js';
-import {makeServiceCall, type ServiceJob} from './service_job.js';
+import {
+  makeGuardedCall,
+  makeServiceCall,
+  type ServiceJob,
+} from './service_job.js';
+import {makeSuspected} from './suspected_refusal.js';
 import {listWorkers} from './worker_order.js';
 
 /** Largest answer that is recorded for later attempts, in bytes. */
@@ -36,6 +43,7 @@
     private readonly placement: PlacementService,
     private readonly workers: ServiceClient,
     private readonly claims: ClaimBook,
+    private readonly guard: RequestGuard,
   ) {}
 
   /** Runs a call at most once for its customer's idempotency key. */
@@ -95,11 +103,17 @@
   ): Effect.Effect<ServiceAnswer, Refusal> {
     return Effect.gen({self: this}, function* () {
       const servers = yield* listWorkers(this.placement, job);
+      const {deadlineMs} = job.service;
+      const {arrivedAtMs} = job.exchange;
+      const deadline = RequestDeadline.make(undefined, deadlineMs, arrivedAtMs);
+      const guarded = makeGuardedCall(job, deadline);
       for (const [index, server] of servers.entries()) {
-        const call = makeServiceCall(job, server, `${job.requestId}.${index}`);
-        const result = yield* Effect.result(
-          this.workers.send(call, job.request),
-        );
+        if (yield* this.guard.isCondemned(guarded)) break;
+        const attemptId = `${job.requestId}.${index}`;
+        const call = makeServiceCall(job, server, attemptId);
+        const run = Effect.result(this.workers.send(call, job.request));
+        const result = yield* this.guard.run(guarded, {attemptId, server, run});
+        if (result === undefined) continue;
         if (Result.isSuccess(result)) return toServiceAnswer(result.success);
         if (isKnownNotRun(result.failure.failure)) continue;
         const record = {...claim.record, state: ClaimState.UNKNOWN};
@@ -107,7 +121,10 @@
         yield* Effect.fail(makeOutcomeUnknown());
       }
       yield* this.claims.release(claim);
-      return yield* Effect.fail(makeNoWorker());
+      const isCondemned = yield* this.guard.isCondemned(guarded);
+      return yield* Effect.fail(
+        isCondemned ? makeSuspected(false) : makeNoWorker(),
+      );
     });
   }
 
--- a/packages/daemon/src/callers/repeatable_dispatcher.ts
+++ b/packages/daemon/src/callers/repeatable_dispatcher.ts
@@ -7,6 +7,7 @@
 import {Outcome, RefusalReason} from '@greengagecross/common';
 import type {RetryPolicy} from '@greengagecross/decisions';
 import type {PlacementService} from '../placement/placement_service.js';
+import type {RequestGuard} from '../suspects/request_guard.js';
 import {answerService, toServiceAnswer} from './answer_service.js';
 import {
   computeAttemptCost,
@@ -14,7 +15,12 @@
   makeDeadlinePassed,
 } from './deadlines.js';
 import {makeNotRun, Refusal} from './refusal.js';
-import {makeServiceCall, type ServiceJob} from './service_job.js';
+import {
+  makeGuardedCall,
+  makeServiceCall,
+  type ServiceJob,
+} from './service_job.js';
+import {makeSuspected} from './suspected_refusal.js';
 import {listWorkers} from './worker_order.js';
 
 const RETRY_MS = 1000;
@@ -25,6 +31,7 @@
     private readonly placement: PlacementService,
     private readonly workers: ServiceClient,
     private readonly retries: RetryPolicy,
+    private readonly guard: RequestGuard,
   ) {}
 
   /** Sends a call to workers until one has answered it whole. */
@@ -32,11 +39,15 @@
     return Effect.gen({self: this}, function* () {
       const deadline = makeDeadline(job.exchange, job.service);
       const service = job.service.name;
+      const guarded = makeGuardedCall(job, deadline);
       this.retries.recordFirstTry(service);
       let failed: BackendError | undefined;
       let mayHaveRun = false;
       const servers = yield* listWorkers(this.placement, job);
       for (const [attempts, server] of servers.entries()) {
+        if (yield* this.guard.isCondemned(guarded)) {
+          yield* Effect.fail(makeSuspected(mayHaveRun));
+        }
         const leftMs = deadline.computeLeftMs(yield* Clock.currentTimeMillis);
         if (failed !== undefined) {
           const cost = computeAttemptCost(failed.failure);
@@ -47,16 +58,15 @@
         } else if (leftMs === 0) {
           yield* Effect.fail(makeDeadlinePassed());
         }
-        const sentAtMs = yield* Clock.currentTimeMillis;
-        const call = makeServiceCall(
-          job,
-          server,
-          `${job.requestId}.${attempts}`,
-          deadline.computeLeftMs(sentAtMs),
-        );
-        const result = yield* Effect.result(
-          this.workers.send(call, job.request),
-        );
+        const attemptId = `${job.requestId}.${attempts}`;
+        const send = Effect.flatMap(Clock.currentTimeMillis, sentAtMs => {
+          const callMs = deadline.computeLeftMs(sentAtMs);
+          const call = makeServiceCall(job, server, attemptId, callMs);
+          return this.workers.send(call, job.request);
+        });
+        const run = Effect.result(send);
+        const result = yield* this.guard.run(guarded, {attemptId, server, run});
+        if (result === undefined) continue;
         if (Result.isSuccess(result)) {
           answerService(job, toServiceAnswer(result.success));
           return;
@@ -64,6 +74,9 @@
         failed = result.failure;
         mayHaveRun = mayHaveRun || !isKnownNotRun(failed.failure);
       }
+      if (yield* this.guard.isCondemned(guarded)) {
+        yield* Effect.fail(makeSuspected(mayHaveRun));
+      }
       yield* Effect.fail(makeRefusal(mayHaveRun));
     });
   }
--- a/packages/daemon/src/callers/service_job.ts
+++ b/packages/daemon/src/callers/service_job.ts
@@ -1,6 +1,8 @@
 import type {BackendCall, ServiceRequest} from '@greengagecross/backend';
 import type {BackendServer, Customer, Service} from '@greengagecross/common';
+import type {RequestDeadline} from '@greengagecross/decisions';
 import type {HttpExchange} from '@greengagecross/http';
+import type {GuardedRequest} from '../suspects/request_guard.js';
 
 /** A plain service's call that was checked and may be dispatched. */
 export interface ServiceJob {
@@ -28,3 +30,15 @@
     deadlineMs,
   };
 }
+
+/** Makes what a call is known by when it is sent again. */
+export function makeGuardedCall(
+  job: ServiceJob,
+  deadline: RequestDeadline,
+): GuardedRequest {
+  const {method, path, body} = job.request;
+  const customer = job.customer.id;
+  const service = job.service.name;
+  const parts = {customer, service, call: `${method} ${path}`, body};
+  return {requestId: job.requestId, deadline, parts};
+}
--- a/packages/daemon/src/control/state_dump.ts
+++ b/packages/daemon/src/control/state_dump.ts
@@ -5,6 +5,7 @@
 import type {ConfigurationState} from '../configuration/configuration_state.js';
 import type {HostFollower} from '../hosts/host_follower.js';
 import type {MemberService} from '../members/member_service.js';
+import type {SuspectDump} from '../suspects/suspect_dump.js';
 
 /** A daemon's state, without customers' text or secrets. */
 export interface DaemonState {
@@ -16,6 +17,7 @@
   readonly live: readonly Member[];
   readonly ownedEngines: readonly EngineCount[];
   readonly memoryBytes: number;
+  readonly suspects: SuspectDump;
 }
 
 /** Reads a daemon's whole state for operators. */
@@ -26,6 +28,7 @@
     private readonly hosts: HostFollower,
     private readonly ledger: EngineLedger,
     private readonly startedAtMs: number,
+    private readonly describeSuspects: (nowMs: number) => SuspectDump,
   ) {}
 
   /** Reads the state as it is now. */
@@ -40,6 +43,7 @@
         live: this.members.listLive(nowMs),
         ownedEngines: this.ledger.listCounts(),
         memoryBytes: process.memoryUsage().rss,
+        suspects: this.describeSuspects(nowMs),
       };
     });
   }
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -89,6 +89,8 @@
       yield* Effect.forkScoped(parts.hosts.run());
       yield* Effect.forkScoped(parts.members.run());
       yield* Effect.forkScoped(parts.keeper.run());
+      yield* Effect.forkScoped(parts.suspects.news.run());
+      yield* Effect.forkScoped(parts.suspects.catchUp.run());
       yield* Effect.forkScoped(parts.limits.run());
       yield* Effect.forkScoped(parts.commits.run());
       yield* Effect.forkScoped(parts.claims.run());
@@ -180,7 +182,7 @@
   }
 
   private makeMetrics(): DaemonMetrics {
-    const {members, configuration} = this.parts;
+    const {members, configuration, suspects} = this.parts;
     return new DaemonMetrics({
       countLiveMembers: () => members.countLive(),
       getRevision: () => configuration.getView()?.revision ?? 0,
@@ -189,6 +191,7 @@
         configuration.getUnconfirmedSeconds(Date.now()),
       countControlBytes: kind => this.countControlBytes(kind),
       countInFlight: () => this.callerServer.countActive(),
+      describeSuspects: () => suspects.describe(Date.now()),
     });
   }
 
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -16,6 +16,7 @@
 export * from './callers/answer_refusal.js';
 export * from './callers/repeatable_dispatcher.js';
 export * from './callers/service_job.js';
+export * from './suspects/open_guard.js';
 export * from './relay/chat_stream.js';
 export * from './relay/stream_check.js';
 export type {PlacementService} from './placement/placement_service.js';
--- a/packages/daemon/src/metrics/daemon_metrics.ts
+++ b/packages/daemon/src/metrics/daemon_metrics.ts
@@ -1,5 +1,6 @@
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
-import type {Outcome} from '@greengagecross/common';
+import {SuspectState, type Outcome} from '@greengagecross/common';
+import type {SuspectDump} from '../suspects/suspect_dump.js';
 import {ControlKind} from './control_kind.js';
 
 const SECONDS_BUCKETS = [0.005, 0.02, 0.05, 0.1, 0.3, 1, 1.3, 3, 10, 30, 100];
@@ -12,6 +13,7 @@
   readonly getUnconfirmedSeconds: () => number;
   readonly countControlBytes: (kind: ControlKind) => number;
   readonly countInFlight: () => number;
+  readonly describeSuspects: () => SuspectDump;
 }
 
 /** Metrics of one daemon; names begin with `greengagecross_`. */
@@ -58,6 +60,7 @@
       'Caller requests now being served.',
       readers.countInFlight,
     );
+    this.addSuspects(readers.describeSuspects);
   }
 
   /** Records the end of one request. */
@@ -90,6 +93,32 @@
     });
   }
 
+  private addSuspects(describe: () => SuspectDump): void {
+    this.addGauge(
+      'greengagecross_crashed_requests',
+      'Requests in flight here as their backend server crashed.',
+      () => describe().crashes,
+    );
+    this.addGauge(
+      'greengagecross_suspect_messages',
+      'Messages sent to peers about such requests.',
+      () => describe().sentMessages,
+    );
+    new Gauge({
+      name: 'greengagecross_suspects',
+      help: 'Requests remembered since a backend server crashed under them.',
+      labelNames: ['state'],
+      registers: [this.registry],
+      collect() {
+        const {entries} = describe();
+        for (const state of Object.values(SuspectState)) {
+          const count = entries.filter(entry => entry.state === state).length;
+          this.set({state}, count);
+        }
+      },
+    });
+  }
+
   private addGauge(name: string, help: string, read: () => number): void {
     new Gauge({
       name,
--- /dev/null
+++ b/packages/daemon/src/suspects/trial_permits.ts
@@ -0,0 +1,138 @@
+import {Clock, Effect, Schema} from 'effect';
+import {
+  listByRendezvous,
+  SuspectState,
+  type Member,
+} from '@greengagecross/common';
+import type {SuspectBook, Trial, TrialTable} from '@greengagecross/decisions';
+import {
+  PeerMethod,
+  TrialAnswerSchema,
+  type AcquireTrial,
+  type PeerCaller,
+  type ReleaseTrial,
+  type TrialAnswer,
+} from '@greengagecross/peers';
+import type {MemberService} from '../members/member_service.js';
+import {toEntry, toTold} from './suspect_wire.js';
+
+/** Daemons asked in turn while those before them do not answer. */
+const MAX_ARBITERS = 3;
+const RELEASE_RETRIES = 2;
+
+/**
+ * Permits for trials, from one daemon for each service: the service's home by
+ * rendezvous hashing over the live daemons.
+ */
+export class TrialPermits {
+  constructor(
+    private readonly selfId: string,
+    private readonly members: MemberService,
+    private readonly table: TrialTable,
+    private readonly book: SuspectBook,
+    private readonly peers: PeerCaller,
+  ) {}
+
+  /** Asks for a trial; may be asked again until it is granted. */
+  acquire(
+    service: string,
+    trial: Omit<AcquireTrial, 'holder'>,
+  ): Effect.Effect<boolean> {
+    return Effect.gen({self: this}, function* () {
+      const request = {...trial, holder: this.selfId};
+      for (const arbiter of yield* this.listArbiters(service)) {
+        const answer = yield* this.ask(arbiter, request);
+        if (answer === undefined) continue;
+        const nowMs = yield* Clock.currentTimeMillis;
+        for (const told of answer.suspects) {
+          this.book.observe(toEntry(told, nowMs), nowMs);
+        }
+        return answer.granted;
+      }
+      return false;
+    });
+  }
+
+  /** Ends a trial, whether or not it was granted, and tells of its success. */
+  release(service: string, release: ReleaseTrial): Effect.Effect<void> {
+    return Effect.flatMap(this.listArbiters(service), arbiters =>
+      Effect.forEach(arbiters, a => this.sendRelease(a, release), {
+        concurrency: 'unbounded',
+        discard: true,
+      }),
+    );
+  }
+
+  /** Answers a daemon that asks for a trial. */
+  answerAcquire(request: AcquireTrial): Effect.Effect<TrialAnswer> {
+    return Effect.map(Clock.currentTimeMillis, nowMs => {
+      const {fingerprint, leaseMs, ...rest} = request;
+      const entry = this.book.find(fingerprint, nowMs);
+      const suspects = entry === undefined ? [] : [toTold(entry, nowMs)];
+      if (entry?.state === SuspectState.CONDEMNED) {
+        return {granted: false, suspects};
+      }
+      const trial: Trial = {fingerprint, ...rest, untilMs: nowMs + leaseMs};
+      const there = new Set(this.members.listOthers().map(({id}) => id));
+      there.add(this.selfId).add(request.holder);
+      const granted = this.table.acquire(trial, nowMs, id => there.has(id));
+      return {granted, suspects};
+    });
+  }
+
+  /** Answers a daemon whose trial has ended. */
+  answerRelease({attemptId, cleared}: ReleaseTrial): Effect.Effect<void> {
+    return Effect.map(Clock.currentTimeMillis, nowMs => {
+      this.table.release(attemptId);
+      if (cleared !== undefined) this.book.recordWhole(cleared, nowMs);
+    });
+  }
+
+  private listArbiters(service: string): Effect.Effect<Member[]> {
+    return Effect.map(Clock.currentTimeMillis, nowMs => {
+      const live = this.members.listLive(nowMs);
+      const byId = new Map(live.map(member => [member.id, member]));
+      return listByRendezvous(`trials ${service}`, [...byId.keys()])
+        .slice(0, MAX_ARBITERS)
+        .flatMap(id => byId.get(id) ?? []);
+    });
+  }
+
+  private ask(
+    arbiter: Member,
+    request: AcquireTrial,
+  ): Effect.Effect<TrialAnswer | undefined> {
+    if (arbiter.id === this.selfId) return this.answerAcquire(request);
+    const {controlAddress} = arbiter;
+    return this.peers
+      .send(
+        controlAddress,
+        PeerMethod.ACQUIRE_TRIAL,
+        request,
+        TrialAnswerSchema,
+      )
+      .pipe(Effect.catch(() => Effect.succeed(undefined)));
+  }
+
+  private sendRelease(
+    arbiter: Member,
+    release: ReleaseTrial,
+  ): Effect.Effect<void> {
+    if (arbiter.id === this.selfId) {
+      return this.answerRelease(release);
+    }
+    return this.peers
+      .send(
+        arbiter.controlAddress,
+        PeerMethod.RELEASE_TRIAL,
+        release,
+        Schema.Unknown,
+      )
+      .pipe(
+        Effect.retry({times: RELEASE_RETRIES}),
+        Effect.ignore,
+        Effect.forkDetach,
+        Effect.asVoid,
+      );
+  }
+}
--- a/packages/daemon/src/wiring/daemon_parts.ts
+++ b/packages/daemon/src/wiring/daemon_parts.ts
@@ -49,6 +49,7 @@
 import {SlotBroker} from '../placement/slot_broker.js';
 import {listConfigurationPeers} from './list_configuration_peers.js';
 import {SLOT_LEASE_MS, SlotKeeper} from '../placement/slot_keeper.js';
+import {SuspectParts} from './suspect_parts.js';
 
 const FORGET_AFTER_MS = 60_000;
 const KEPT_DECISIONS = 5000;
@@ -84,6 +85,7 @@
   readonly engines: HttpEngineClient;
   readonly limits: EngineLimits;
   readonly workers: HttpServiceClient;
+  readonly suspects: SuspectParts;
 
   constructor(
     readonly settings: DaemonSettings,
@@ -114,6 +116,14 @@
     );
     this.members = this.makeMembers(peers);
     this.fleet = new FleetView(this.members);
+    this.suspects = new SuspectParts(
+      settings.id,
+      this.tuning,
+      keys,
+      this.members,
+      this.hosts,
+      peers,
+    );
     this.leaving = new LeavingBackends(this.hosts);
     this.leavingNews = new LeavingNews(
       settings.id,
--- a/packages/daemon/src/wiring/make_caller_router.ts
+++ b/packages/daemon/src/wiring/make_caller_router.ts
@@ -25,6 +25,7 @@
   cut: Effect.Effect<void>,
 ): CallerRouter {
   const {placement, broker, tickets, workers, members} = parts;
+  const {guard} = parts.suspects;
   const authenticator = new Authenticator(parts.configuration);
   const seed = hash32(`${parts.settings.id} ${parts.startedAtMs}`);
   const retries = new BudgetedRetries(
@@ -40,7 +41,14 @@
   );
   const chats = new ChatHandler(
     authenticator,
-    new ChatDispatcher(placement, broker, attempts, retries, parts.times),
+    new ChatDispatcher(
+      placement,
+      broker,
+      attempts,
+      retries,
+      parts.times,
+      guard,
+    ),
     tickets,
     new CustomerLimit(),
     members,
@@ -48,8 +56,8 @@
   );
   const services = new ServiceHandler(
     authenticator,
-    new RepeatableDispatcher(placement, workers, retries),
-    new OnceDispatcher(placement, workers, parts.claims),
+    new RepeatableDispatcher(placement, workers, retries, guard),
+    new OnceDispatcher(placement, workers, parts.claims, guard),
   );
   return new CallerRouter(directory, chats, services, metrics, cut);
 }
--- a/packages/daemon/src/wiring/make_control_router.ts
+++ b/packages/daemon/src/wiring/make_control_router.ts
@@ -27,6 +27,7 @@
     parts.hosts,
     parts.ledger,
     parts.startedAtMs,
+    nowMs => parts.suspects.describe(nowMs),
   );
   const peers = makePeerServer(parts);
   return new ControlRouter(
@@ -58,6 +59,7 @@
     }),
   );
   new ConfigurationAnswers(parts.configuration).addTo(peers);
+  parts.suspects.answers.addTo(peers);
   peers.addMethod(PeerMethod.RENEW_SLOTS, RenewSlotsSchema, renewal =>
     Effect.as(keeper.answerRenewal(renewal), {renewed: true}),
   );
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -32,3 +32,7 @@
 export * from './orders/lease_watch.js';
 export * from './orders/plan_orders.js';
 export * from './limits/room_rule.js';
+export * from './suspects/suspect_entry.js';
+export * from './suspects/suspect_book.js';
+export * from './suspects/trial.js';
+export * from './suspects/trial_table.js';
--- a/packages/http/src/index.ts
+++ b/packages/http/src/index.ts
@@ -10,3 +10,4 @@
 export * from './http_client.js';
 export * from './http_exchange.js';
 export * from './http_server.js';
+export * from './held_connection.js';
--- a/packages/peers/src/index.ts
+++ b/packages/peers/src/index.ts
@@ -6,3 +6,4 @@
 export * from './peer_client.js';
 export * from './peer_server.js';
 export * from './configuration_messages.js';
+export * from './suspect_messages.js';
--- a/packages/standins/src/backends/worker_server.ts
+++ b/packages/standins/src/backends/worker_server.ts
@@ -2,6 +2,7 @@
 import {BackendHeader} from '@greengagecross/backend';
 import type {Address} from '@greengagecross/common';
 import type {HttpExchange} from '@greengagecross/http';
+import {CRASH_MARKER} from '../faults.js';
 import {StandinServer} from '../standin_server.js';
 import {refuse} from './engine_server.js';
 import {RunLog} from './run_log.js';
@@ -48,6 +49,7 @@
       const workId = findWorkId(text);
       const record = makeRecord(exchange, workId);
       this.runs.add(record);
+      this.checkMarker(exchange, text);
       this.running += 1;
       yield* Effect.sleep(WORK_MS);
       this.running -= 1;
@@ -57,6 +59,12 @@
       exchange.sendJson(200, {method, path, workId}, headers);
     });
   }
+
+  private checkMarker(exchange: HttpExchange, text: string): void {
+    if (!this.gate.getFaults().crashOnMarker) return;
+    const whole = `${exchange.request.url ?? ''} ${text}`;
+    if (whole.includes(CRASH_MARKER)) process.exit(1);
+  }
 }
 
 function findWorkId(text: string): string {
--- /dev/null
+++ b/packages/standins/src/killing/innocent_load.ts
@@ -0,0 +1,82 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import {Effect} from 'effect';
+import {Outcome} from '@greengagecross/common';
+import {WorkKind, type CallerVerdict} from '../callers/caller_verdict.js';
+import {FleetCaller} from '../callers/fleet_caller.js';
+import type {FleetPlan} from '../fleet/fleet_plan.js';
+
+const MAX_SENDS = 100;
+const RESEND_MS = 100;
+const CHAT_TOKENS = 300;
+/** Enough that each worker has some in flight. */
+const LOOKUPS_A_CHAT = 3;
+
+/** One piece of work that crashes nothing, with all that was told about it. */
+export interface InnocentWork {
+  readonly kind: WorkKind;
+  readonly isStream: boolean;
+  readonly verdicts: CallerVerdict[];
+}
+
+/** Callers whose requests run beside one that crashes backend servers. */
+export class InnocentLoad {
+  readonly works: InnocentWork[] = [];
+  private isEnding = false;
+  private readonly callers: FleetCaller[];
+
+  constructor(plan: FleetPlan) {
+    const entries = plan.daemons.map(daemon => daemon.caller);
+    this.callers = plan.customers.map((customer, index) => {
+      const turned = [...entries.slice(index), ...entries.slice(0, index)];
+      return new FleetCaller(customer, turned);
+    });
+  }
+
+  /** Runs loops of each kind of work until `stop` was called. */
+  async run(loopsOfEach: number): Promise<void> {
+    const loops = Array.from({length: loopsOfEach}, (unused, index) => [
+      this.runLoop(`whole-${index}`, WorkKind.CHAT, false, index),
+      this.runLoop(`stream-${index}`, WorkKind.CHAT, true, index),
+      ...Array.from({length: LOOKUPS_A_CHAT}, (ignored, at) =>
+        this.runLoop(`lookup-${index}-${at}`, WorkKind.LOOKUP, false, index),
+      ),
+    ]);
+    await Promise.all(loops.flat());
+    for (const caller of this.callers) caller.close();
+  }
+
+  /** Ends the load; what was begun is still sent until it is answered. */
+  stop(): void {
+    this.isEnding = true;
+  }
+
+  private async runLoop(
+    name: string,
+    kind: WorkKind,
+    isStream: boolean,
+    index: number,
+  ): Promise<void> {
+    const caller = this.callers[index % this.callers.length];
+    for (let turn = 0; !this.isEnding && caller !== undefined; turn += 1) {
+      const work: InnocentWork = {kind, isStream, verdicts: []};
+      this.works.push(work);
+      await sendUntilAnswered(caller, work, `${name}-${turn}`);
+    }
+  }
+}
+
+async function sendUntilAnswered(
+  caller: FleetCaller,
+  {kind, isStream, verdicts}: InnocentWork,
+  workId: string,
+): Promise<void> {
+  const messages = [{role: 'user', content: workId}];
+  const body = {messages, max_tokens: CHAT_TOKENS, stream: isStream};
+  const request = {kind, chat: workId, workId, ticket: undefined, body};
+  for (let sends = 0; sends < MAX_SENDS; sends += 1) {
+    const verdict = await Effect.runPromise(caller.send(request));
+    verdicts.push(verdict);
+    if (verdict.told === Outcome.COMPLETE) return;
+    await sleep(RESEND_MS);
+  }
+}
--- /dev/null
+++ b/packages/standins/src/killing/killer_sender.ts
@@ -0,0 +1,83 @@
+import {HeaderName} from '@greengagecross/common';
+import {makeIdempotencyKey} from '../callers/make_idempotency_key.js';
+import {CRASH_MARKER} from '../faults.js';
+import {
+  PlannedService,
+  type CustomerPlan,
+  type DaemonPlan,
+} from '../fleet/fleet_plan.js';
+
+/** Requests that crash each backend server which runs them. */
+export enum KillerKind {
+  CHAT = 'chat',
+  STREAM = 'streamed chat',
+  LOOKUP = 'lookup',
+  RESERVATION = 'reservation with a new key each time',
+}
+
+/** What the caller was told about one send. */
+export interface KillerReply {
+  readonly status: number;
+  readonly outcome: string;
+  readonly reason: string;
+  readonly hasRetryAfter: boolean;
+}
+
+const TIMEOUT_MS = 60_000;
+const BOOKING = `/v1/services/${PlannedService.BOOKING}`;
+
+/** Sends the same request that crashes backend servers, each time anew. */
+export class KillerSender {
+  constructor(
+    private readonly kind: KillerKind,
+    private readonly customer: CustomerPlan,
+  ) {}
+
+  /** Sends it through one daemon. */
+  async send(daemon: DaemonPlan): Promise<KillerReply> {
+    const {host, port} = daemon.caller;
+    const {method, path, body} = this.makeCall();
+    const reply = await fetch(`http://${host}:${port}${path}`, {
+      method,
+      headers: {
+        authorization: `Bearer ${this.customer.key}`,
+        [HeaderName.CUSTOMER]: this.customer.id,
+        [HeaderName.CHAT]: CRASH_MARKER,
+        [HeaderName.IDEMPOTENCY_KEY]: makeIdempotencyKey(Date.now()),
+        'content-type': 'application/json',
+      },
+      signal: AbortSignal.timeout(TIMEOUT_MS),
+      ...(body === undefined ? {} : {body}),
+    });
+    await reply.text();
+    return {
+      status: reply.status,
+      outcome: reply.headers.get(HeaderName.OUTCOME) ?? '',
+      reason: reply.headers.get(HeaderName.REASON) ?? '',
+      hasRetryAfter: reply.headers.has(HeaderName.RETRY_AFTER),
+    };
+  }
+
+  private makeCall() {
+    switch (this.kind) {
+      case KillerKind.CHAT:
+      case KillerKind.STREAM: {
+        const body = JSON.stringify({
+          model: PlannedService.ASSISTANT,
+          messages: [{role: 'user', content: CRASH_MARKER}],
+          metadata: {workId: CRASH_MARKER},
+          stream: this.kind === KillerKind.STREAM,
+        });
+        return {method: 'POST', path: '/v1/chat/completions', body};
+      }
+      case KillerKind.LOOKUP: {
+        const path = `${BOOKING}/cloths?name=${CRASH_MARKER}`;
+        return {method: 'GET', path, body: undefined};
+      }
+      case KillerKind.RESERVATION: {
+        const body = JSON.stringify({workId: CRASH_MARKER});
+        return {method: 'POST', path: `${BOOKING}/reservations`, body};
+      }
+    }
+  }
+}
--- a/packages/standins/src/promises/chat_rig.ts
+++ b/packages/standins/src/promises/chat_rig.ts
@@ -17,6 +17,7 @@
   buildOutcomeHeaders,
   ChatAttempt,
   ChatDispatcher,
+  OpenGuard,
   ChatStream,
   type ChatJob,
   type PlacementService,
@@ -78,6 +79,7 @@
       ),
       retries as unknown as RetryPolicy,
       {record: () => undefined} as unknown as ServiceTimes,
+      new OpenGuard(),
     );
   }
 
