--- a/packages/common/src/settings/tuning.ts
+++ b/packages/common/src/settings/tuning.ts
@@ -24,6 +24,8 @@
   orderTimeoutMs: Schema.optionalKey(DurationMsSchema),
   /** How often the holder of that right looks for the next step. */
   orderPollMs: Schema.optionalKey(DurationMsSchema),
+  /** How long a request that crashed backend servers is remembered. */
+  suspectKeepMs: Schema.optionalKey(DurationMsSchema),
 });
 
 /** Every duration with its value, in milliseconds. */
@@ -45,4 +47,5 @@
   orderLeaseMs: 9000,
   orderTimeoutMs: 2000,
   orderPollMs: 1000,
+  suspectKeepMs: 600_000,
 };
--- a/packages/daemon/src/control/state_dump.ts
+++ b/packages/daemon/src/control/state_dump.ts
@@ -9,6 +9,7 @@
 import type {MemberService} from '../members/member_service.js';
 import type {OrderReport} from '../orders/order_report.js';
 import type {OrderService} from '../orders/order_service.js';
+import type {SuspectDump} from '../suspects/suspect_dump.js';
 
 /** A daemon's state, without customers' text or secrets. */
 export interface DaemonState {
@@ -27,6 +28,7 @@
   /** Ends of claims that are still to be written. */
   readonly pendingClaims: number;
   readonly pendingClaimsSinceMs: number | undefined;
+  readonly suspects: SuspectDump;
 }
 
 /** Reads a daemon's whole state for operators. */
@@ -40,6 +42,7 @@
     private readonly claims: ClaimBook,
     private readonly orders: OrderService,
     private readonly startedAtMs: number,
+    private readonly describeSuspects: (nowMs: number) => SuspectDump,
   ) {}
 
   /** Reads the state as it is now. */
@@ -58,6 +61,7 @@
         recentOutcomes: this.metrics.listRecent(nowMs),
         pendingClaims: this.claims.countPending(),
         pendingClaimsSinceMs: this.claims.getPendingSinceMs(),
+        suspects: this.describeSuspects(nowMs),
       };
     });
   }
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -90,6 +90,8 @@
       yield* Effect.forkScoped(parts.hosts.run());
       yield* Effect.forkScoped(parts.members.run());
       yield* Effect.forkScoped(parts.keeper.run());
+      yield* Effect.forkScoped(parts.suspects.news.run());
+      yield* Effect.forkScoped(parts.suspects.catchUp.run());
       yield* Effect.forkScoped(parts.limits.run());
       yield* Effect.forkScoped(parts.commits.run());
       yield* Effect.forkScoped(parts.claims.run());
@@ -182,7 +184,7 @@
   }
 
   private makeMetrics(): DaemonMetrics {
-    const {members, configuration, orders} = this.parts;
+    const {members, configuration, orders, suspects} = this.parts;
     return new DaemonMetrics({
       countLiveMembers: () => members.countLive(),
       getRevision: () => configuration.getView()?.revision ?? 0,
@@ -194,6 +196,7 @@
       countOrderLeases: () => orders.listReports(Date.now()).length,
       countEnginesBehind: () => orders.countBehind(Date.now()),
       countOrdersSent: () => orders.countSent(),
+      describeSuspects: () => suspects.describe(Date.now()),
     });
   }
 
--- a/packages/daemon/src/metrics/daemon_metrics.ts
+++ b/packages/daemon/src/metrics/daemon_metrics.ts
@@ -1,5 +1,10 @@
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
-import type {Outcome, RecentOutcome} from '@greengagecross/common';
+import {
+  SuspectState,
+  type Outcome,
+  type RecentOutcome,
+} from '@greengagecross/common';
+import type {SuspectDump} from '../suspects/suspect_dump.js';
 import {ControlKind} from './control_kind.js';
 import {RecentOutcomes} from './recent_outcomes.js';
 import {RequestKind} from './request_kind.js';
@@ -17,6 +22,7 @@
   readonly countOrderLeases: () => number;
   readonly countEnginesBehind: () => number;
   readonly countOrdersSent: () => number;
+  readonly describeSuspects: () => SuspectDump;
 }
 
 /** Metrics of one daemon; names begin with `greengagecross_`. */
@@ -65,6 +71,7 @@
       readers.countInFlight,
     );
     this.addOrders(readers);
+    this.addSuspects(readers.describeSuspects);
   }
 
   /** Records the end of one request. */
@@ -123,6 +130,32 @@
     });
   }
 
+  private addSuspects(describe: () => SuspectDump): void {
+    this.addGauge(
+      'greengagecross_crashed_requests',
+      'Requests in flight here as their backend server crashed.',
+      () => describe().crashes,
+    );
+    this.addGauge(
+      'greengagecross_suspect_messages',
+      'Messages sent to peers about such requests.',
+      () => describe().sentMessages,
+    );
+    new Gauge({
+      name: 'greengagecross_suspects',
+      help: 'Requests remembered since a backend server crashed under them.',
+      labelNames: ['state'],
+      registers: [this.registry],
+      collect() {
+        const {entries} = describe();
+        for (const state of Object.values(SuspectState)) {
+          const count = entries.filter(entry => entry.state === state).length;
+          this.set({state}, count);
+        }
+      },
+    });
+  }
+
   private addGauge(name: string, help: string, read: () => number): void {
     new Gauge({
       name,
--- a/packages/daemon/src/wiring/daemon_parts.ts
+++ b/packages/daemon/src/wiring/daemon_parts.ts
@@ -2,8 +2,6 @@
 import {HttpEngineClient, HttpServiceClient} from '@greengagecross/backend';
 import {
   DEFAULT_TUNING,
-  ServiceKind,
-  type BackendServer,
   findRendezvousHome,
   hash32,
   TicketCodec,
@@ -51,8 +49,10 @@
 import {SlotAnswers} from '../placement/slot_answers.js';
 import {SlotBroker} from '../placement/slot_broker.js';
 import {listConfigurationPeers} from './list_configuration_peers.js';
+import {listOwnedEngines} from './list_owned_engines.js';
 import {makeOrderService} from './make_order_service.js';
 import {SLOT_LEASE_MS, SlotKeeper} from '../placement/slot_keeper.js';
+import {SuspectParts} from './suspect_parts.js';
 
 const FORGET_AFTER_MS = 60_000;
 const KEPT_DECISIONS = 5000;
@@ -90,6 +90,7 @@
   readonly limits: EngineLimits;
   readonly workers: HttpServiceClient;
   readonly orders: OrderService;
+  readonly suspects: SuspectParts;
 
   constructor(
     readonly settings: DaemonSettings,
@@ -120,6 +121,14 @@
     );
     this.members = this.makeMembers(peers);
     this.fleet = new FleetView(this.members);
+    this.suspects = new SuspectParts(
+      settings.id,
+      this.tuning,
+      keys,
+      this.members,
+      this.hosts,
+      peers,
+    );
     this.leaving = new LeavingBackends(this.hosts);
     this.leavingNews = new LeavingNews(
       settings.id,
@@ -174,7 +183,8 @@
     this.limits = new EngineLimits(
       this.engines,
       this.tuning.loadPollMs,
-      nowMs => this.listOwnedEngines(nowMs),
+      nowMs =>
+        listOwnedEngines(settings.id, this.configuration, this.fleet, nowMs),
       engine => this.ledger.count(engine),
       onLeaving,
       (engine, saidAtMs) => this.leaving.remove(engine, saidAtMs),
@@ -190,15 +200,6 @@
     this.backendClient.close();
   }
 
-  private listOwnedEngines(nowMs: number): BackendServer[] {
-    const services = this.configuration.getView()?.listServices() ?? [];
-    const {id} = this.settings;
-    return services
-      .filter(service => service.kind === ServiceKind.ENGINE)
-      .flatMap(service => service.backendServers)
-      .filter(server => this.fleet.findOwner(server.id, nowMs).id === id);
-  }
-
   private isSweeper(): Effect.Effect<boolean> {
     return Effect.map(Clock.currentTimeMillis, nowMs => {
       const live = this.members.listLive(nowMs).map(member => member.id);
--- a/packages/daemon/src/wiring/make_caller_router.ts
+++ b/packages/daemon/src/wiring/make_caller_router.ts
@@ -29,6 +29,7 @@
 ): CallerRouter {
   const {placement, broker, tickets, workers, members} = parts;
   const countDaemons = (): number => members.countLive();
+  const {guard} = parts.suspects;
   const authenticator = new Authenticator(parts.configuration);
   const seed = hash32(`${parts.settings.id} ${parts.startedAtMs}`);
   const retries = new BudgetedRetries(
@@ -47,7 +48,14 @@
   );
   const chats = new ChatHandler(
     authenticator,
-    new ChatDispatcher(placement, broker, attempts, retries, parts.times),
+    new ChatDispatcher(
+      placement,
+      broker,
+      attempts,
+      retries,
+      parts.times,
+      guard,
+    ),
     tickets,
     new LimitedCustomers(
       new CustomerLimit(CoarsePart.LEAVE_TO_OWNERS),
@@ -57,8 +65,8 @@
   );
   const services = new ServiceHandler(
     authenticator,
-    new RepeatableDispatcher(placement, workers, retries),
-    new OnceDispatcher(placement, workers, parts.claims),
+    new RepeatableDispatcher(placement, workers, retries, guard),
+    new OnceDispatcher(placement, workers, parts.claims, guard),
     new LimitedCustomers(new CustomerLimit(CoarsePart.ROUND_UP), countDaemons),
   );
   return new CallerRouter(directory, chats, services, metrics, cut);
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -39,3 +39,7 @@
 export * from './orders/engine_sight.js';
 export * from './orders/plan_rollout.js';
 export * from './limits/room_rule.js';
+export * from './suspects/suspect_entry.js';
+export * from './suspects/suspect_book.js';
+export * from './suspects/trial.js';
+export * from './suspects/trial_table.js';
--- a/packages/standins/src/promises/chat_rig.ts
+++ b/packages/standins/src/promises/chat_rig.ts
@@ -18,6 +18,7 @@
   buildOutcomeHeaders,
   ChatAttempt,
   ChatDispatcher,
+  OpenGuard,
   ChatStream,
   NextTurns,
   type ChatJob,
@@ -83,6 +84,7 @@
       ),
       retries as unknown as RetryPolicy,
       {record: () => undefined} as unknown as ServiceTimes,
+      new OpenGuard(),
     );
   }
 
