Hold no bound by the mean where the loads of others are not heard

Cause: above 40 daemons heartbeats no longer relay the loads of others, as they came too late. The bound follows the total of what is heard, so that it would be far too low there and refuse what has room.

Ruled out: the mean over the few daemons heard directly (one or two engines of a model, no estimate); relaying two statuses a heartbeat (minutes old over the ring at 360, 31 s at 60).

Conclusion: safe, not even: evenness at 360 daemons is open again.

--- a/packages/daemon/src/members/heartbeat_exchange.ts
+++ b/packages/daemon/src/members/heartbeat_exchange.ts
@@ -1,6 +1,7 @@
 import {Clock, Effect, Latch} from 'effect';
 import {MemberState, type Address, type Member} from '@greengagecross/common';
 import {
+  computeRelayedStatuses,
   LinkKnowledge,
   type MemberTable,
   type ReplyTimeout,
@@ -15,9 +16,6 @@
 import type {HostFollower} from '../hosts/host_follower.js';
 import type {SelfRecord} from './self_record.js';
 
-const SMALL_FLEET = 4;
-const MEDIUM_FLEET = 40;
-
 /** Makes heartbeats for each peer from what it does not know yet. */
 export class HeartbeatExchange {
   /** Releases those that wait for news. */
@@ -115,7 +113,7 @@
     const isOwnTold = members.includes(own);
     const statuses = [
       ...link.chooseStatuses(isOwnTold ? [] : [own], 1),
-      ...link.chooseStatuses(others, computeRelayed(others.length)),
+      ...link.chooseStatuses(others, computeRelayedStatuses(others.length)),
     ];
     this.updateRevision(own.configurationRevision);
     const hosts = this.hosts.getNews();
@@ -208,9 +206,3 @@
     return link;
   }
 }
-
-/** Statuses of others that go with one heartbeat; in larger fleets too few. */
-function computeRelayed(others: number): number {
-  if (others <= SMALL_FLEET) return 0;
-  return others <= MEDIUM_FLEET ? 2 : 0;
-}
--- a/packages/daemon/src/placement/fleet_view.ts
+++ b/packages/daemon/src/placement/fleet_view.ts
@@ -1,5 +1,9 @@
 import type {Member} from '@greengagecross/common';
-import {LoadSnapshot, OwnerTable} from '@greengagecross/decisions';
+import {
+  hasEveryStatus,
+  LoadSnapshot,
+  OwnerTable,
+} from '@greengagecross/decisions';
 import type {MemberService} from '../members/member_service.js';
 
 const REFRESH_MS = 100;
@@ -46,9 +50,11 @@
     this.live = this.members.listLive(nowMs);
     this.byId = new Map(this.live.map(member => [member.id, member]));
     // A leaving daemon still holds slots of engines that it owned.
-    const there = [this.members.getSelf(), ...this.members.listOthers()];
+    const others = this.members.listOthers();
+    const there = [this.members.getSelf(), ...others];
     this.snapshot = new LoadSnapshot(
       there.map(({id, engines}) => ({daemon: id, engines})),
+      hasEveryStatus(others.length),
     );
     const ids = this.live.map(member => member.id);
     const known = new Set(this.ids);
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -6,6 +6,7 @@
 export * from './members/link_knowledge.js';
 export * from './members/heartbeat_interval.js';
 export * from './members/poll_interval.js';
+export * from './members/relayed_statuses.js';
 export * from './members/reply_timeout.js';
 export * from './placement/engine_ledger.js';
 export * from './placement/load_bound.js';
--- a/packages/decisions/src/placement/load_snapshot.ts
+++ b/packages/decisions/src/placement/load_snapshot.ts
@@ -18,7 +18,11 @@
   private readonly byDaemon = new Map<string, Map<string, number>>();
   private readonly sums = new WeakMap<EngineGroup, number>();
 
-  constructor(reports: Iterable<LoadReport>) {
+  /** @param isWhole whether every daemon's loads are among the reports. */
+  constructor(
+    reports: Iterable<LoadReport>,
+    readonly isWhole = true,
+  ) {
     for (const report of reports) this.add(report);
   }
 
--- a/packages/decisions/src/placement/placement.feature
+++ b/packages/decisions/src/placement/placement.feature
@@ -33,6 +33,16 @@
     When a chat is placed with no ticket
     Then the placement lists 4 engines to ask
 
+  Scenario Outline: An engine's own limit holds where the mean is not known
+    Given an owner of one of 10 engines, each with <loads>, limited to 50
+    When its engine is asked for 100 requests more
+    Then <granted> of them are granted
+
+    Examples:
+      | loads                            | granted |
+      | 8 in flight, all reported        | 5       |
+      | 8 in flight, not one of 9 heard  | 42      |
+
   Scenario: The nearer of two engines otherwise equal is preferred
     Given engines a, b, c and d with 2,2,2,2 in flight, placed under a bound of 4
     When 50 new chats are placed from the zone of d
--- a/packages/decisions/src/placement/slot_authority.ts
+++ b/packages/decisions/src/placement/slot_authority.ts
@@ -5,6 +5,9 @@
 import {computeLoadBound} from './load_bound.js';
 import type {LoadSnapshot} from './load_snapshot.js';
 
+/** Stands for no bound; more requests than any engine runs at once. */
+export const UNBOUNDED_LOAD = 1_000_000;
+
 /**
  * Grants the slots of engines that this daemon owns.
  *
@@ -62,8 +65,14 @@
     return answer;
   }
 
-  /** Computes the bound that now holds for each engine of a group. */
+  /**
+   * Computes the bound that now holds for each engine of a group.
+   *
+   * Where loads of some daemons are unknown, so is the mean: an engine's own
+   * limit alone holds then, rather than a bound that refuses what has room.
+   */
   computeBound(group: EngineGroup, snapshot: LoadSnapshot): number {
+    if (!snapshot.isWhole) return UNBOUNDED_LOAD;
     const elsewhere = snapshot.countGroupElsewhere(group, this.self);
     const own = this.ledger.countWhere(engine => group.has(engine));
     return computeLoadBound(elsewhere + own, group.ids.length, group.rules);
