--- a/packages/daemon/src/callers/chat_dispatcher.ts
+++ b/packages/daemon/src/callers/chat_dispatcher.ts
@@ -82,7 +82,8 @@
           failure: failed.failure,
         });
       }
-      yield* Effect.fail(makeRefusal(failed, mayHaveRun));
+      const waitMs = queue.getShortestWaitMs();
+      yield* Effect.fail(makeRefusal(failed, mayHaveRun, waitMs));
     });
   }
 
@@ -163,6 +164,7 @@
 function makeRefusal(
   failed: BackendError | undefined,
   mayHaveRun: boolean,
+  waitMs: number,
 ): Refusal {
   if (mayHaveRun) {
     return new Refusal(
@@ -176,6 +178,6 @@
     failed === undefined ? RefusalReason.OVERLOADED : RefusalReason.NO_BACKEND,
     503,
     'no engine could take the request',
-    OVERLOAD_RETRY_MS,
+    Math.max(OVERLOAD_RETRY_MS, waitMs),
   );
 }
--- a/packages/daemon/src/callers/engine_queue.ts
+++ b/packages/daemon/src/callers/engine_queue.ts
@@ -20,6 +20,7 @@
   /** Whether an engine was given work, or may have been. */
   private hasCost = false;
   private hasCrashed = false;
+  private shortestWaitMs = 0;
   private readonly lost = new Set<string>();
 
   constructor(
@@ -50,6 +51,11 @@
     });
   }
 
+  /** Gets when the first of the engines last listed is expected to have room. */
+  getShortestWaitMs(): number {
+    return this.shortestWaitMs;
+  }
+
   /**
    * Refusals that gave no engine work count like engines at their bound. What
    * a crash cut short is run again as soon as there is room for it.
@@ -72,6 +78,8 @@
     return Effect.map(listed, placed => {
       const others = placed.filter(({server}) => !this.lost.has(server.id));
       this.queue = others.length > 0 ? others : placed;
+      const waits = this.queue.map(({choice}) => choice.waitMs);
+      if (waits.length > 0) this.shortestWaitMs = Math.min(...waits);
     });
   }
 }
--- /dev/null
+++ b/packages/daemon/src/callers/refused_chat_steps.ts
@@ -0,0 +1,82 @@
+import assert from 'node:assert/strict';
+import {Given, Then, When, type World} from '@cucumber/cucumber';
+import {Effect, Fiber} from 'effect';
+import {TestClock} from 'effect/testing';
+import {Outcome, RefusalReason, SeededRandom} from '@greengagecross/common';
+import {
+  BudgetedRetries,
+  RetryBudget,
+  type ServiceTimes,
+} from '@greengagecross/decisions';
+import type {
+  PlacedServer,
+  PlacementService,
+} from '../placement/placement_service.js';
+import type {SlotBroker} from '../placement/slot_broker.js';
+import {OpenGuard} from '../suspects/open_guard.js';
+import type {ChatAttempt, ChatJob} from './chat_attempt.js';
+import {ChatDispatcher} from './chat_dispatcher.js';
+import type {Refusal} from './refusal.js';
+
+const SEED = 3;
+const JOB = {
+  exchange: {getHeader: () => undefined, arrivedAtMs: 0},
+  requestId: 'request-1',
+  customer: {id: 'customer-1'},
+  service: {name: 'assistant', deadlineMs: 20_000},
+  chat: 'chat-1',
+  body: Buffer.alloc(0),
+} as unknown as ChatJob;
+
+/** State of one scenario about a refused chat. */
+interface RefusedWorld extends World {
+  placed: readonly PlacedServer[];
+  refusal: Refusal;
+}
+
+Given(
+  /^engines with an expected wait of ([\d, ]+) ms, none of which grants a slot$/,
+  function (this: RefusedWorld, waits: string) {
+    this.placed = waits.split(',').map(
+      (wait, index) =>
+        ({
+          server: {id: `engine-${index}`},
+          choice: {waitMs: Number(wait), maxWaitMs: 0},
+        }) as unknown as PlacedServer,
+    );
+  },
+);
+
+When(
+  'a chat is dispatched to them in virtual time',
+  async function (this: RefusedWorld) {
+    const placement = {choose: () => Effect.sync(() => [...this.placed])};
+    const broker = {acquire: () => Effect.undefined};
+    const dispatcher = new ChatDispatcher(
+      placement as unknown as PlacementService,
+      broker as unknown as SlotBroker,
+      {} as unknown as ChatAttempt,
+      new BudgetedRetries(new RetryBudget(), new SeededRandom(SEED)),
+      {} as unknown as ServiceTimes,
+      new OpenGuard(),
+    );
+    const program = Effect.gen(function* () {
+      const ending = Effect.flip(dispatcher.dispatch(JOB));
+      const fiber = yield* Effect.forkChild(ending);
+      yield* TestClock.adjust('30 seconds');
+      return yield* Fiber.join(fiber);
+    });
+    this.refusal = await Effect.runPromise(
+      Effect.provide(program, TestClock.layer()) as Effect.Effect<Refusal>,
+    );
+  },
+);
+
+Then(
+  'it is told not-run because of overloaded, to try again after {int} ms',
+  function (this: RefusedWorld, retryMs: number) {
+    assert.equal(this.refusal.outcome, Outcome.NOT_RUN);
+    assert.equal(this.refusal.reason, RefusalReason.OVERLOADED);
+    assert.equal(this.refusal.retryAfterMs, retryMs);
+  },
+);
