--- a/packages/standins/src/promises/reservation_cases.ts
+++ b/packages/standins/src/promises/reservation_cases.ts
@@ -42,6 +42,61 @@
   await bench.waitClaim(state, before + 1);
 }
 
+/** Sends while a fault holds, and again to another daemon after its end. */
+async function sendUnder(
+  context: CaseContext,
+  start: () => Promise<void>,
+  end: () => Promise<void>,
+  second = 1,
+): Promise<ReservationReply[]> {
+  await start();
+  const first = await sendTo(context, 0);
+  await end();
+  return [first, await sendTo(context, second)];
+}
+
+/** Sends while the platform's writes meet a fault, and again after it. */
+function sendUnderWriteFault(
+  context: CaseContext,
+  fault: 'down' | 'loseReplies',
+): Promise<ReservationReply[]> {
+  const {bench} = context;
+  return sendUnder(
+    context,
+    () => bench.setWriteFaults({[fault]: true}),
+    () => bench.setWriteFaults({[fault]: false}),
+  );
+}
+
+/** Sends while every worker has a fault, and again after it. */
+function sendUnderWorkerFault(
+  context: CaseContext,
+  fault: 'holdReplies' | 'loseReplies' | 'leaving',
+  second = 1,
+): Promise<ReservationReply[]> {
+  const {bench} = context;
+  return sendUnder(
+    context,
+    () => bench.setWorkerFaults({[fault]: true}),
+    () => bench.setWorkerFaults({[fault]: false}),
+    second,
+  );
+}
+
+/** Sends to a holder that learns nothing of its claim, which stands. */
+async function sendHeld(
+  context: CaseContext,
+): Promise<{reply: Promise<ReservationReply>}> {
+  const {bench} = context;
+  await bench.setWriteFaults({holdReplies: true});
+  let reply: Promise<ReservationReply> | undefined;
+  await waitNextClaim(bench, 'claimed', () => {
+    reply = sendTo(context, 0);
+  });
+  if (reply === undefined) throw new Error('nothing was sent');
+  return {reply};
+}
+
 /** Fault cases by the name that stands in the feature's table. */
 export const RESERVATION_CASES: Readonly<Record<string, ReservationCase>> = {
   'no fault': async context => [
@@ -50,30 +105,19 @@
   ],
   'holder killed once its claim stands': async context => {
     const {bench} = context;
-    await bench.setWriteFaults({holdReplies: true});
-    let first: Promise<ReservationReply> | undefined;
-    await waitNextClaim(bench, 'claimed', () => {
-      first = sendTo(context, 0);
-    });
+    const {reply} = await sendHeld(context);
     await bench.stopDaemonHard(0);
     await bench.setWriteFaults({holdReplies: false});
-    return [...(await Promise.all([first])), await sendTo(context, 1)].flatMap(
-      reply => reply ?? [],
-    );
+    return [await reply, await sendTo(context, 1)];
   },
   'holder killed after its claim, then the platform down': async context => {
     const {bench} = context;
-    await bench.setWriteFaults({holdReplies: true});
-    let first: Promise<ReservationReply> | undefined;
-    await waitNextClaim(bench, 'claimed', () => {
-      first = sendTo(context, 0);
-    });
+    const {reply} = await sendHeld(context);
     await bench.stopDaemonHard(0);
     await bench.setWriteFaults({holdReplies: false, down: true});
     const second = await sendTo(context, 1);
     await bench.setWriteFaults({down: false});
-    const replies = [await first, second, await sendTo(context, 2)];
-    return replies.flatMap(reply => reply ?? []);
+    return [await reply, second, await sendTo(context, 2)];
   },
   'holder killed after the dispatch': async context => {
     const {bench, work} = context;
@@ -103,44 +147,28 @@
   'holder frozen between claim and dispatch': async context => {
     const {bench} = context;
     const holder = bench.fleet.getChild(bench.getDaemon(0).id);
-    await bench.setWriteFaults({holdReplies: true});
-    let first: Promise<ReservationReply> | undefined;
-    await waitNextClaim(bench, 'claimed', () => {
-      first = sendTo(context, 0);
-    });
+    const {reply} = await sendHeld(context);
     holder.send('SIGSTOP');
     await bench.setWriteFaults({holdReplies: false});
     const second = await sendTo(context, 1);
     holder.send('SIGCONT');
-    const replies = [await first, second, await sendTo(context, 2)];
-    return replies.flatMap(reply => reply ?? []);
-  },
-  "claim's reply lost": async context => {
-    const {bench} = context;
-    await bench.setWriteFaults({loseReplies: true});
-    const first = await sendTo(context, 0);
-    await bench.setWriteFaults({loseReplies: false});
-    return [first, await sendTo(context, 1)];
+    return [await reply, second, await sendTo(context, 2)];
   },
-  "claim's reply and its reading back lost": async context => {
+  "claim's reply lost": context => sendUnderWriteFault(context, 'loseReplies'),
+  "claim's reply and its reading back lost": context => {
     const {bench} = context;
-    await bench.fleet.setPlatformFaults({
-      loseReplies: true,
-      onlyPath: '/v1/table/',
-    });
-    const first = await sendTo(context, 0);
-    await waitNextClaim(bench, 'released', () =>
-      bench.fleet.setPlatformFaults({loseReplies: false}),
+    const {fleet} = bench;
+    return sendUnder(
+      context,
+      () =>
+        fleet.setPlatformFaults({loseReplies: true, onlyPath: '/v1/table/'}),
+      () =>
+        waitNextClaim(bench, 'released', () =>
+          fleet.setPlatformFaults({loseReplies: false}),
+        ),
     );
-    return [first, await sendTo(context, 1)];
-  },
-  'platform down': async context => {
-    const {bench} = context;
-    await bench.setWriteFaults({down: true});
-    const first = await sendTo(context, 0);
-    await bench.setWriteFaults({down: false});
-    return [first, await sendTo(context, 1)];
   },
+  'platform down': context => sendUnderWriteFault(context, 'down'),
   'platform down after an earlier attempt': async context => {
     const {bench} = context;
     const first = await sendTo(context, 0);
@@ -149,40 +177,20 @@
     await bench.setWriteFaults({down: false});
     return [first, second, await sendTo(context, 2)];
   },
-  'silence after the bytes left': async context => {
+  'silence after the bytes left': context =>
+    sendUnderWorkerFault(context, 'holdReplies'),
+  "worker's reply lost": context =>
+    sendUnderWorkerFault(context, 'loseReplies'),
+  'every worker leaving': context => sendUnderWorkerFault(context, 'leaving'),
+  'every worker leaving, then back': context =>
+    sendUnderWorkerFault(context, 'leaving', 0),
+  'every worker killed before': context => {
     const {bench} = context;
-    await bench.setWorkerFaults({holdReplies: true});
-    const first = await sendTo(context, 0);
-    await bench.setWorkerFaults({holdReplies: false});
-    return [first, await sendTo(context, 1)];
-  },
-  "worker's reply lost": async context => {
-    const {bench} = context;
-    await bench.setWorkerFaults({loseReplies: true});
-    const first = await sendTo(context, 0);
-    await bench.setWorkerFaults({loseReplies: false});
-    return [first, await sendTo(context, 1)];
-  },
-  'every worker leaving': async context => {
-    const {bench} = context;
-    await bench.setWorkerFaults({leaving: true});
-    const first = await sendTo(context, 0);
-    await bench.setWorkerFaults({leaving: false});
-    return [first, await sendTo(context, 1)];
-  },
-  'every worker leaving, then back': async context => {
-    const {bench} = context;
-    await bench.setWorkerFaults({leaving: true});
-    const first = await sendTo(context, 0);
-    await bench.setWorkerFaults({leaving: false});
-    return [first, await sendTo(context, 0)];
-  },
-  'every worker killed before': async context => {
-    const {bench} = context;
-    await bench.stopWorkersHard();
-    const first = await sendTo(context, 0);
-    await bench.startAgain();
-    return [first, await sendTo(context, 1)];
+    return sendUnder(
+      context,
+      () => bench.stopWorkersHard(),
+      () => bench.startAgain(),
+    );
   },
   'caller leaves before the answer': async context => {
     const {bench, sender, work} = context;
