Tell daemons that are suspected, or not yet known, of condemned requests

Cause: news of a suspect went to the members heard at that moment.

Ruled out: fetching at the start (a daemon that just started asks a peer first, but a peer that was not told has nothing to give).

Change: all that heartbeats remember or the host list shows are told; those not heard are tried once before the caller is told and again each second. Batches begin in the fiber's own context, so that virtual time holds for them.

suspect_news.feature: with only heard members told 3 of 5 fail ("never told"), with the change 5 of 5.

--- a/packages/daemon/src/members/member_service.ts
+++ b/packages/daemon/src/members/member_service.ts
@@ -136,6 +136,11 @@
     return this.table.listHeard();
   }
 
+  /** Lists the other daemons it remembers, suspected and just lost ones too. */
+  listRemembered(): Member[] {
+    return this.table.listKnown();
+  }
+
   /** Counts the daemons that take callers, at least one. */
   countLive(): number {
     return Math.max(1, this.listLive(this.lastTickMs).length);
@@ -143,7 +148,7 @@
 
   /** Counts this daemon and all it remembers, those just lost included. */
   countRemembered(): number {
-    return 1 + this.table.listKnown().length;
+    return 1 + this.listRemembered().length;
   }
 
   /** Answers a heartbeat with this daemon's own news. */
--- a/packages/daemon/src/suspects/suspect_news.ts
+++ b/packages/daemon/src/suspects/suspect_news.ts
@@ -1,5 +1,4 @@
 import {Clock, Deferred, Effect, Schema} from 'effect';
-import type {Member} from '@greengagecross/common';
 import type {SuspectBook, SuspectEntry} from '@greengagecross/decisions';
 import {
   MAX_SUSPECTS_A_CALL,
@@ -7,8 +6,8 @@
   type PeerCaller,
   type ToldSuspect,
 } from '@greengagecross/peers';
-import type {MemberService} from '../members/member_service.js';
 import {toEntry, toTold} from './suspect_wire.js';
+import type {ToldDaemon, ToldDaemons} from './told_daemons.js';
 import {UntoldSuspects} from './untold_suspects.js';
 
 /** Suspects of one crash are found within this time and go in one message. */
@@ -25,16 +24,16 @@
 
   constructor(
     private readonly book: SuspectBook,
-    private readonly members: MemberService,
+    private readonly daemons: ToldDaemons,
     private readonly peers: PeerCaller,
   ) {}
 
   /** Tells every peer; ends when each knows or did not answer in time. */
   send(entry: SuspectEntry): Effect.Effect<void> {
-    return Effect.suspend(() => {
+    return Effect.gen({self: this}, function* () {
       this.pending.set(entry.fingerprint, entry);
-      this.batch ??= this.startBatch();
-      return Deferred.await(this.batch);
+      const batch = this.batch ?? (yield* this.startBatch());
+      yield* Deferred.await(batch);
     });
   }
 
@@ -71,21 +70,29 @@
     );
   }
 
-  private startBatch(): Deferred.Deferred<void> {
-    const told = Deferred.makeUnsafe<void>();
-    const send = Effect.gen({self: this}, function* () {
+  /** One message serves all that wait for it, whoever of them leaves. */
+  private startBatch(): Effect.Effect<Deferred.Deferred<void>> {
+    return Effect.gen({self: this}, function* () {
+      const told = Deferred.makeUnsafe<void>();
+      this.batch = told;
+      const end = Deferred.succeed(told, undefined);
+      yield* Effect.forkDetach(Effect.ensuring(this.sendBatch(), end));
+      return told;
+    });
+  }
+
+  private sendBatch(): Effect.Effect<void> {
+    return Effect.gen({self: this}, function* () {
       yield* Effect.sleep(BATCH_MS);
       const entries = [...this.pending.values()];
       this.pending = new Map();
       this.batch = undefined;
       yield* Effect.forEach(
-        this.members.listOthers(),
+        this.daemons.list(),
         peer => this.sendTo(peer, entries),
         {concurrency: 'unbounded', discard: true},
       );
     });
-    Effect.runFork(Effect.ensuring(send, Deferred.succeed(told, undefined)));
-    return told;
   }
 
   private sendUntold(): Effect.Effect<void> {
@@ -93,7 +100,7 @@
       const nowMs = yield* Clock.currentTimeMillis;
       const isKept = (entry: SuspectEntry): boolean =>
         this.book.getState(entry.fingerprint, nowMs) === entry.state;
-      const due = this.members.listOthers().flatMap(peer => {
+      const due = this.daemons.list().flatMap(peer => {
         const entries = this.untold.take(peer.id).filter(isKept);
         return entries.length === 0 ? [] : [{peer, entries}];
       });
@@ -106,7 +113,7 @@
   }
 
   private sendTo(
-    peer: Member,
+    peer: ToldDaemon,
     entries: readonly SuspectEntry[],
   ): Effect.Effect<void> {
     const send = Effect.flatMap(Clock.currentTimeMillis, nowMs => {
@@ -122,7 +129,8 @@
       );
     });
     return send.pipe(
-      Effect.retry({times: TELL_RETRIES}),
+      // One that is thought lost is tried once, so that no caller waits long.
+      Effect.retry({times: peer.isHeard ? TELL_RETRIES : 0}),
       Effect.asVoid,
       Effect.catch(() => Effect.sync(() => this.untold.add(peer.id, entries))),
     );
--- a/packages/daemon/src/wiring/suspect_parts.ts
+++ b/packages/daemon/src/wiring/suspect_parts.ts
@@ -14,6 +14,7 @@
 import type {SuspectDump} from '../suspects/suspect_dump.js';
 import {SuspectGuard} from '../suspects/suspect_guard.js';
 import {SuspectNews} from '../suspects/suspect_news.js';
+import {ToldDaemons} from '../suspects/told_daemons.js';
 import {TrialPermits} from '../suspects/trial_permits.js';
 import {listConfigurationPeers} from './list_configuration_peers.js';
 
@@ -35,7 +36,11 @@
     peers: PeerCaller,
   ) {
     this.book = new SuspectBook(tuning.suspectKeepMs);
-    this.news = new SuspectNews(this.book, members, peers);
+    this.news = new SuspectNews(
+      this.book,
+      new ToldDaemons(selfId, members, hosts),
+      peers,
+    );
     this.catchUp = new SuspectCatchUp(
       this.news,
       peers,
