Read one clock in callbacks; write shared frames of tests and benches once

Cause: found by reading the whole change. daemon.ts read the wall clock in five places and a router read effect's by hand; two limit measures, two dispatch tests and two scripted engines repeated the same frame; a page and the enum said that not-run means that no byte reached a backend server, while a server's own word that it did not run counts too.

Ruled out: the clock of HttpExchange (one reading for each request, on the path, of when bytes really arrived); pairs alike by shape only.

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -27,3 +27,4 @@
 export * from './settings/tuning.js';
 export * from './members/member.js';
 export * from './ids/seeded_random.js';
+export * from './time/read_now_ms.js';
--- a/packages/common/src/protocol/outcome.ts
+++ b/packages/common/src/protocol/outcome.ts
@@ -2,7 +2,7 @@
 export enum Outcome {
   /** The whole answer arrived. */
   COMPLETE = 'complete',
-  /** No byte of the request reached a backend server. */
+  /** No byte of it reached a backend server, or that said it did not run. */
   NOT_RUN = 'not-run',
   /** The request ran, at least in part, and has no whole answer. */
   FAILED = 'failed',
--- a/packages/daemon/src/callers/caller_router.ts
+++ b/packages/daemon/src/callers/caller_router.ts
@@ -1,5 +1,10 @@
 import {Clock, Effect} from 'effect';
-import {makeRequestId, Outcome, RefusalReason} from '@greengagecross/common';
+import {
+  makeRequestId,
+  Outcome,
+  readNowMs,
+  RefusalReason,
+} from '@greengagecross/common';
 import type {HttpExchange, OutgoingHeaders} from '@greengagecross/http';
 import type {DaemonMetrics} from '../metrics/daemon_metrics.js';
 import {RequestKind} from '../metrics/request_kind.js';
@@ -48,7 +53,7 @@
   refuseMalformed(): OutgoingHeaders {
     const {NOT_RUN} = Outcome;
     const {BAD_REQUEST} = RefusalReason;
-    const nowMs = Effect.runSync(Clock.currentTimeMillis);
+    const nowMs = readNowMs();
     const {OTHER} = RequestKind;
     this.metrics.recordRequest(OTHER, NOT_RUN, BAD_REQUEST, 0, nowMs);
     return buildMalformedHeaders();
--- a/packages/daemon/src/callers/deadlines_steps.ts
+++ b/packages/daemon/src/callers/deadlines_steps.ts
@@ -1,7 +1,6 @@
 import assert from 'node:assert/strict';
 import {Given, Then, When, World} from '@cucumber/cucumber';
-import {Effect, Fiber} from 'effect';
-import {TestClock} from 'effect/testing';
+import {Effect} from 'effect';
 import {
   BackendError,
   ServiceClient,
@@ -14,6 +13,7 @@
 import type {PlacementService} from '../placement/placement_service.js';
 import {OpenGuard} from '../suspects/open_guard.js';
 import type {Refusal} from './refusal.js';
+import {runRefused} from './run_refused.js';
 import {RepeatableDispatcher} from './repeatable_dispatcher.js';
 import type {ServiceJob} from './service_job.js';
 
@@ -81,15 +81,7 @@
       new BudgetedRetries(new RetryBudget(), new SeededRandom(3)),
       new OpenGuard(),
     );
-    const program = Effect.gen({self: this}, function* () {
-      const ending = Effect.flip(dispatcher.dispatch(this.lookup));
-      const fiber = yield* Effect.forkChild(ending);
-      yield* TestClock.adjust('30 seconds');
-      return yield* Fiber.join(fiber);
-    });
-    this.refusal = await Effect.runPromise(
-      Effect.provide(program, TestClock.layer()) as Effect.Effect<Refusal>,
-    );
+    this.refusal = await runRefused(dispatcher.dispatch(this.lookup));
   },
 );
 
--- a/packages/daemon/src/callers/refused_chat_steps.ts
+++ b/packages/daemon/src/callers/refused_chat_steps.ts
@@ -1,7 +1,6 @@
 import assert from 'node:assert/strict';
 import {Given, Then, When, type World} from '@cucumber/cucumber';
-import {Effect, Fiber} from 'effect';
-import {TestClock} from 'effect/testing';
+import {Effect} from 'effect';
 import {Outcome, RefusalReason, SeededRandom} from '@greengagecross/common';
 import {
   BudgetedRetries,
@@ -17,6 +16,7 @@
 import type {ChatAttempt, ChatJob} from './chat_attempt.js';
 import {ChatDispatcher} from './chat_dispatcher.js';
 import type {Refusal} from './refusal.js';
+import {runRefused} from './run_refused.js';
 
 const SEED = 3;
 const JOB = {
@@ -60,15 +60,7 @@
       {} as unknown as ServiceTimes,
       new OpenGuard(),
     );
-    const program = Effect.gen(function* () {
-      const ending = Effect.flip(dispatcher.dispatch(JOB));
-      const fiber = yield* Effect.forkChild(ending);
-      yield* TestClock.adjust('30 seconds');
-      return yield* Fiber.join(fiber);
-    });
-    this.refusal = await Effect.runPromise(
-      Effect.provide(program, TestClock.layer()) as Effect.Effect<Refusal>,
-    );
+    this.refusal = await runRefused(dispatcher.dispatch(JOB));
   },
 );
 
--- /dev/null
+++ b/packages/daemon/src/callers/run_refused.ts
@@ -0,0 +1,17 @@
+import {Effect, Fiber} from 'effect';
+import {TestClock} from 'effect/testing';
+import type {Refusal} from './refusal.js';
+
+/** Runs a dispatch that ends in a refusal, in virtual time. */
+export function runRefused(
+  dispatching: Effect.Effect<void, Refusal>,
+): Promise<Refusal> {
+  const program = Effect.gen(function* () {
+    const fiber = yield* Effect.forkChild(Effect.flip(dispatching));
+    yield* TestClock.adjust('30 seconds');
+    return yield* Fiber.join(fiber);
+  });
+  return Effect.runPromise(
+    Effect.provide(program, TestClock.layer()) as Effect.Effect<Refusal>,
+  );
+}
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -2,6 +2,7 @@
 import {
   Logger,
   MemberState,
+  readNowMs,
   type Address,
   type DaemonSettings,
   type FleetKeys,
@@ -175,7 +176,7 @@
   }
 
   private isAlive(): boolean {
-    return this.parts.members.isTicking(Date.now());
+    return this.parts.members.isTicking(readNowMs());
   }
 
   /** Callers may use a kept connection as long as a directory answer. */
@@ -190,13 +191,13 @@
       getRevision: () => configuration.getView()?.revision ?? 0,
       countRefusedConfigurations: () => configuration.countRefusals(),
       getUnconfirmedSeconds: () =>
-        configuration.getUnconfirmedSeconds(Date.now()),
+        configuration.getUnconfirmedSeconds(readNowMs()),
       countControlBytes: kind => this.countControlBytes(kind),
       countInFlight: () => this.callerServer.countActive(),
-      countOrderLeases: () => orders.listReports(Date.now()).length,
-      countEnginesBehind: () => orders.countBehind(Date.now()),
+      countOrderLeases: () => orders.listReports(readNowMs()).length,
+      countEnginesBehind: () => orders.countBehind(readNowMs()),
       countOrdersSent: () => orders.countSent(),
-      describeSuspects: () => suspects.describe(Date.now()),
+      describeSuspects: () => suspects.describe(readNowMs()),
     });
   }
 
--- a/packages/standins/src/backends/engine_server.ts
+++ b/packages/standins/src/backends/engine_server.ts
@@ -12,6 +12,7 @@
 } from './expected_answer.js';
 import type {EngineProfile} from './engine_profile.js';
 import {Generation} from './generation.js';
+import {makeChunk} from './make_chunk.js';
 import {PrefixCache} from './prefix_cache.js';
 import {PriorityGate} from './priority_gate.js';
 import {RunLog} from './run_log.js';
@@ -243,15 +244,3 @@
     },
   );
 }
-
-function makeChunk(
-  attemptId: string,
-  content: string,
-  finishReason: string | null = null,
-): string {
-  return JSON.stringify({
-    id: `chatcmpl-${attemptId}`,
-    object: 'chat.completion.chunk',
-    choices: [{index: 0, delta: {content}, finish_reason: finishReason}],
-  });
-}
--- a/packages/standins/src/bench/decisions/limits/head_of_line_measure.ts
+++ b/packages/standins/src/bench/decisions/limits/head_of_line_measure.ts
@@ -2,11 +2,7 @@
 import {EventQueue} from '../event_queue.js';
 import type {Figure} from '../figure.js';
 import {Measure, type MeasureRun} from '../measure.js';
-import {
-  AdmittedEngine,
-  ArrivalOrderEngine,
-  type ServedEngine,
-} from './served_engine.js';
+import {makeServedEngine, ServingWay} from './serving_way.js';
 
 const LIMIT = 16;
 const SHORT_MS = 300;
@@ -19,19 +15,14 @@
 const SHORT_WAIT_MS = 10_000;
 const LONG_WAIT_MS = 30_000;
 
-enum Way {
-  ARRIVAL_ORDER = 'arrival-order',
-  ADMISSION = 'admission',
-}
-
 /** What long work in excess does to the time of short lookups. */
 export class HeadOfLineMeasure extends Measure {
   override readonly name = 'head-of-line';
-  override readonly ways = Object.values(Way);
+  override readonly ways = Object.values(ServingWay);
 
   override run({size, way, seed}: MeasureRun): Figure[] {
-    const idle = runLoad(way as Way, seed, 0);
-    const busy = runLoad(way as Way, seed, LONG_LOAD);
+    const idle = runLoad(way as ServingWay, seed, 0);
+    const busy = runLoad(way as ServingWay, seed, LONG_LOAD);
     const make = (measure: string, value: number, unit: string): Figure => ({
       measure: `${this.name}-${measure}`,
       way,
@@ -53,18 +44,9 @@
   readonly longShare: number;
 }
 
-function makeEngine(way: Way, queue: EventQueue): ServedEngine {
-  switch (way) {
-    case Way.ARRIVAL_ORDER:
-      return new ArrivalOrderEngine(queue, LIMIT);
-    case Way.ADMISSION:
-      return new AdmittedEngine(queue, LIMIT);
-  }
-}
-
-function runLoad(way: Way, seed: number, longLoad: number): LoadResult {
+function runLoad(way: ServingWay, seed: number, longLoad: number): LoadResult {
   const queue = new EventQueue();
-  const engine = makeEngine(way, queue);
+  const engine = makeServedEngine(way, queue, LIMIT);
   const times: number[] = [];
   let longBusyMs = 0;
   let slots = 0;
--- a/packages/standins/src/bench/decisions/limits/surge_measure.ts
+++ b/packages/standins/src/bench/decisions/limits/surge_measure.ts
@@ -3,11 +3,8 @@
 import {EventQueue} from '../event_queue.js';
 import type {Figure} from '../figure.js';
 import {Measure, type MeasureRun} from '../measure.js';
-import {
-  AdmittedEngine,
-  ArrivalOrderEngine,
-  type ServedEngine,
-} from './served_engine.js';
+import type {ServedEngine} from './served_engine.js';
+import {makeServedEngine, ServingWay} from './serving_way.js';
 
 const SERVICE_MS = 4000;
 const MAX_WAIT_MS = 1300;
@@ -20,19 +17,14 @@
 const LIMIT_PER_ENGINE = 16;
 const TRIES = 2;
 
-enum Way {
-  ARRIVAL_ORDER = 'arrival-order',
-  ADMISSION = 'admission',
-}
-
 /** What a customer surging tenfold leaves of the others' goodput. */
 export class SurgeMeasure extends Measure {
   override readonly name = 'customer-surge';
-  override readonly ways = Object.values(Way);
+  override readonly ways = Object.values(ServingWay);
 
   override run({size, way, seed}: MeasureRun): Figure[] {
-    const calm = runLoad(size, way as Way, seed, 1);
-    const surge = runLoad(size, way as Way, seed, SURGE_FACTOR);
+    const calm = runLoad(size, way as ServingWay, seed, 1);
+    const surge = runLoad(size, way as ServingWay, seed, SURGE_FACTOR);
     const value = surge / calm;
     const measure = `${this.name}-goodput-of-others`;
     return [{measure, way, size: size.name, value, unit: 'share', seed}];
@@ -42,7 +34,7 @@
 /** Counts what other customers got started in time during the surge. */
 function runLoad(
   size: BenchSize,
-  way: Way,
+  way: ServingWay,
   seed: number,
   factor: number,
 ): number {
@@ -52,12 +44,7 @@
     (unused, index) => `engine-${index}`,
   );
   const engines = new Map<string, ServedEngine>(
-    ids.map(id => [
-      id,
-      way === Way.ARRIVAL_ORDER
-        ? new ArrivalOrderEngine(queue, LIMIT_PER_ENGINE)
-        : new AdmittedEngine(queue, LIMIT_PER_ENGINE),
-    ]),
+    ids.map(id => [id, makeServedEngine(way, queue, LIMIT_PER_ENGINE)]),
   );
   const customers = Math.min(size.customers, ids.length * 4);
   const perCustomerMs =
--- a/packages/standins/src/promises/engine_scripts.ts
+++ b/packages/standins/src/promises/engine_scripts.ts
@@ -1,5 +1,6 @@
 import {BackendHeader} from '@greengagecross/backend';
 import type {HttpExchange} from '@greengagecross/http';
+import {makeChunk} from '../backends/make_chunk.js';
 
 /** An event of a scripted engine. */
 interface ScriptedEvent {
@@ -17,18 +18,6 @@
 const OTHER = 'attempt-of-another-request';
 const STREAM_TYPE = {'content-type': 'text/event-stream'};
 
-function makeChunk(
-  attemptId: string,
-  content: string,
-  finishReason: string | null = null,
-): string {
-  return JSON.stringify({
-    id: `chatcmpl-${attemptId}`,
-    object: 'chat.completion.chunk',
-    choices: [{index: 0, delta: {content}, finish_reason: finishReason}],
-  });
-}
-
 function makeEvents(
   attemptId: string,
   tokens: readonly string[],
