--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -13,14 +13,21 @@
   questionnaire: ['common', 'platform'],
   daemon: ['common', 'http', 'decisions', 'platform', 'backend', 'peers'],
   client: ['common', 'http', 'platform', 'questionnaire'],
+  router: ['common', 'http', 'decisions', 'peers'],
 };
 
 /** Modules that do input or output, forbidden in the packages free of it. */
 const IO_MODULES = ['node:http', 'node:net', 'node:fs', 'node:dns'];
 const IO_FREE_PACKAGES = ['common', 'decisions'];
 
+/** The adapter of the users' platform stands beside the packages. */
+const ADAPTER = 'platform-adapter';
+ALLOWED_IMPORTS[ADAPTER] = ['common', 'http', 'router'];
+
 const importRules = Object.entries(ALLOWED_IMPORTS).map(([name, allowed]) => ({
-  files: [`packages/${name}/src/**/*.ts`],
+  files: [
+    name === ADAPTER ? 'platform/src/**/*.ts' : `packages/${name}/src/**/*.ts`,
+  ],
   rules: {
     'no-restricted-imports': [
       'error',
@@ -38,7 +45,15 @@
 }));
 
 export default tseslint.config(
-  {ignores: ['**/dist/**', '**/node_modules/**', 'out/**']},
+  {
+    ignores: [
+      '**/dist/**',
+      '**/node_modules/**',
+      'out/**',
+      'target/**',
+      'journal/**',
+    ],
+  },
   ...tseslint.configs.recommended,
   {
     files: ['**/*.ts'],
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -28,3 +28,4 @@
 export * from './members/member.js';
 export * from './ids/seeded_random.js';
 export * from './time/read_now_ms.js';
+export * from './time/read_steady_ms.js';
--- a/packages/common/src/logging/logger.ts
+++ b/packages/common/src/logging/logger.ts
@@ -17,6 +17,7 @@
  * prefixes, as in `DEBUG=greengagecross:members`.
  */
 export class Logger {
+  private static sink: ((line: string) => void) | undefined;
   private readonly writer: debug.Debugger;
 
   constructor(private readonly part: string) {
@@ -24,8 +25,18 @@
     if (JSON_FORM) this.writer.log = writeRaw;
   }
 
+  /** From now on gives every line of the process, as JSON, to a sink. */
+  static setSink(sink: (line: string) => void): void {
+    Logger.sink = sink;
+  }
+
   /** Logs one sentence with optional fields. */
   log(sentence: string, fields: LogFields = {}): void {
+    if (Logger.sink !== undefined) {
+      const at = new Date().toISOString();
+      Logger.sink(JSON.stringify({at, part: this.part, sentence, ...fields}));
+      return;
+    }
     if (!this.writer.enabled) return;
     if (JSON_FORM) {
       const at = new Date().toISOString();
--- /dev/null
+++ b/packages/common/src/time/read_steady_ms.ts
@@ -0,0 +1,8 @@
+/**
+ * Reads a clock that never jumps, for durations and ages on one host.
+ *
+ * @return milliseconds since the process started
+ */
+export function readSteadyMs(): number {
+  return performance.now();
+}
--- /dev/null
+++ b/packages/decisions/src/prompts/prompt_placement.feature
@@ -0,0 +1,35 @@
+Feature: Placing prompts that share parts, under skew and hot subjects
+
+  Scenario: A subject goes to one engine while loads are even
+    Given 13 engines with 8 prompts in flight each
+    When 200 prompts of one subject are placed, each ending at once
+    Then the prompts went to 1 engine
+
+  Scenario: A prompt that shares nothing goes to the least loaded engine
+    Given 5 engines with 4 prompts in flight each
+    And engine 3 has only 1 prompt in flight
+    When a prompt without shared parts is placed
+    Then the prompt went to engine 3
+
+  Scenario Outline: A hot subject spreads over few engines and none is overrun
+    Given <engines> engines with <each> prompts in flight each
+    When <prompts> prompts of one subject are placed and stay
+    Then no engine got a prompt above twice the mean plus 3
+    And the prompts went to at most <most> engines
+
+    Examples:
+      | engines | each | prompts | most |
+      | 13      | 8    | 40      | 8    |
+      | 13      | 0    | 30      | 13   |
+      | 63      | 8    | 100     | 24   |
+
+  Scenario: A new engine takes over only its share of subjects
+    Given 13 engines with 8 prompts in flight each
+    When the homes of 400 subjects are compared with and without one more engine
+    Then at most 60 subjects moved, all to the new engine
+
+  Scenario: An avoided engine's subjects go to the next in order
+    Given 4 engines with 2 prompts in flight each
+    And every engine but engine 2 is avoided
+    When a prompt of some subject is placed
+    Then the prompt went to engine 2
--- /dev/null
+++ b/packages/decisions/src/suspects/crash_counts_steps.ts
@@ -0,0 +1,68 @@
+import assert from 'node:assert/strict';
+import {Given, Then, When, World} from '@cucumber/cucumber';
+import {CrashCounts} from './crash_counts.js';
+
+/** State of one scenario about crash counts. */
+interface CrashWorld extends World {
+  counts: CrashCounts;
+  nowMs: number;
+}
+
+function recordCuts(
+  world: CrashWorld,
+  request: string,
+  servers: number,
+): string[] {
+  const ids = Array.from({length: servers}, (unused, at) => `s${at}`);
+  for (const id of ids) world.counts.recordCut(request, id, world.nowMs);
+  return ids;
+}
+
+Given('no crashes are counted', function (this: CrashWorld) {
+  this.counts = new CrashCounts();
+  this.nowMs = 0;
+});
+
+When(
+  'request {string} is cut at {int} servers that stay up',
+  function (this: CrashWorld, request: string, servers: number) {
+    recordCuts(this, request, servers);
+  },
+);
+
+When(
+  'request {string} is cut at {int} servers that go down {int} ms later',
+  function (this: CrashWorld, request: string, servers: number, ms: number) {
+    const ids = recordCuts(this, request, servers);
+    this.nowMs += ms;
+    for (const id of ids) this.counts.recordDown(id, this.nowMs);
+  },
+);
+
+When(
+  'another daemon tells of {int} crashes under request {string}',
+  function (this: CrashWorld, crashes: number, request: string) {
+    this.counts.observe(request, crashes, this.nowMs);
+  },
+);
+
+When(
+  'request {string} ran whole',
+  function (this: CrashWorld, request: string) {
+    this.counts.recordWhole(request);
+  },
+);
+
+Then(
+  'request {string} may be sent',
+  function (this: CrashWorld, request: string) {
+    assert.equal(this.counts.isCondemned(request, this.nowMs), false);
+  },
+);
+
+Then(
+  'request {string} is condemned',
+  function (this: CrashWorld, request: string) {
+    assert.equal(this.counts.isCondemned(request, this.nowMs), true);
+  },
+);
--- /dev/null
+++ b/packages/decisions/src/workers/workers_steps.ts
@@ -0,0 +1,133 @@
+import assert from 'node:assert/strict';
+import {Given, Then, When, World} from '@cucumber/cucumber';
+import {chooseWorker} from './choose_worker.js';
+import {WorkerHealth} from './worker_health.js';
+import type {WorkerLoad} from './worker_load.js';
+import {WorkerResult} from './worker_result.js';
+
+const GOOD_RESULTS = 20;
+
+/** State of one scenario about workers. */
+interface WorkersWorld extends World {
+  health: WorkerHealth;
+  ids: string[];
+  tries: number;
+  loads: WorkerLoad[];
+  chosen: string | undefined;
+}
+
+function recordFailures(
+  world: WorkersWorld,
+  ids: readonly string[],
+  count: number,
+  withinMs: number,
+): void {
+  for (let at = 0; at < count; at += 1) {
+    const nowMs = (at * withinMs) / count;
+    const result = at % 2 === 0 ? WorkerResult.ERROR : WorkerResult.OK;
+    for (const id of ids) {
+      world.health.recordSend(id, nowMs);
+      world.health.record(id, result, nowMs);
+    }
+  }
+}
+
+Given(
+  'workers {string} that answered well',
+  function (this: WorkersWorld, ids: string) {
+    this.health = new WorkerHealth();
+    this.ids = ids.split(',');
+    this.tries = 0;
+    for (const id of this.ids) {
+      for (let at = 0; at < GOOD_RESULTS; at += 1) {
+        this.health.record(id, WorkerResult.OK, 0);
+      }
+    }
+  },
+);
+
+Given(
+  'worker {string} in zone {string} with {int} of {int} slots taken, {int} ms and {float} failing',
+  function (
+    this: WorkersWorld,
+    id: string,
+    availabilityZone: string,
+    inFlight: number,
+    slots: number,
+    latencyMs: number,
+    failureShare: number,
+  ) {
+    this.loads ??= [];
+    this.loads.push({
+      id,
+      availabilityZone,
+      slots,
+      inFlight,
+      latencyMs,
+      failureShare,
+      isAvoided: false,
+    });
+  },
+);
+
+When(
+  'worker {string} was unreachable at {int} ms',
+  function (this: WorkersWorld, id: string, nowMs: number) {
+    this.health.record(id, WorkerResult.UNREACHABLE, nowMs);
+  },
+);
+
+When(
+  'worker {string} is unreachable whenever it is tried for {int} ms',
+  function (this: WorkersWorld, id: string, forMs: number) {
+    for (let nowMs = 0; nowMs < forMs; nowMs += 10) {
+      if (this.health.listAvoided(this.ids, nowMs).has(id)) continue;
+      this.tries += 1;
+      this.health.recordSend(id, nowMs);
+      this.health.record(id, WorkerResult.UNREACHABLE, nowMs);
+    }
+  },
+);
+
+When(
+  'worker {string} fails every second of {int} requests within {int} ms',
+  function (this: WorkersWorld, id: string, count: number, withinMs: number) {
+    recordFailures(this, [id], count, withinMs);
+  },
+);
+
+When(
+  'every worker fails every second of {int} requests within {int} ms',
+  function (this: WorkersWorld, count: number, withinMs: number) {
+    recordFailures(this, this.ids, count, withinMs);
+  },
+);
+
+When(
+  'a worker is chosen in zone {string}',
+  function (this: WorkersWorld, availabilityZone: string) {
+    this.chosen = chooseWorker(this.loads, availabilityZone)?.id;
+  },
+);
+
+Then(
+  'at {int} ms the avoided workers are {string}',
+  function (this: WorkersWorld, nowMs: number, ids: string) {
+    const avoided = this.health.listAvoided(this.ids, nowMs);
+    assert.equal([...avoided].join(','), ids);
+  },
+);
+
+Then(
+  'worker {string} was tried at most {int} times',
+  function (this: WorkersWorld, unusedId: string, most: number) {
+    assert.ok(this.tries <= most, `${this.tries} tries`);
+  },
+);
+
+Then(
+  'the chosen worker is {string}',
+  function (this: WorkersWorld, id: string) {
+    assert.equal(this.chosen, id);
+  },
+);
--- a/packages/http/src/caller_connection.ts
+++ b/packages/http/src/caller_connection.ts
@@ -17,7 +17,7 @@
   constructor(
     readonly socket: Socket,
     readonly queue: Queue.Queue<HttpExchange>,
-    private readonly keepAliveMs: number,
+    private readonly getKeepAliveMs: () => number,
   ) {}
 
   /** Takes in a request that arrived whole up to its headers. */
@@ -60,6 +60,6 @@
   private onAnswered(): void {
     this.pending -= 1;
     if (this.pending > 0) return;
-    this.socket.setTimeout(this.keepAliveMs + KEEP_ALIVE_MARGIN_MS);
+    this.socket.setTimeout(this.getKeepAliveMs() + KEEP_ALIVE_MARGIN_MS);
   }
 }
--- a/packages/http/src/http_server.ts
+++ b/packages/http/src/http_server.ts
@@ -52,11 +52,13 @@
   private readonly closed = Deferred.makeUnsafe<void>();
   private active = 0;
   private isClosing = false;
+  private keepAliveMs: number;
 
   constructor(
     private readonly options: HttpServerOptions,
     private readonly handler: ExchangeHandler,
   ) {
+    this.keepAliveMs = options.keepAliveMs;
     this.server = createServer({
       maxHeaderSize: MAX_HEADER_BYTES,
       keepAliveTimeout: options.keepAliveMs,
@@ -115,6 +117,12 @@
     this.isClosing = true;
   }
 
+  /** Changes how long idle connections are kept, from the next answer on. */
+  setKeepAliveMs(keepAliveMs: number): void {
+    this.keepAliveMs = keepAliveMs;
+    this.server.keepAliveTimeout = keepAliveMs;
+  }
+
   /** Tells whether new connections are accepted. */
   isListening(): boolean {
     return this.server.listening;
@@ -156,10 +164,9 @@
     return Effect.gen({self: this}, function* () {
       const queue = yield* Queue.unbounded<HttpExchange>();
       const closed = yield* Deferred.make<void>();
-      const {keepAliveMs} = this.options;
       this.connections.set(
         socket,
-        new CallerConnection(socket, queue, keepAliveMs),
+        new CallerConnection(socket, queue, () => this.keepAliveMs),
       );
       socket.once('close', () => {
         this.connections.delete(socket);
--- a/packages/peers/src/peer_method.ts
+++ b/packages/peers/src/peer_method.ts
@@ -12,4 +12,5 @@
   FETCH_SUSPECTS = 'suspects.fetch',
   ACQUIRE_TRIAL = 'trial.acquire',
   RELEASE_TRIAL = 'trial.release',
+  FETCH_FLEET_STATE = 'state.fetch',
 }
--- /dev/null
+++ b/packages/router/src/access_points.ts
@@ -0,0 +1,71 @@
+import {Effect} from 'effect';
+import {readSteadyMs, toError} from '@greengagecross/common';
+import type {ExchangeHandler, HttpExchange} from '@greengagecross/http';
+import type {PeerServer} from '@greengagecross/peers';
+import {chooseAddresses} from './directory/choose_addresses.js';
+import {DaemonState} from './members/heartbeat.js';
+import type {MemberService} from './members/member_service.js';
+import type {MemberView} from './members/member_view.js';
+import type {RouterMetrics} from './metrics/router_metrics.js';
+import type {DaemonIdentity} from './model/daemon_identity.js';
+import type {CallCodec} from './ports/call_codec.js';
+
+/** How long clients keep a directory answer: a daemon that leaves is out of
+ * use three times that later, within half of the usual stop grace. */
+const DIRECTORY_TTL_MS = 1000;
+
+/** Answers everything that is not a client's request for a backend server. */
+export class AccessPoints {
+  readonly ttlMs = DIRECTORY_TTL_MS;
+
+  constructor(
+    private readonly self: DaemonIdentity,
+    private readonly codec: CallCodec,
+    private readonly members: MemberService,
+    private readonly view: MemberView,
+    private readonly peerServer: PeerServer,
+    private readonly metrics: RouterMetrics,
+  ) {}
+
+  /** Tells whether this daemon takes new clients. */
+  readonly answerReady: ExchangeHandler = exchange =>
+    Effect.sync(() => {
+      const state = this.members.getState();
+      exchange.sendJson(state === DaemonState.READY ? 200 : 503, {state});
+    });
+
+  /** Tells clients which daemons to connect to. */
+  readonly answerDirectory: ExchangeHandler = exchange =>
+    Effect.sync(() => {
+      const zone = this.codec.decodeClientZone(exchange);
+      const ready = [...this.view.listReady(readSteadyMs())];
+      const isReady = this.members.getState() === DaemonState.READY;
+      const daemons = isReady ? [this.self, ...ready] : ready;
+      if (daemons.length === 0) {
+        exchange.sendJson(503, {error: 'no daemon is ready'});
+        return;
+      }
+      const addresses = chooseAddresses(daemons, zone);
+      exchange.sendJson(200, this.codec.encodeDirectory(addresses, this.ttlMs));
+    });
+
+  /** Gives all metrics as text. */
+  readonly answerMetrics: ExchangeHandler = exchange =>
+    Effect.tryPromise({
+      try: () => this.metrics.format(),
+      catch: toError,
+    }).pipe(
+      Effect.map(text => sendText(exchange, 200, text)),
+      Effect.catch(error =>
+        Effect.sync(() => sendText(exchange, 500, error.message)),
+      ),
+    );
+
+  /** Answers calls of other daemons. */
+  readonly answerPeer: ExchangeHandler = exchange =>
+    this.peerServer.handle(exchange);
+}
+
+function sendText(exchange: HttpExchange, status: number, text: string): void {
+  exchange.send(status, {'content-type': 'text/plain'}, text);
+}
--- /dev/null
+++ b/packages/router/src/calls/backend_attempts.ts
@@ -0,0 +1,235 @@
+import type {IncomingMessage} from 'node:http';
+import {Effect} from 'effect';
+import {Logger, readSteadyMs, toError} from '@greengagecross/common';
+import {
+  WorkerResult,
+  type CrashCounts,
+  type WorkerHealth,
+} from '@greengagecross/decisions';
+import {
+  HttpFailure,
+  RequestPhase,
+  type HttpClient,
+  type HttpError,
+  type OpenReply,
+} from '@greengagecross/http';
+import type {BackendReplyHead} from '../model/backend_reply_head.js';
+import type {BackendServer} from '../model/backend_server.js';
+import type {DispatchFields} from '../model/dispatch_fields.js';
+import type {CallCodec} from '../ports/call_codec.js';
+import {AttemptFailure, AttemptFailureKind} from './attempt_failure.js';
+import type {CallJob} from './call_job.js';
+import type {InFlight} from './in_flight.js';
+
+/**
+ * Longest time to open a connection, in milliseconds. A round trip takes a
+ * few; a lost first packet is sent again after one second.
+ */
+const CONNECT_TIMEOUT_MS = 350;
+/** An answer given up after so long without a byte speaks against its server. */
+const SUSPECT_SILENCE_MS = 700;
+const MISDIRECTED = 421;
+/** Statuses that promise a client that its request never runs. */
+const PROMISING_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+const logger = new Logger('attempts');
+
+/** A reply whose head was found to belong to the request. */
+export interface AttemptReply {
+  readonly head: BackendReplyHead;
+  readonly stream: IncomingMessage;
+}
+
+/** Where an attempt goes, and how patient it is. */
+export interface AttemptPlan {
+  readonly server: BackendServer;
+  readonly lastEventId?: string;
+  /** Longest time without a byte, in milliseconds. */
+  readonly silenceMs: number;
+}
+
+/** Sends requests to single backend servers and learns from each result. */
+export class BackendAttempts {
+  constructor(
+    private readonly client: HttpClient,
+    private readonly codec: CallCodec,
+    private readonly health: WorkerHealth,
+    private readonly inFlight: InFlight,
+    private readonly crashes: CrashCounts,
+  ) {}
+
+  /** Runs one attempt; the reply is read by `use` while it counts as in flight. */
+  run<A>(
+    job: CallJob,
+    plan: AttemptPlan,
+    use: (reply: AttemptReply) => Effect.Effect<A, AttemptFailure>,
+  ): Effect.Effect<A, AttemptFailure> {
+    const {server} = plan;
+    return Effect.suspend(() => {
+      const startedAtMs = readSteadyMs();
+      let hasHead = false;
+      this.inFlight.add(server.id);
+      this.health.recordSend(server.id, startedAtMs);
+      job.trace.attempts.push(server.id);
+      return this.open(job, plan).pipe(
+        Effect.tap(({head}) =>
+          Effect.sync(() => {
+            hasHead = true;
+            this.recordReply(server.id, head, startedAtMs);
+          }),
+        ),
+        Effect.flatMap(use),
+        Effect.tapError(failure =>
+          Effect.sync(() => this.recordFailure(job, failure, startedAtMs)),
+        ),
+        Effect.onInterrupt(() =>
+          Effect.sync(() => {
+            if (!hasHead) this.recordAbandoned(server.id, startedAtMs);
+          }),
+        ),
+        Effect.ensuring(Effect.sync(() => this.inFlight.remove(server.id))),
+      );
+    });
+  }
+
+  private open(
+    job: CallJob,
+    plan: AttemptPlan,
+  ): Effect.Effect<AttemptReply, AttemptFailure> {
+    const {server} = plan;
+    const outgoing = {
+      address: server.address,
+      method: job.call.method,
+      path: job.call.target,
+      headers: this.codec.buildBackendHeaders(
+        job.call,
+        makeDispatchFields(job, plan),
+      ),
+      body: job.body,
+      connectTimeoutMs: CONNECT_TIMEOUT_MS,
+      silenceMs: plan.silenceMs,
+    };
+    return this.client.open(outgoing).pipe(
+      Effect.mapError(error => toAttemptFailure(server.id, error)),
+      Effect.flatMap(reply => this.checkReply(job, server, reply)),
+    );
+  }
+
+  private checkReply(
+    job: CallJob,
+    server: BackendServer,
+    reply: OpenReply,
+  ): Effect.Effect<AttemptReply, AttemptFailure> {
+    const {stream} = reply;
+    stream.on('error', () => undefined);
+    const head = this.codec.decodeReply(job.call, reply);
+    const isRefusal = head.isNotRun || head.status === MISDIRECTED;
+    if (head.isOwn && isRefusal) {
+      stream.resume();
+      return makeFailure(AttemptFailureKind.NOT_RUN, server.id);
+    }
+    const isSuccess = head.status >= 200 && head.status < 300;
+    // Passed on, such a status would promise what the server did not state.
+    const isFalsePromise = PROMISING_STATUSES.has(head.status);
+    const isUntrue = isFalsePromise || (isSuccess && !head.isAuthentic);
+    if (!head.isOwn || isUntrue) {
+      stream.destroy();
+      return makeFailure(AttemptFailureKind.BROKEN, server.id);
+    }
+    return Effect.succeed({head, stream});
+  }
+
+  private recordReply(
+    serverId: string,
+    head: BackendReplyHead,
+    startedAtMs: number,
+  ): void {
+    const nowMs = readSteadyMs();
+    const result = head.status >= 500 ? WorkerResult.ERROR : WorkerResult.OK;
+    this.health.record(serverId, result, nowMs);
+    if (result === WorkerResult.OK) {
+      this.health.recordLatency(serverId, nowMs - startedAtMs);
+    }
+  }
+
+  private recordFailure(
+    job: CallJob,
+    failure: AttemptFailure,
+    startedAtMs: number,
+  ): void {
+    const nowMs = readSteadyMs();
+    const {serverId, kind} = failure;
+    job.trace.mayHaveRun ||= failure.isPossiblyRun();
+    this.health.record(serverId, toWorkerResult(kind), nowMs);
+    if (kind === AttemptFailureKind.CUT) {
+      this.crashes.recordCut(job.fingerprint, serverId, nowMs);
+    }
+    if (kind === AttemptFailureKind.NOT_SENT) {
+      for (const count of this.crashes.recordDown(serverId, nowMs)) {
+        logger.log('A request counts as one that crashed its server.', {
+          fingerprint: count.fingerprint,
+          crashes: count.crashes,
+          server: serverId,
+        });
+      }
+    }
+    logger.log('An attempt failed.', {
+      request: job.call.id,
+      server: serverId,
+      kind,
+      afterMs: Math.round(nowMs - startedAtMs),
+      failureShare: Number(this.health.getFailureShare(serverId).toFixed(2)),
+      cause: failure.cause()?.message,
+    });
+  }
+
+  private recordAbandoned(serverId: string, startedAtMs: number): void {
+    const nowMs = readSteadyMs();
+    if (nowMs - startedAtMs < SUSPECT_SILENCE_MS) return;
+    this.health.record(serverId, WorkerResult.SILENT, nowMs);
+  }
+}
+
+function makeDispatchFields(job: CallJob, plan: AttemptPlan): DispatchFields {
+  const leftMs = Math.max(1, Math.floor(job.dueAtMs - readSteadyMs()));
+  const {customer, priority} = job;
+  return {
+    serverId: plan.server.id,
+    leftMs,
+    priority,
+    ...(customer === undefined ? {} : {customer}),
+    ...(plan.lastEventId === undefined ? {} : {lastEventId: plan.lastEventId}),
+  };
+}
+
+function makeFailure(
+  kind: AttemptFailureKind,
+  serverId: string,
+): Effect.Effect<never, AttemptFailure> {
+  return Effect.fail(new AttemptFailure(kind, serverId));
+}
+
+function toAttemptFailure(serverId: string, error: HttpError): AttemptFailure {
+  const cause = toError(error);
+  if (error.phase === RequestPhase.NOT_SENT) {
+    return new AttemptFailure(AttemptFailureKind.NOT_SENT, serverId, cause);
+  }
+  const kind =
+    error.failure === HttpFailure.SILENT
+      ? AttemptFailureKind.SILENT
+      : AttemptFailureKind.CUT;
+  return new AttemptFailure(kind, serverId, cause);
+}
+
+function toWorkerResult(kind: AttemptFailureKind): WorkerResult {
+  switch (kind) {
+    case AttemptFailureKind.NOT_SENT:
+      return WorkerResult.UNREACHABLE;
+    case AttemptFailureKind.NOT_RUN:
+      return WorkerResult.SHED;
+    case AttemptFailureKind.SILENT:
+      return WorkerResult.SILENT;
+    case AttemptFailureKind.CUT:
+    case AttemptFailureKind.BROKEN:
+      return WorkerResult.BROKEN;
+  }
+}
--- /dev/null
+++ b/packages/router/src/calls/service_dispatcher.ts
@@ -0,0 +1,104 @@
+import {Effect, Result} from 'effect';
+import {readSteadyMs} from '@greengagecross/common';
+import type {FleetRetryBudget} from '@greengagecross/decisions';
+import {readBody} from '@greengagecross/http';
+import type {MemberView} from '../members/member_view.js';
+import {CallKind} from '../model/call_kind.js';
+import {AttemptFailure, AttemptFailureKind} from './attempt_failure.js';
+import type {AttemptReply, BackendAttempts} from './backend_attempts.js';
+import {CallOutcome, type CallAnswer} from './call_answer.js';
+import type {CallJob} from './call_job.js';
+import type {OwnAnswers} from './own_answers.js';
+import type {ServerChooser} from './server_chooser.js';
+
+/** Servers asked for one request where none of them ran it. */
+const MAX_SENDS = 3;
+/** Largest answer that is read whole before it is passed on, in bytes. */
+const MAX_REPLY_BYTES = 8 * 1024 * 1024;
+/** Time without a byte after which an idempotent request goes elsewhere. */
+const RETRYABLE_SILENCE_FACTOR = 3;
+/** Longest silence that is waited for, in milliseconds. */
+const PATIENT_SILENCE_MS = 60_000;
+/** When a refused client may come again: servers are back within seconds. */
+const RETRY_AFTER_MS = 300;
+
+/** Dispatches requests of plain services. */
+export class ServiceDispatcher {
+  constructor(
+    private readonly chooser: ServerChooser,
+    private readonly attempts: BackendAttempts,
+    private readonly budget: FleetRetryBudget,
+    private readonly members: MemberView,
+    private readonly answers: OwnAnswers,
+  ) {}
+
+  /** Sends a request until a server has answered it, as far as it may. */
+  dispatch(job: CallJob): Effect.Effect<CallAnswer> {
+    return Effect.gen({self: this}, function* () {
+      const tried = new Set<string>();
+      const isSafe = job.route.kind === CallKind.SAFE;
+      let runs = 0;
+      let failedReply: CallAnswer | undefined;
+      this.budget.recordFirstTry(job.service, readSteadyMs());
+      while (runs < job.route.maxAttempts && tried.size < MAX_SENDS) {
+        const server = this.chooser.choose(job, tried);
+        if (server === undefined) break;
+        if (tried.size > 0 && !this.takeRetry(job)) break;
+        tried.add(server.id);
+        const mayRetry = isSafe && runs + 1 < job.route.maxAttempts;
+        const silenceMs = mayRetry
+          ? RETRYABLE_SILENCE_FACTOR * job.route.objectiveMs
+          : PATIENT_SILENCE_MS;
+        const result = yield* Effect.result(
+          this.attempts.run(job, {server, silenceMs}, reply =>
+            readAnswer(server.id, reply),
+          ),
+        );
+        if (Result.isSuccess(result)) {
+          runs += 1;
+          if (result.success.status < 500) return result.success;
+          failedReply = result.success;
+          job.trace.mayHaveRun = true;
+          if (!isSafe) return failedReply;
+          continue;
+        }
+        if (!result.failure.isPossiblyRun()) continue;
+        runs += 1;
+        if (!isSafe) break;
+      }
+      if (failedReply !== undefined) return failedReply;
+      if (job.trace.mayHaveRun) {
+        return this.answers.make(CallOutcome.UNKNOWN, job.call);
+      }
+      const outcome =
+        tried.size === 0 ? CallOutcome.NO_SERVER : CallOutcome.NOT_RUN;
+      return this.answers.make(outcome, job.call, RETRY_AFTER_MS);
+    });
+  }
+
+  private takeRetry(job: CallJob): boolean {
+    const nowMs = readSteadyMs();
+    const daemons = this.members.listLive(nowMs).length + 1;
+    return this.budget.take(job.service, daemons, nowMs);
+  }
+}
+
+/** Reads an answer whole, so that one that breaks off can be asked for again. */
+export function readAnswer(
+  serverId: string,
+  reply: AttemptReply,
+): Effect.Effect<CallAnswer, AttemptFailure> {
+  const {head, stream} = reply;
+  return readBody(stream, MAX_REPLY_BYTES, serverId).pipe(
+    Effect.mapError(
+      error => new AttemptFailure(AttemptFailureKind.CUT, serverId, error),
+    ),
+    Effect.onError(() => Effect.sync(() => stream.destroy())),
+    Effect.map(body => ({
+      outcome: CallOutcome.ANSWERED,
+      status: head.status,
+      headers: head.headers,
+      body,
+    })),
+  );
+}
--- /dev/null
+++ b/packages/router/src/members/fleet_state_message.ts
@@ -0,0 +1,61 @@
+import {Schema} from 'effect';
+import {AddressSchema} from '@greengagecross/common';
+import {CallKind} from '../model/call_kind.js';
+
+const RouteSchema = Schema.Struct({
+  name: Schema.String,
+  host: Schema.String,
+  pathPrefix: Schema.String,
+  kind: Schema.Enum(CallKind),
+  services: Schema.Array(
+    Schema.Struct({service: Schema.String, weight: Schema.Number}),
+  ),
+  timeoutMs: Schema.Number,
+  objectiveMs: Schema.Number,
+  maxEventGapMs: Schema.optionalKey(Schema.Number),
+  maxAttempts: Schema.Number,
+  priority: Schema.Number,
+  isPublic: Schema.Boolean,
+  isResumable: Schema.Boolean,
+});
+
+const CustomerSchema = Schema.Struct({
+  name: Schema.String,
+  keys: Schema.Array(Schema.String),
+  priority: Schema.optionalKey(Schema.Number),
+});
+
+const ConfigurationSchema = Schema.Struct({
+  version: Schema.Number,
+  routes: Schema.Array(RouteSchema),
+  services: Schema.Array(Schema.String),
+  customers: Schema.optionalKey(Schema.Array(CustomerSchema)),
+  limits: Schema.Struct({
+    maxHeaderBytes: Schema.Number,
+    maxBodyBytes: Schema.Number,
+    headerTimeoutMs: Schema.Number,
+    idleTimeoutMs: Schema.Number,
+  }),
+});
+
+const BackendSchema = Schema.Struct({
+  id: Schema.String,
+  service: Schema.String,
+  address: AddressSchema,
+  availabilityZone: Schema.String,
+  slots: Schema.Number,
+  isDraining: Schema.Boolean,
+  startedAtMs: Schema.Number,
+});
+
+/** What a daemon knows, whole, for one that is behind. */
+export const FleetStateMessageSchema = Schema.Struct({
+  configuration: Schema.optionalKey(ConfigurationSchema),
+  backends: Schema.Array(BackendSchema),
+  /** Versions of the list of backend servers; -1 when there is none. */
+  revision: Schema.Number,
+  changeRevision: Schema.Number,
+});
+
+/** Decoded form of {@link FleetStateMessageSchema}. */
+export type FleetStateMessage = typeof FleetStateMessageSchema.Type;
--- /dev/null
+++ b/packages/router/src/model/dispatch_fields.ts
@@ -0,0 +1,11 @@
+/** What this system adds to a request that it sends to a backend server. */
+export interface DispatchFields {
+  /** The server that is meant; any other refuses the request. */
+  readonly serverId: string;
+  readonly leftMs: number;
+  readonly customer?: string;
+  /** 0 is the most urgent. */
+  readonly priority: number;
+  /** Event after which a stream goes on. */
+  readonly lastEventId?: string;
+}
--- /dev/null
+++ b/packages/router/src/router_parts.ts
@@ -0,0 +1,137 @@
+import {
+  CrashCounts,
+  FleetRetryBudget,
+  WorkerHealth,
+} from '@greengagecross/decisions';
+import {HttpClient} from '@greengagecross/http';
+import {PeerClient, PeerMethod, PeerServer} from '@greengagecross/peers';
+import {Effect, Schema} from 'effect';
+import {AccessPoints} from './access_points.js';
+import {BackendAttempts} from './calls/backend_attempts.js';
+import {CallHandler} from './calls/call_handler.js';
+import {InFlight} from './calls/in_flight.js';
+import {OwnAnswers} from './calls/own_answers.js';
+import {ServerChooser} from './calls/server_chooser.js';
+import {ServiceDispatcher} from './calls/service_dispatcher.js';
+import {MemberService} from './members/member_service.js';
+import {MemberView} from './members/member_view.js';
+import {StateCatchUp} from './members/state_catch_up.js';
+import {RouterMetrics} from './metrics/router_metrics.js';
+import type {RouterSettings} from './model/router_settings.js';
+import type {CallCodec} from './ports/call_codec.js';
+import type {FleetStateSource} from './ports/fleet_state_source.js';
+import type {MemberRegistry} from './ports/member_registry.js';
+import {FleetState} from './state/fleet_state.js';
+import {StreamDispatcher} from './streams/stream_dispatcher.js';
+
+/** Time until a call of another daemon fails, in milliseconds. */
+const PEER_TIMEOUT_MS = 800;
+/** The control network is closed to clients; this only tells fleets apart. */
+const PEER_KEY = 'greengagecross-fleet';
+
+/** What the router asks of the platform that it runs on. */
+export interface RouterPorts {
+  readonly codec: CallCodec;
+  readonly source: FleetStateSource;
+  readonly registry: MemberRegistry;
+}
+
+/** All parts of a router daemon, wired. */
+export class RouterParts {
+  readonly state = new FleetState();
+  readonly health = new WorkerHealth();
+  readonly calls: CallHandler;
+  readonly members: MemberService;
+  readonly access: AccessPoints;
+  readonly budget: FleetRetryBudget;
+  private readonly inFlight = new InFlight();
+  private readonly crashes = new CrashCounts();
+  private readonly metrics = new RouterMetrics();
+  private readonly backendClient = new HttpClient();
+  private readonly peerClient = new HttpClient();
+
+  constructor(
+    settings: RouterSettings,
+    readonly ports: RouterPorts,
+    isRefusing: () => boolean,
+  ) {
+    const {self} = settings;
+    const view = new MemberView(self.id);
+    const answers = new OwnAnswers(ports.codec);
+    const budget = new FleetRetryBudget(settings.retryBounds);
+    this.budget = budget;
+    const chooser = new ServerChooser(
+      self.availabilityZone,
+      this.state.backends,
+      this.health,
+      this.inFlight,
+      view,
+    );
+    const attempts = new BackendAttempts(
+      this.backendClient,
+      ports.codec,
+      this.health,
+      this.inFlight,
+      this.crashes,
+    );
+    const toDispatch = [chooser, attempts, budget, view, answers] as const;
+    this.calls = new CallHandler(
+      ports.codec,
+      this.state,
+      new ServiceDispatcher(...toDispatch),
+      new StreamDispatcher(...toDispatch),
+      this.crashes,
+      answers,
+      this.metrics,
+      isRefusing,
+    );
+    const peers = new PeerClient(this.peerClient, PEER_KEY, PEER_TIMEOUT_MS);
+    const catchUp = new StateCatchUp(this.state, ports.source, peers);
+    this.members = new MemberService(
+      settings,
+      this.state,
+      view,
+      this.inFlight,
+      this.crashes,
+      ports.registry,
+      catchUp,
+    );
+    const peerServer = new PeerServer([PEER_KEY]);
+    peerServer.addMethod(PeerMethod.FETCH_FLEET_STATE, Schema.Struct({}), () =>
+      Effect.sync(() => catchUp.makeMessage()),
+    );
+    this.access = new AccessPoints(
+      self,
+      ports.codec,
+      this.members,
+      view,
+      peerServer,
+      this.metrics,
+    );
+    this.addGauges(view);
+  }
+
+  private addGauges(view: MemberView): void {
+    const {configuration, backends} = this.state;
+    this.metrics.addGauge({
+      name: 'greengagecross_configuration_version',
+      help: 'Version of the configuration in force; -1 before the first.',
+      read: () => configuration.getVersion(),
+    });
+    this.metrics.addGauge({
+      name: 'greengagecross_backends_revision',
+      help: 'Version that the list of backend servers is as of.',
+      read: () => backends.getRevision(),
+    });
+    this.metrics.addGauge({
+      name: 'greengagecross_members_live',
+      help: 'Daemons heard lately, this one included.',
+      read: () => view.listLive(performance.now()).length + 1,
+    });
+    this.metrics.addGauge({
+      name: 'greengagecross_store_reached',
+      help: 'Whether the store answered last; 1 for yes.',
+      read: () => Number(this.state.isStoreReached()),
+    });
+  }
+}
--- /dev/null
+++ b/packages/router/src/state/fleet_state.ts
@@ -0,0 +1,41 @@
+import {Logger} from '@greengagecross/common';
+import {BackendBook} from './backend_book.js';
+import {ConfigurationBook} from './configuration_book.js';
+
+const logger = new Logger('state');
+
+/** What a daemon believes of the configuration and the backend servers. */
+export class FleetState {
+  readonly configuration = new ConfigurationBook();
+  readonly backends = new BackendBook();
+  private isReached = true;
+
+  /** Records whether the store answers, with a line on each change. */
+  setStoreReached(isReached: boolean, nowMs: number, cause = ''): void {
+    if (isReached) this.backends.setSourceBack(nowMs);
+    else this.backends.setSourceLost(nowMs);
+    if (isReached === this.isReached) return;
+    this.isReached = isReached;
+    logger.log(
+      isReached ? 'The store answers again.' : 'The store does not answer.',
+      {
+        cause,
+        configurationAgeMs: this.configuration.computeAgeMs(nowMs),
+        backendsAgeMs: this.backends.computeAgeMs(nowMs),
+      },
+    );
+  }
+
+  /** Tells whether the store answered when it was last asked. */
+  isStoreReached(): boolean {
+    return this.isReached;
+  }
+
+  /** Tells whether requests can be routed at all. */
+  isComplete(): boolean {
+    return (
+      this.configuration.getView() !== undefined &&
+      this.backends.getRevision() >= 0
+    );
+  }
+}
--- /dev/null
+++ b/packages/router/src/streams/stream_dispatcher.ts
@@ -0,0 +1,104 @@
+import {Effect, Result} from 'effect';
+import {readSteadyMs} from '@greengagecross/common';
+import type {FleetRetryBudget} from '@greengagecross/decisions';
+import type {AttemptFailure} from '../calls/attempt_failure.js';
+import type {AttemptReply, BackendAttempts} from '../calls/backend_attempts.js';
+import {CallOutcome, type CallAnswer} from '../calls/call_answer.js';
+import type {CallJob} from '../calls/call_job.js';
+import type {OwnAnswers} from '../calls/own_answers.js';
+import type {ServerChooser} from '../calls/server_chooser.js';
+import {readAnswer} from '../calls/service_dispatcher.js';
+import type {MemberView} from '../members/member_view.js';
+import {EventRelay} from './event_relay.js';
+
+/** Engines asked for one request where none of them ran it. */
+const MAX_SENDS = 3;
+/** Silence after which a stream that can be resumed goes elsewhere, in ms. */
+const RESUMABLE_SILENCE_MS = 1200;
+/** Longest silence that is waited for, in milliseconds. */
+const PATIENT_SILENCE_MS = 60_000;
+/** When a refused client may come again: engines are back within seconds. */
+const RETRY_AFTER_MS = 300;
+
+/** Dispatches generations, whose answers are streams of events. */
+export class StreamDispatcher {
+  constructor(
+    private readonly chooser: ServerChooser,
+    private readonly attempts: BackendAttempts,
+    private readonly budget: FleetRetryBudget,
+    private readonly members: MemberView,
+    private readonly answers: OwnAnswers,
+  ) {}
+
+  /**
+   * Relays a stream, resuming it elsewhere where its route allows that.
+   *
+   * @return the answer to send, or undefined when the relay has sent it
+   */
+  dispatch(job: CallJob): Effect.Effect<CallAnswer | CallOutcome> {
+    return Effect.gen({self: this}, function* () {
+      const relay = new EventRelay(job.exchange.response, job.call.lastEventId);
+      const tried = new Set<string>();
+      const {isResumable, maxAttempts} = job.route;
+      let runs = 0;
+      this.budget.recordFirstTry(job.service, readSteadyMs());
+      while (runs < maxAttempts && tried.size < MAX_SENDS) {
+        const server = this.chooser.choose(job, tried);
+        if (server === undefined) break;
+        if (tried.size > 0 && !this.takeRetry(job)) break;
+        tried.add(server.id);
+        const mayResume = isResumable && runs + 1 < maxAttempts;
+        const lastEventId = relay.getLastId();
+        const plan = {
+          server,
+          silenceMs: mayResume ? RESUMABLE_SILENCE_MS : PATIENT_SILENCE_MS,
+          ...(lastEventId === undefined ? {} : {lastEventId}),
+        };
+        const result = yield* Effect.result(
+          this.attempts.run(job, plan, reply =>
+            this.relayReply(relay, server.id, reply),
+          ),
+        );
+        if (Result.isSuccess(result)) {
+          if (typeof result.success === 'string') return result.success;
+          if (!relay.isStarted()) return result.success;
+          break;
+        }
+        if (!result.failure.isPossiblyRun()) continue;
+        runs += 1;
+        if (!isResumable) break;
+      }
+      if (relay.isStarted()) {
+        relay.closeBroken();
+        return CallOutcome.BROKEN_OFF;
+      }
+      if (job.trace.mayHaveRun) {
+        return this.answers.make(CallOutcome.UNKNOWN, job.call);
+      }
+      const outcome =
+        tried.size === 0 ? CallOutcome.NO_SERVER : CallOutcome.NOT_RUN;
+      return this.answers.make(outcome, job.call, RETRY_AFTER_MS);
+    });
+  }
+
+  private relayReply(
+    relay: EventRelay,
+    serverId: string,
+    reply: AttemptReply,
+  ): Effect.Effect<CallAnswer | CallOutcome, AttemptFailure> {
+    const {status, headers} = reply.head;
+    if (status < 200 || status >= 300) return readAnswer(serverId, reply);
+    return relay.relay(reply.stream, status, headers, serverId).pipe(
+      Effect.map(() => {
+        relay.finish(status, headers);
+        return CallOutcome.STREAMED;
+      }),
+    );
+  }
+
+  private takeRetry(job: CallJob): boolean {
+    const nowMs = readSteadyMs();
+    const daemons = this.members.listLive(nowMs).length + 1;
+    return this.budget.take(job.service, daemons, nowMs);
+  }
+}
--- a/scripts/run_tests.mjs
+++ b/scripts/run_tests.mjs
@@ -3,7 +3,10 @@
 
 const REPORT = 'out/tests.ndjson';
 const KNOWN_RED = 'KNOWN-RED.txt';
-const ALL_FEATURES = 'packages/*/src/**/*.feature';
+const ALL_FEATURES = [
+  'packages/*/src/**/*.feature',
+  'platform/src/**/*.feature',
+];
 
 /** Reads the names of scenarios that are known to fail: text before ` | `. */
 function readKnownRed() {
@@ -54,7 +57,7 @@
   'npx',
   [
     'cucumber-js',
-    ...(chosen.length === 0 ? [ALL_FEATURES] : chosen),
+    ...(chosen.length === 0 ? ALL_FEATURES : chosen),
     '--format',
     'progress',
     '--format',
