--- a/packages/http/src/http_client.ts
+++ b/packages/http/src/http_client.ts
@@ -41,15 +41,17 @@
     return Effect.callback<OpenReply, HttpError>(resume => {
       const sending = this.start(outgoing);
       const tracker = new PhaseTracker(sending, outgoing, this.pool);
-      sending.once('response', stream =>
+      sending.once('response', stream => {
+        // Node takes a body without a length for whole when it is reset.
+        sending.once('error', error => stream.destroy(error));
         resume(
           Effect.succeed({
             status: stream.statusCode ?? 0,
             headers: stream.headers,
             stream,
           }),
-        ),
-      );
+        );
+      });
       sending.on('error', error =>
         resume(Effect.suspend(() => Effect.fail(tracker.makeError(error)))),
       );
