--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -54,3 +54,5 @@
 export * from './workers/choose_worker.js';
 export * from './retries/fleet_retry_budget.js';
 export * from './suspects/crash_counts.js';
+export * from './prompts/warm_engines.js';
+export * from './prompts/engine_history.js';
--- /dev/null
+++ b/packages/decisions/src/prompts/engine_history.ts
@@ -0,0 +1,104 @@
+import {hash32} from '@greengagecross/common';
+import {computeScore} from '../placement/rendezvous_hash.js';
+
+/**
+ * How far back homes are worked out: about as long as an engine keeps what it
+ * has read, in milliseconds.
+ */
+const HISTORY_MS = 60_000;
+/** Engines that start together do so within this time, in milliseconds. */
+const SETTLE_MS = 10_000;
+
+/** One life of an engine. */
+interface EngineLife {
+  readonly id: string;
+  readonly hash: number;
+  /** Its start, in milliseconds since the epoch. */
+  readonly startedAtMs: number;
+  /** When it stopped taking requests; infinite while it takes them. */
+  endedAtMs: number;
+}
+
+/** An engine that takes requests. */
+export interface LiveEngine {
+  readonly id: string;
+  /** Its start, in milliseconds since the epoch. */
+  readonly startedAtMs: number;
+}
+
+/**
+ * Works out which engine a subject lives on while engines join and leave.
+ *
+ * A plain hash moves subjects to each engine that joins, and has them read
+ * again there. Here a subject stays on the engine that it hashed to when the
+ * history began, and moves only when that one leaves. All daemons know the
+ * same starts and ends, so that they agree without a message.
+ */
+export class EngineHistory {
+  private readonly lives = new Map<string, EngineLife>();
+  private ended: EngineLife[] = [];
+
+  /** Takes in the engines that take requests now. */
+  update(engines: readonly LiveEngine[], nowMs: number): void {
+    const listed = new Map(engines.map(engine => [engine.id, engine]));
+    for (const [id, life] of this.lives) {
+      if (listed.get(id)?.startedAtMs === life.startedAtMs) continue;
+      this.lives.delete(id);
+      life.endedAtMs = nowMs;
+      this.ended.push(life);
+    }
+    for (const {id, startedAtMs} of engines) {
+      if (this.lives.has(id)) continue;
+      const endedAtMs = Number.POSITIVE_INFINITY;
+      this.lives.set(id, {id, hash: hash32(id), startedAtMs, endedAtMs});
+    }
+    this.ended = this.ended.filter(life => nowMs - life.endedAtMs < HISTORY_MS);
+  }
+
+  /**
+   * Lists the engines that take requests in the order in which a subject's
+   * prompts try them: its home first, then by hash.
+   */
+  listInOrder(subject: string, nowMs: number): string[] {
+    const key = hash32(subject);
+    const live = sortByScore(key, [...this.lives.values()]);
+    const home = this.findHome(key, live, nowMs);
+    const ids = live.map(life => life.id);
+    if (home === undefined || home === ids[0]) return ids;
+    return [home, ...ids.filter(id => id !== home)];
+  }
+
+  private findHome(
+    key: number,
+    live: readonly EngineLife[],
+    nowMs: number,
+  ): string | undefined {
+    const all =
+      this.ended.length === 0
+        ? live
+        : sortByScore(key, [...live, ...this.ended]);
+    let atMs = Math.max(nowMs - HISTORY_MS, findFleetStart(all));
+    for (;;) {
+      const home = all.find(
+        life => life.startedAtMs <= atMs && life.endedAtMs > atMs,
+      );
+      if (home === undefined) return live[0]?.id;
+      if (home.endedAtMs === Number.POSITIVE_INFINITY) return home.id;
+      atMs = home.endedAtMs;
+    }
+  }
+}
+
+/** Before most engines had started, a home would be one of too few. */
+function findFleetStart(lives: readonly EngineLife[]): number {
+  const starts = lives.map(life => life.startedAtMs).sort((a, b) => a - b);
+  return (starts[Math.floor((starts.length - 1) / 2)] ?? 0) + SETTLE_MS;
+}
+
+function sortByScore(key: number, lives: EngineLife[]): EngineLife[] {
+  return lives.sort(
+    (a, b) =>
+      computeScore(key, b.hash) - computeScore(key, a.hash) ||
+      (a.id < b.id ? -1 : 1),
+  );
+}
--- a/packages/decisions/src/prompts/prompt_choice.ts
+++ b/packages/decisions/src/prompts/prompt_choice.ts
@@ -2,6 +2,8 @@
 export enum PromptChoiceReason {
   /** The engine that the prompt's subject hashes to. */
   HOME = 'home',
+  /** Another engine that has read the subject already. */
+  WARM = 'warm',
   /** The home is over the load bound; this one is next in hash order. */
   OVERFLOW = 'overflow',
   /** The prompt shares nothing, or every engine is over the bound. */
--- a/packages/decisions/src/prompts/prompt_placement.feature
+++ b/packages/decisions/src/prompts/prompt_placement.feature
@@ -23,10 +23,29 @@
       | 13      | 0    | 30      | 13   |
       | 63      | 8    | 100     | 24   |
 
-  Scenario: A new engine takes over only its share of subjects
+  Scenario: An engine that joins takes no subject that may be warm elsewhere
     Given 13 engines with 8 prompts in flight each
     When the homes of 400 subjects are compared with and without one more engine
-    Then at most 60 subjects moved, all to the new engine
+    Then no subject moved
+
+  Scenario: Warm subjects stay where they are when an engine joins
+    Given 13 engines with 8 prompts in flight each
+    And 400 subjects were placed once
+    When 1 engine joins
+    Then all 400 subjects are placed where they were
+
+  Scenario: Subjects of an engine that leaves move, and all others stay
+    Given 13 engines with 8 prompts in flight each
+    And 400 subjects were placed once
+    When 1 engine joins
+    And engine 1 leaves
+    Then only subjects of engine 1 are placed elsewhere
+
+  Scenario: A subject does not go back to an engine that lost its memory
+    Given 4 engines with 2 prompts in flight each
+    And 100 subjects were placed once
+    When engine 1 crashes, all subjects are placed meanwhile and it is back
+    Then no subject is placed on engine 1
 
   Scenario: An avoided engine's subjects go to the next in order
     Given 4 engines with 2 prompts in flight each
--- a/packages/decisions/src/prompts/prompt_placement.ts
+++ b/packages/decisions/src/prompts/prompt_placement.ts
@@ -1,77 +1,100 @@
-import {hash32} from '@greengagecross/common';
-import {computeScore, type HashedId} from '../placement/rendezvous_hash.js';
+import {EngineHistory, type LiveEngine} from './engine_history.js';
 import type {EngineLoad} from './engine_load.js';
 import {PromptChoiceReason, type PromptChoice} from './prompt_choice.js';
 import type {PromptPart} from './prompt_part.js';
+import {WarmEngines} from './warm_engines.js';
 
 /**
- * Load at which an engine takes no more prompts by hash, as a multiple of the
- * mean plus some: below the 2 x mean + 3 that docs/PROMISES.md allows, since
- * loads of other daemons are up to a heartbeat old.
+ * Loads at which an engine takes no more prompts by hash, as a multiple of the
+ * mean plus some. docs/PROMISES.md allows 2 x mean + 3; loads of other daemons
+ * are up to a heartbeat old, which the difference pays for. A prompt whose
+ * shared parts are long to read has the higher bound: those that are cheap to
+ * read elsewhere give way first.
  */
-const BOUND_PER_MEAN = 1.5;
-const BOUND_EXTRA = 2;
-
-interface Candidate extends HashedId {
-  readonly load: EngineLoad;
-}
+const CHEAP_BOUND = {perMean: 1.4, extra: 1.5};
+const COSTLY_BOUND = {perMean: 2, extra: 2};
+/** Shared tokens that are costly to read: about 25 ms of an engine's time. */
+const COSTLY_TOKENS = 4000;
 
 /**
  * Chooses engines for prompts that share parts: skewed subjects, one of them
  * at times far hotter than all others.
  *
- * A subject is the last part that other prompts share. Every daemon hashes it
- * to the same order of engines and takes the first one below the load bound,
- * so that a hot subject spreads over as few engines as carry it.
+ * A subject is the last part that other prompts share. Every daemon works out
+ * the same order of engines for it and takes the first one below the load
+ * bound, so that a hot subject spreads over as few engines as carry it.
+ * Engines that are warm for the subject go first.
  */
 export class PromptPlacement {
-  private readonly hashes = new Map<string, number>();
+  private readonly history = new EngineHistory();
+  private readonly warm = new WarmEngines();
 
-  /** Chooses among engines; undefined when there is none. */
+  /**
+   * Takes in the engines that take requests.
+   *
+   * @param nowMs time since the epoch, as in the engines' starts
+   */
+  setEngines(engines: readonly LiveEngine[], nowMs: number): void {
+    this.history.update(engines, nowMs);
+  }
+
+  /**
+   * Chooses among engines, and remembers the choice; undefined when there is
+   * none.
+   *
+   * @param nowMs time since the epoch
+   */
   choose(
     parts: readonly PromptPart[],
     engines: readonly EngineLoad[],
+    nowMs: number,
   ): PromptChoice | undefined {
     const usable = listUsable(engines);
     if (usable.length === 0) return undefined;
-    const bound = computeBound(usable);
     const subject = findSubject(parts);
+    const bound = computeBound(usable, subject?.tokens ?? 0);
     if (subject === undefined) return chooseLeastLoaded(usable, bound);
-    const ordered = this.sortByScore(subject.id, usable);
-    const rank = ordered.findIndex(({load}) => load.inFlight < bound);
+    const choice =
+      this.chooseForSubject(subject.id, usable, bound, nowMs) ??
+      chooseLeastLoaded(usable, bound);
+    if (choice !== undefined) {
+      this.warm.record(subject.id, choice.engineId, nowMs);
+    }
+    return choice;
+  }
+
+  /** Forgets what an engine had read: it crashed or started anew. */
+  removeEngine(engineId: string): void {
+    this.warm.removeEngine(engineId);
+  }
+
+  private chooseForSubject(
+    subject: string,
+    engines: readonly EngineLoad[],
+    bound: number,
+    nowMs: number,
+  ): PromptChoice | undefined {
+    const byId = new Map(engines.map(engine => [engine.id, engine]));
+    const ordered = this.history
+      .listInOrder(subject, nowMs)
+      .flatMap(id => byId.get(id) ?? []);
+    const hasRoom = ({inFlight}: EngineLoad): boolean => inFlight < bound;
+    const isWarm = ({id}: EngineLoad): boolean =>
+      this.warm.isWarm(subject, id, nowMs);
+    const warmRank = ordered.findIndex(
+      engine => isWarm(engine) && hasRoom(engine),
+    );
+    const rank = warmRank < 0 ? ordered.findIndex(hasRoom) : warmRank;
     const chosen = ordered[rank];
-    if (chosen === undefined) return chooseLeastLoaded(usable, bound);
+    if (chosen === undefined) return undefined;
     return {
       engineId: chosen.id,
-      reason:
-        rank === 0 ? PromptChoiceReason.HOME : PromptChoiceReason.OVERFLOW,
+      reason: chooseReason(rank, warmRank >= 0),
       rank,
-      inFlight: chosen.load.inFlight,
+      inFlight: chosen.inFlight,
       bound,
     };
   }
-
-  private sortByScore(
-    subject: string,
-    engines: readonly EngineLoad[],
-  ): Candidate[] {
-    const key = hash32(subject);
-    return engines
-      .map(load => ({id: load.id, hash: this.getHash(load.id), load}))
-      .sort(
-        (a, b) =>
-          computeScore(key, b.hash) - computeScore(key, a.hash) ||
-          (a.id < b.id ? -1 : 1),
-      );
-  }
-
-  private getHash(id: string): number {
-    const known = this.hashes.get(id);
-    if (known !== undefined) return known;
-    const hash = hash32(id);
-    this.hashes.set(id, hash);
-    return hash;
-  }
 }
 
 /** Finds the last part that is shared; the very last is the request's own. */
@@ -81,15 +104,26 @@
   return parts.length < 2 ? undefined : parts[parts.length - 2];
 }
 
+function chooseReason(rank: number, isWarm: boolean): PromptChoiceReason {
+  if (rank === 0) return PromptChoiceReason.HOME;
+  return isWarm ? PromptChoiceReason.WARM : PromptChoiceReason.OVERFLOW;
+}
+
 /** Lists the engines not avoided; all of them when every one is. */
 function listUsable(engines: readonly EngineLoad[]): readonly EngineLoad[] {
   const usable = engines.filter(engine => !engine.isAvoided);
   return usable.length === 0 ? engines : usable;
 }
 
-function computeBound(engines: readonly EngineLoad[]): number {
+function computeBound(
+  engines: readonly EngineLoad[],
+  sharedTokens: number,
+): number {
   const total = engines.reduce((sum, engine) => sum + engine.inFlight, 0);
-  return (BOUND_PER_MEAN * total) / engines.length + BOUND_EXTRA;
+  const mean = total / engines.length;
+  const cheap = CHEAP_BOUND.perMean * mean + CHEAP_BOUND.extra;
+  const costly = COSTLY_BOUND.perMean * mean + COSTLY_BOUND.extra;
+  return cheap + (costly - cheap) * Math.min(1, sharedTokens / COSTLY_TOKENS);
 }
 
 function chooseLeastLoaded(
--- a/packages/router/src/calls/backend_attempts.ts
+++ b/packages/router/src/calls/backend_attempts.ts
@@ -55,6 +55,7 @@
     private readonly health: WorkerHealth,
     private readonly inFlight: InFlight,
     private readonly crashes: CrashCounts,
+    private readonly onDown: (serverId: string) => void,
   ) {}
 
   /** Runs one attempt; the reply is read by `use` while it counts as in flight. */
@@ -164,6 +165,7 @@
       this.crashes.recordCut(job.fingerprint, serverId, nowMs);
     }
     if (kind === AttemptFailureKind.NOT_SENT) {
+      this.onDown(serverId);
       for (const count of this.crashes.recordDown(serverId, nowMs)) {
         logger.log('A request counts as one that crashed its server.', {
           fingerprint: count.fingerprint,
--- a/packages/router/src/calls/server_chooser.ts
+++ b/packages/router/src/calls/server_chooser.ts
@@ -1,6 +1,7 @@
-import {readSteadyMs} from '@greengagecross/common';
+import {readNowMs, readSteadyMs} from '@greengagecross/common';
 import {
   chooseWorker,
+  findSubject,
   PromptPlacement,
   type WorkerHealth,
 } from '@greengagecross/decisions';
@@ -12,7 +13,9 @@
 
 /** Chooses a backend server by what this daemon knows and was told. */
 export class ServerChooser {
-  private readonly placement = new PromptPlacement();
+  private readonly placements = new Map<string, PromptPlacement>();
+  /** By service, the list of servers that its placement knows. */
+  private readonly known = new Map<string, readonly BackendServer[]>();
 
   constructor(
     private readonly availabilityZone: string,
@@ -38,26 +41,53 @@
     return servers.find(server => server.id === id);
   }
 
+  /** Forgets what a server had read: it is down. */
+  recordDown(serverId: string): void {
+    for (const placement of this.placements.values()) {
+      placement.removeEngine(serverId);
+    }
+  }
+
   private chooseForPrompt(
     job: CallJob,
     servers: readonly BackendServer[],
     avoided: ReadonlySet<string>,
     nowMs: number,
   ): string | undefined {
-    const choice = this.placement.choose(
+    const wallMs = readNowMs();
+    this.updateEngines(job.service, wallMs);
+    const choice = this.getPlacement(job.service).choose(
       job.call.prompt,
       servers.map(({id}) => ({
         id,
         inFlight: this.countInFlight(id, nowMs),
         isAvoided: avoided.has(id),
       })),
+      wallMs,
     );
     if (choice === undefined) return undefined;
     const {reason, rank, inFlight, bound} = choice;
-    job.trace.placement = `${reason} ${rank} ${inFlight}/${bound.toFixed(1)}`;
+    const subject = findSubject(job.call.prompt);
+    job.trace.placement = `${reason} ${rank} load ${inFlight}/${bound.toFixed(1)} subject ${subject?.id}:${subject?.tokens}`;
     return choice.engineId;
   }
 
+  private getPlacement(service: string): PromptPlacement {
+    const known = this.placements.get(service);
+    if (known !== undefined) return known;
+    const placement = new PromptPlacement();
+    this.placements.set(service, placement);
+    return placement;
+  }
+
+  /** The list is a new one whenever it changed. */
+  private updateEngines(service: string, wallMs: number): void {
+    const servers = this.backends.listReady(service);
+    if (this.known.get(service) === servers) return;
+    this.known.set(service, servers);
+    this.getPlacement(service).setEngines(servers, wallMs);
+  }
+
   private chooseForCall(
     servers: readonly BackendServer[],
     avoided: ReadonlySet<string>,
--- a/packages/router/src/router_parts.ts
+++ b/packages/router/src/router_parts.ts
@@ -73,6 +73,7 @@
       this.health,
       this.inFlight,
       this.crashes,
+      serverId => chooser.recordDown(serverId),
     );
     const toDispatch = [chooser, attempts, budget, view, answers] as const;
     this.calls = new CallHandler(
