--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -47,6 +47,7 @@
 export default tseslint.config(
   {
     ignores: [
+      'scripts/start.cjs',
       '**/dist/**',
       '**/node_modules/**',
       'out/**',
--- a/packages/common/src/ids/hash.ts
+++ b/packages/common/src/ids/hash.ts
@@ -1,14 +1,14 @@
-import xxhash from 'xxhash-wasm';
+import {xxHash32} from 'js-xxhash';
 
-const hasher = await xxhash();
+const SEED = 0;
 const UINT32_RANGE = 2 ** 32;
 
 /** Hashes text to 32 bits; the same on every host. */
 export function hash32(text: string): number {
-  return hasher.h32(text);
+  return xxHash32(text, SEED);
 }
 
 /** Hashes text to a number in [0, 1); the same on every host. */
 export function hashUnit(text: string): number {
-  return hasher.h32(text) / UINT32_RANGE;
+  return xxHash32(text, SEED) / UINT32_RANGE;
 }
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,4 +1,5 @@
-import {readdirSync} from 'node:fs';
+import {spawnSync} from 'node:child_process';
+import {copyFileSync, readdirSync} from 'node:fs';
 import {build} from 'esbuild';
 
 // Packages are taken from their sources, so that nothing is written but target/.
@@ -11,15 +12,17 @@
 
 await build({
   entryPoints: ['platform/src/main.ts'],
-  outfile: 'target/greengagecross.mjs',
+  outfile: 'target/greengagecross.cjs',
   bundle: true,
   platform: 'node',
-  format: 'esm',
+  format: 'cjs',
   target: 'node20',
-  minifySyntax: true,
+  minify: true,
   alias,
-  // Bundled CommonJS packages ask for Node's own modules by `require`.
-  banner: {
-    js: "import {createRequire} from 'node:module'; const require = createRequire(import.meta.url);",
-  },
 });
+copyFileSync('scripts/start.cjs', 'target/start.cjs');
+const {status} = spawnSync(process.execPath, ['target/start.cjs', '--help'], {
+  env: {...process.env, WRITE_CODE_CACHE: '1'},
+  stdio: 'ignore',
+});
+process.exit(status ?? 1);
