--- a/packages/router/src/calls/call_handler.ts
+++ b/packages/router/src/calls/call_handler.ts
@@ -16,7 +16,12 @@
 import type {OwnAnswers} from './own_answers.js';
 import type {ServiceDispatcher} from './service_dispatcher.js';
 
-/** A daemon that starts reads its first configuration within this time. */
+/**
+ * Longest wait for the first configuration, which is read in under 0.1 s; a
+ * client that is refused comes back later than that.
+ */
+const START_WAIT_MS = 300;
+/** When a client may come again to a daemon that cannot serve yet. */
 const START_RETRY_MS = 500;
 /** Least urgent rank that a backend server knows. */
 const MAX_PRIORITY = 9;
@@ -45,21 +50,24 @@
 
   /** Answers one request. */
   handle(exchange: HttpExchange): Effect.Effect<void> {
-    return Effect.suspend(() => {
+    return Effect.gen({self: this}, function* () {
       const startedAtMs = readSteadyMs();
       const call = this.codec.decodeCall(exchange);
+      if (!this.state.isComplete()) {
+        yield* this.state.waitComplete(START_WAIT_MS);
+      }
       const view = this.state.configuration.getView();
-      if (view === undefined) {
-        return this.refuse(exchange, call, CallOutcome.NO_CONFIGURATION);
+      if (view === undefined || !this.state.isComplete()) {
+        return yield* this.refuse(exchange, call, CallOutcome.NO_CONFIGURATION);
       }
       if (this.isRefusing()) {
-        return this.refuse(exchange, call, CallOutcome.STOPPING);
+        return yield* this.refuse(exchange, call, CallOutcome.STOPPING);
       }
       const admitted = chooseAdmission(view, call);
       if (typeof admitted === 'string') {
-        return this.refuse(exchange, call, admitted);
+        return yield* this.refuse(exchange, call, admitted);
       }
-      return this.run(exchange, call, view, admitted, startedAtMs);
+      return yield* this.run(exchange, call, view, admitted, startedAtMs);
     });
   }
 
--- a/packages/router/src/members/state_catch_up.ts
+++ b/packages/router/src/members/state_catch_up.ts
@@ -86,6 +86,7 @@
     if (revision >= 0) {
       this.state.backends.setAll(backends, {revision, changeRevision}, nowMs);
     }
+    this.state.recordChange();
     logger.log('State was taken from a peer.', {
       peer,
       configuration: configuration?.version,
--- a/packages/router/src/state/fleet_state.ts
+++ b/packages/router/src/state/fleet_state.ts
@@ -1,3 +1,4 @@
+import {Effect, Latch, Option} from 'effect';
 import {Logger} from '@greengagecross/common';
 import {BackendBook} from './backend_book.js';
 import {ConfigurationBook} from './configuration_book.js';
@@ -8,10 +9,25 @@
 export class FleetState {
   readonly configuration = new ConfigurationBook();
   readonly backends = new BackendBook();
+  private readonly completed = Latch.makeUnsafe(false);
   private isReached = true;
 
+  /** Records that something was taken in. */
+  recordChange(): void {
+    if (this.isComplete()) this.completed.openUnsafe();
+  }
+
+  /** Waits until requests can be routed; tells whether they can in time. */
+  waitComplete(limitMs: number): Effect.Effect<boolean> {
+    return Effect.map(
+      Effect.timeoutOption(this.completed.await, limitMs),
+      Option.isSome,
+    );
+  }
+
   /** Records whether the store answers, with a line on each change. */
   setStoreReached(isReached: boolean, nowMs: number, cause = ''): void {
+    if (isReached) this.recordChange();
     if (isReached) this.backends.setSourceBack(nowMs);
     else this.backends.setSourceLost(nowMs);
     if (isReached === this.isReached) return;
