--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -56,3 +56,4 @@
 export * from './suspects/crash_counts.js';
 export * from './prompts/warm_engines.js';
 export * from './prompts/engine_history.js';
+export * from './members/choose_follower.js';
--- /dev/null
+++ b/packages/decisions/src/members/choose_follower.ts
@@ -0,0 +1,35 @@
+import {hash32} from '@greengagecross/common';
+
+/**
+ * Daemons that follow the store's changes; the others hear from them. Three,
+ * so that two may be lost, slow or cut off at the same time.
+ */
+const FOLLOWERS = 3;
+
+/** What a daemon is known to be able to do. */
+export interface FollowerCandidate {
+  readonly id: string;
+  /** Whether the store answered it last, as far as it tried. */
+  readonly isStoreReached: boolean;
+}
+
+/**
+ * Decides whether a daemon follows the store itself, for fleets whose calls
+ * would otherwise grow with the number of daemons.
+ *
+ * Those first in hash order follow, as far as the store answers them. A daemon
+ * that the store does not answer goes on trying.
+ *
+ * @param others daemons heard within the last heartbeats, leaving ones left out
+ */
+export function isFollower(
+  self: FollowerCandidate,
+  others: readonly FollowerCandidate[],
+): boolean {
+  if (!self.isStoreReached) return true;
+  const own = hash32(self.id);
+  const ahead = others.filter(
+    other => other.isStoreReached && hash32(other.id) < own,
+  );
+  return ahead.length < FOLLOWERS;
+}
--- a/packages/router/src/members/fleet_state_message.ts
+++ b/packages/router/src/members/fleet_state_message.ts
@@ -48,13 +48,27 @@
   startedAtMs: Schema.Number,
 });
 
-/** What a daemon knows, whole, for one that is behind. */
+/** How far the asking daemon is. */
+export const FleetStateQuerySchema = Schema.Struct({
+  /** Whether it also wants the configuration. */
+  isConfigurationWanted: Schema.Boolean,
+  /** Version of its list of backend servers; -1 when it has none. */
+  backendsRevision: Schema.Number,
+});
+
+/** Decoded form of {@link FleetStateQuerySchema}. */
+export type FleetStateQuery = typeof FleetStateQuerySchema.Type;
+
+/** What a daemon knows, for one that is behind. */
 export const FleetStateMessageSchema = Schema.Struct({
   configuration: Schema.optionalKey(ConfigurationSchema),
-  backends: Schema.Array(BackendSchema),
-  /** Versions of the list of backend servers; -1 when there is none. */
-  revision: Schema.Number,
-  changeRevision: Schema.Number,
+  backends: Schema.Struct({
+    changed: Schema.Array(BackendSchema),
+    removed: Schema.Array(Schema.String),
+    lapsed: Schema.Array(Schema.String),
+    revision: Schema.Number,
+    changeRevision: Schema.Number,
+  }),
 });
 
 /** Decoded form of {@link FleetStateMessageSchema}. */
--- a/packages/router/src/members/heartbeat.ts
+++ b/packages/router/src/members/heartbeat.ts
@@ -22,6 +22,8 @@
   /** Grows with each heartbeat of one incarnation. */
   sequence: Schema.Number,
   state: Schema.Enum(DaemonState),
+  /** Whether the store answered it last. */
+  isStoreReached: Schema.Boolean,
   configurationVersion: Schema.Number,
   /** Newest change in its list of backend servers. */
   backendsChange: Schema.Number,
--- a/packages/router/src/members/member_service.ts
+++ b/packages/router/src/members/member_service.ts
@@ -5,9 +5,10 @@
   readSteadyMs,
   type Address,
 } from '@greengagecross/common';
-import type {CrashCounts} from '@greengagecross/decisions';
+import {isFollower, type CrashCounts} from '@greengagecross/decisions';
 import type {InFlight} from '../calls/in_flight.js';
 import type {RouterSettings} from '../model/router_settings.js';
+import type {FleetStateSource} from '../ports/fleet_state_source.js';
 import type {MemberRegistry} from '../ports/member_registry.js';
 import type {FleetState} from '../state/fleet_state.js';
 import {DaemonState, type Heartbeat} from './heartbeat.js';
@@ -42,6 +43,7 @@
     private readonly inFlight: InFlight,
     private readonly crashes: CrashCounts,
     private readonly registry: MemberRegistry,
+    private readonly source: FleetStateSource,
     private readonly catchUp: StateCatchUp,
   ) {
     this.socket = new HeartbeatSocket(settings.self.heartbeats, heartbeat =>
@@ -77,7 +79,10 @@
   private runHeartbeats(): Effect.Effect<never> {
     return Effect.forever(
       Effect.andThen(
-        Effect.sync(() => this.sendHeartbeat()),
+        Effect.sync(() => {
+          this.updateFollowing();
+          this.sendHeartbeat();
+        }),
         Effect.sleep(HEARTBEAT_MS),
       ),
     );
@@ -111,6 +116,22 @@
     this.contactsEndMs = readSteadyMs() + CONTACT_MS;
   }
 
+  /** A daemon without a configuration reads it itself, which is soonest. */
+  private updateFollowing(): void {
+    const others = this.view.listReady(readSteadyMs());
+    const {id} = this.settings.self;
+    const self = {id, isStoreReached: this.state.isStoreReached()};
+    const isNeeded = !this.state.isComplete() || isFollower(self, others);
+    if (isNeeded === this.source.isFollowing()) return;
+    this.source.setFollowing(isNeeded);
+    logger.log(
+      isNeeded
+        ? 'This daemon follows the store.'
+        : 'This daemon leaves the store to others.',
+      {heard: others.length, storeReached: self.isStoreReached},
+    );
+  }
+
   private sendHeartbeat(): void {
     const nowMs = readSteadyMs();
     const known = this.view.listKnown(nowMs).map(peer => peer.heartbeats);
@@ -129,6 +150,7 @@
       incarnation: this.incarnation,
       sequence: this.sequence,
       state: this.getState(),
+      isStoreReached: this.state.isStoreReached(),
       configurationVersion: configuration.getVersion(),
       backendsChange: backends.getVersion().changeRevision,
       inFlight: this.inFlight.toRecord(),
@@ -158,6 +180,8 @@
     }
     if (this.catchUp.isBehind(heartbeat)) {
       this.runFiber?.(this.catchUp.run(heartbeat));
+    } else if (heartbeat.isStoreReached) {
+      this.state.recordConfirmed(nowMs);
     }
   }
 }
--- a/packages/router/src/members/state_catch_up.ts
+++ b/packages/router/src/members/state_catch_up.ts
@@ -6,15 +6,22 @@
 import {
   FleetStateMessageSchema,
   type FleetStateMessage,
+  type FleetStateQuery,
 } from './fleet_state_message.js';
 import type {Heartbeat} from './heartbeat.js';
 
-/** Time that the store's own feed has to bring what a peer knows already. */
-const FEED_GRACE_MS = 150;
+/** Time that this daemon's own feed has to bring what a peer knows already. */
+const FEED_GRACE_MS = 100;
 const FETCH_TIMEOUT_MS = 800;
 const logger = new Logger('state');
 
-/** Fetches from peers what the store's feed does not bring in time. */
+/**
+ * Brings a daemon up to what its peers know.
+ *
+ * The list of backend servers comes from the peer, as changes alone. The
+ * configuration is read from the store, since it may be too large to be passed
+ * on by a few daemons to all others; from the peer if the store has none newer.
+ */
 export class StateCatchUp {
   private isRunning = false;
 
@@ -26,10 +33,9 @@
 
   /** Tells whether a peer knows something newer. */
   isBehind(heartbeat: Heartbeat): boolean {
-    const {configuration, backends} = this.state;
     return (
-      heartbeat.configurationVersion > configuration.getVersion() ||
-      heartbeat.backendsChange > backends.getRevision()
+      this.isConfigurationBehind(heartbeat) ||
+      heartbeat.backendsChange > this.state.backends.getRevision()
     );
   }
 
@@ -38,13 +44,18 @@
     if (this.isRunning) return Effect.void;
     this.isRunning = true;
     return Effect.gen({self: this}, function* () {
-      yield* Effect.sleep(FEED_GRACE_MS);
+      if (this.source.isFollowing()) yield* Effect.sleep(FEED_GRACE_MS);
       if (!this.isBehind(heartbeat)) return;
-      this.source.wake();
+      if (this.isConfigurationBehind(heartbeat)) {
+        yield* this.source.readConfiguration(this.state);
+      }
       const message = yield* this.peers.send(
         heartbeat.peers,
         PeerMethod.FETCH_FLEET_STATE,
-        {},
+        {
+          isConfigurationWanted: this.isConfigurationBehind(heartbeat),
+          backendsRevision: this.state.backends.getRevision(),
+        },
         FleetStateMessageSchema,
         FETCH_TIMEOUT_MS,
       );
@@ -66,31 +77,36 @@
     );
   }
 
-  /** Makes the message that tells a peer all of this daemon's state. */
-  makeMessage(): FleetStateMessage {
+  /** Makes the message that tells a peer what it does not know. */
+  makeMessage(query: FleetStateQuery): FleetStateMessage {
     const {configuration, backends} = this.state;
     const view = configuration.getView();
+    const isTold = query.isConfigurationWanted && view !== undefined;
     return {
-      ...(view === undefined ? {} : {configuration: view.configuration}),
-      backends: backends.listAll(),
-      ...backends.getVersion(),
+      ...(isTold ? {configuration: view.configuration} : {}),
+      backends: backends.listChanges(query.backendsRevision),
     };
   }
 
+  private isConfigurationBehind(heartbeat: Heartbeat): boolean {
+    const {configuration} = this.state;
+    return heartbeat.configurationVersion > configuration.getVersion();
+  }
+
   private apply(message: FleetStateMessage, peer: string): void {
     const nowMs = readSteadyMs();
-    const {configuration, backends, revision, changeRevision} = message;
+    const {configuration, backends} = message;
     if (configuration !== undefined) {
       this.state.configuration.set(configuration, nowMs);
     }
-    if (revision >= 0) {
-      this.state.backends.setAll(backends, {revision, changeRevision}, nowMs);
-    }
+    this.state.backends.applyPeerChanges(backends, nowMs);
     this.state.recordChange();
     logger.log('State was taken from a peer.', {
       peer,
       configuration: configuration?.version,
-      backends: revision,
+      backends: backends.revision,
+      changed: backends.changed.length,
+      removed: backends.removed.length,
     });
   }
 }
--- a/packages/router/src/ports/fleet_state_source.ts
+++ b/packages/router/src/ports/fleet_state_source.ts
@@ -6,6 +6,12 @@
   /** Puts what it reads into the state, for as long as it runs. */
   abstract run(state: FleetState): Effect.Effect<never>;
 
-  /** Reads both again at once, as when a peer knows more. */
-  abstract wake(): void;
+  /** Follows changes from now on, or leaves that to other daemons. */
+  abstract setFollowing(isFollowing: boolean): void;
+
+  /** Tells whether it follows changes. */
+  abstract isFollowing(): boolean;
+
+  /** Reads the configuration once; what fails is logged. */
+  abstract readConfiguration(state: FleetState): Effect.Effect<void>;
 }
--- a/packages/router/src/router_parts.ts
+++ b/packages/router/src/router_parts.ts
@@ -5,7 +5,7 @@
 } from '@greengagecross/decisions';
 import {HttpClient} from '@greengagecross/http';
 import {PeerClient, PeerMethod, PeerServer} from '@greengagecross/peers';
-import {Effect, Schema} from 'effect';
+import {Effect} from 'effect';
 import {AccessPoints} from './access_points.js';
 import {BackendAttempts} from './calls/backend_attempts.js';
 import {CallHandler} from './calls/call_handler.js';
@@ -13,6 +13,7 @@
 import {OwnAnswers} from './calls/own_answers.js';
 import {ServerChooser} from './calls/server_chooser.js';
 import {ServiceDispatcher} from './calls/service_dispatcher.js';
+import {FleetStateQuerySchema} from './members/fleet_state_message.js';
 import {MemberService} from './members/member_service.js';
 import {MemberView} from './members/member_view.js';
 import {StateCatchUp} from './members/state_catch_up.js';
@@ -95,11 +96,14 @@
       this.inFlight,
       this.crashes,
       ports.registry,
+      ports.source,
       catchUp,
     );
     const peerServer = new PeerServer([PEER_KEY]);
-    peerServer.addMethod(PeerMethod.FETCH_FLEET_STATE, Schema.Struct({}), () =>
-      Effect.sync(() => catchUp.makeMessage()),
+    peerServer.addMethod(
+      PeerMethod.FETCH_FLEET_STATE,
+      FleetStateQuerySchema,
+      query => Effect.sync(() => catchUp.makeMessage(query)),
     );
     this.access = new AccessPoints(
       self,
--- a/packages/router/src/state/backend_book.ts
+++ b/packages/router/src/state/backend_book.ts
@@ -6,6 +6,8 @@
  * its return: live servers are registered again within two seconds.
  */
 const LAPSED_GRACE_MS = 2000;
+/** Removals remembered for daemons that are behind. */
+const MAX_REMOVALS = 2000;
 const logger = new Logger('backends');
 
 /** Versions of the store's counter that a list stands for. */
@@ -16,8 +18,18 @@
   readonly changeRevision: number;
 }
 
+/** What changed in a list since a version, for a daemon that is behind. */
+export interface BackendChanges extends ListVersion {
+  readonly changed: readonly BackendServer[];
+  readonly removed: readonly string[];
+  /** Removed while the store was away: they may be back soon. */
+  readonly lapsed: readonly string[];
+}
+
 interface Entry {
   readonly server: BackendServer;
+  /** The list's version when the entry changed last. */
+  readonly revision: number;
   /** Until when an entry that lapsed is used; undefined while registered. */
   lapsesAtMs?: number;
 }
@@ -25,6 +37,8 @@
 /** The backend servers of all services, as last read or heard. */
 export class BackendBook {
   private entries = new Map<string, Entry>();
+  /** Servers that were removed, with the list's version at that time. */
+  private readonly removals = new Map<string, number>();
   private byService = new Map<string, BackendServer[]>();
   private revision = -1;
   private changeRevision = -1;
@@ -71,6 +85,27 @@
     this.updateIndex();
   }
 
+  /** Takes in what a peer knows; lapsed entries end with their grace here. */
+  applyPeerChanges(changes: BackendChanges, nowMs: number): void {
+    if (changes.revision <= this.revision) return;
+    this.applyChanges(changes.changed, changes.removed, changes, nowMs);
+    for (const id of changes.lapsed) this.setLapsed(id, nowMs);
+  }
+
+  /** Lists what changed after a version; everything for -1. */
+  listChanges(sinceRevision: number): BackendChanges {
+    const changed: BackendServer[] = [];
+    const lapsed: string[] = [];
+    for (const [id, entry] of this.entries) {
+      if (entry.lapsesAtMs !== undefined) lapsed.push(id);
+      if (entry.revision > sinceRevision) changed.push(entry.server);
+    }
+    const removed = [...this.removals]
+      .filter(([, revision]) => revision > sinceRevision)
+      .map(([id]) => id);
+    return {...this.getVersion(), changed, removed, lapsed};
+  }
+
   /** Records that the source of entries is not reached. */
   setSourceLost(nowMs: number): void {
     this.sourceLostAtMs ??= nowMs;
@@ -93,7 +128,7 @@
     let isChanged = false;
     for (const [id, entry] of this.entries) {
       if (entry.lapsesAtMs === undefined || entry.lapsesAtMs > nowMs) continue;
-      this.entries.delete(id);
+      this.removeNow(id);
       isChanged = true;
       logger.log('A lapsed backend server did not come back.', {id});
     }
@@ -111,13 +146,6 @@
     return server === undefined || server.isDraining ? undefined : server;
   }
 
-  /** Lists all registered servers, draining ones included. */
-  listAll(): BackendServer[] {
-    return [...this.entries.values()]
-      .filter(entry => entry.lapsesAtMs === undefined)
-      .map(entry => entry.server);
-  }
-
   /** Gets the ids of all servers, lapsed ones included. */
   listIds(): Set<string> {
     return new Set(this.entries.keys());
@@ -133,6 +161,11 @@
     return {revision: this.revision, changeRevision: this.changeRevision};
   }
 
+  /** Records that the list is still the newest. */
+  recordConfirmed(nowMs: number): void {
+    this.readAtMs = nowMs;
+  }
+
   /** Computes the time since the list was last confirmed, in milliseconds. */
   computeAgeMs(nowMs: number): number {
     return Math.round(nowMs - this.readAtMs);
@@ -159,7 +192,12 @@
         revision: this.revision,
       });
     }
-    this.entries.set(server.id, {server});
+    const isSame = known !== undefined && isSameServer(known, server);
+    const revision = isSame
+      ? (this.entries.get(server.id)?.revision ?? this.revision)
+      : this.revision;
+    this.entries.set(server.id, {server, revision});
+    this.removals.delete(server.id);
   }
 
   private removeEntry(id: string, nowMs: number): void {
@@ -172,12 +210,25 @@
       revision: this.revision,
     });
     if (!isLapse) {
-      this.entries.delete(id);
+      this.removeNow(id);
       return;
     }
     const isAway = this.sourceLostAtMs !== undefined;
-    const sinceMs = isAway ? nowMs : this.sourceBackAtMs;
-    entry.lapsesAtMs ??= sinceMs + LAPSED_GRACE_MS;
+    this.setLapsed(id, isAway ? nowMs : this.sourceBackAtMs);
+  }
+
+  private setLapsed(id: string, sinceMs: number): void {
+    const entry = this.entries.get(id);
+    if (entry !== undefined) entry.lapsesAtMs ??= sinceMs + LAPSED_GRACE_MS;
+  }
+
+  private removeNow(id: string): void {
+    this.entries.delete(id);
+    this.removals.delete(id);
+    this.removals.set(id, this.revision);
+    if (this.removals.size <= MAX_REMOVALS) return;
+    const oldest = this.removals.keys().next().value;
+    if (oldest !== undefined) this.removals.delete(oldest);
   }
 
   private isAroundOutage(nowMs: number): boolean {
@@ -196,3 +247,15 @@
     this.byService = byService;
   }
 }
+
+function isSameServer(a: BackendServer, b: BackendServer): boolean {
+  return (
+    a.service === b.service &&
+    a.address.host === b.address.host &&
+    a.address.port === b.address.port &&
+    a.availabilityZone === b.availabilityZone &&
+    a.slots === b.slots &&
+    a.isDraining === b.isDraining &&
+    a.startedAtMs === b.startedAtMs
+  );
+}
--- a/packages/router/src/state/fleet_state.ts
+++ b/packages/router/src/state/fleet_state.ts
@@ -17,6 +17,12 @@
     if (this.isComplete()) this.completed.openUnsafe();
   }
 
+  /** Records that a daemon which hears the store knows nothing newer. */
+  recordConfirmed(nowMs: number): void {
+    this.configuration.recordConfirmed(nowMs);
+    this.backends.recordConfirmed(nowMs);
+  }
+
   /** Waits until requests can be routed; tells whether they can in time. */
   waitComplete(limitMs: number): Effect.Effect<boolean> {
     return Effect.map(
