--- a/packages/common/src/logging/logger.ts
+++ b/packages/common/src/logging/logger.ts
@@ -25,8 +25,8 @@
     if (JSON_FORM) this.writer.log = writeRaw;
   }
 
-  /** From now on gives every line of the process, as JSON, to a sink. */
-  static setSink(sink: (line: string) => void): void {
+  /** Gives every line of the process, as JSON, to a sink; undefined ends it. */
+  static setSink(sink: ((line: string) => void) | undefined): void {
     Logger.sink = sink;
   }
 
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -19,3 +19,4 @@
 export * from './state/fleet_state.js';
 export * from './router_parts.js';
 export * from './router_daemon.js';
+export * from './streams/event_splitter.js';
