--- a/packages/http/src/http_client.ts
+++ b/packages/http/src/http_client.ts
@@ -1,4 +1,4 @@
-import {request, type ClientRequest} from 'node:http';
+import {request, type ClientRequest, type IncomingMessage} from 'node:http';
 import type {Socket} from 'node:net';
 import {Effect} from 'effect';
 import {formatAddress} from '@greengagecross/common';
@@ -42,8 +42,7 @@
       const sending = this.start(outgoing);
       const tracker = new PhaseTracker(sending, outgoing, this.pool);
       sending.once('response', stream => {
-        // Node takes a body without a length for whole when it is reset.
-        sending.once('error', error => stream.destroy(error));
+        watchReset(sending, stream);
         resume(
           Effect.succeed({
             status: stream.statusCode ?? 0,
@@ -82,6 +81,26 @@
   }
 }
 
+/**
+ * Ends a reply as broken when its connection is reset.
+ *
+ * Node takes a body that lasts until its connection closes for whole also when
+ * that is reset; and it reports a reset that arrives with the last bytes as
+ * an orderly end. The other end's address, not asked for before, is then gone.
+ */
+function watchReset(sending: ClientRequest, stream: IncomingMessage): void {
+  sending.once('error', error => stream.destroy(error));
+  const {headers, socket} = stream;
+  const isFramed =
+    headers['content-length'] !== undefined ||
+    headers['transfer-encoding'] !== undefined;
+  if (isFramed) return;
+  socket.prependOnceListener('end', () => {
+    if (socket.remotePort !== undefined) return;
+    stream.destroy(new Error('the connection was reset'));
+  });
+}
+
 /**
  * Builds the header that frames a body.
  *
--- a/packages/http/src/reply_ends.feature
+++ b/packages/http/src/reply_ends.feature
@@ -15,3 +15,5 @@
       | chunks      | a close half way     | cut    |
       | its channel | all bytes            | whole  |
       | its channel | a reset half way     | cut    |
+      | its channel | a reset in one with its bytes | cut    |
+      | chunks      | a reset in one with its bytes | cut    |
--- a/packages/http/src/reply_ends_steps.ts
+++ b/packages/http/src/reply_ends_steps.ts
@@ -42,6 +42,10 @@
   socket.once('data', () => {
     const {head, encode} = framing;
     socket.write(`HTTP/1.1 200 OK\r\n${head}\r\n${encode(FIRST_HALF)}`);
+    if (end === 'a reset in one with its bytes') {
+      socket.resetAndDestroy();
+      return;
+    }
     setTimeout(() => {
       if (end === 'a reset half way') socket.resetAndDestroy();
       else if (end === 'a close half way') socket.end();
