--- a/packages/router/src/members/heartbeat.ts
+++ b/packages/router/src/members/heartbeat.ts
@@ -22,6 +22,8 @@
   /** Grows with each heartbeat of one incarnation. */
   sequence: Schema.Number,
   state: Schema.Enum(DaemonState),
+  /** Time until its next heartbeat, in milliseconds. */
+  intervalMs: Schema.Number,
   /** Whether the store answered it last. */
   isStoreReached: Schema.Boolean,
   configurationVersion: Schema.Number,
--- a/packages/router/src/members/member_service.ts
+++ b/packages/router/src/members/member_service.ts
@@ -16,8 +16,13 @@
 import type {MemberView} from './member_view.js';
 import type {StateCatchUp} from './state_catch_up.js';
 
-/** Time between heartbeats: loads of other daemons are at most so old, in ms. */
-const HEARTBEAT_MS = 200;
+/** Shortest time between heartbeats: loads told are at most so old, in ms. */
+const MIN_HEARTBEAT_MS = 200;
+/**
+ * Time between heartbeats for each daemon heard, in ms: all daemons together
+ * then send as many to each one however many they are.
+ */
+const HEARTBEAT_MS_PER_DAEMON = 15;
 /** How long daemons found in the registry are called before they answer. */
 const CONTACT_MS = 6000;
 /** Time between reads of the registry while no other daemon is heard. */
@@ -83,7 +88,7 @@
           this.updateFollowing();
           this.sendHeartbeat();
         }),
-        Effect.sleep(HEARTBEAT_MS),
+        Effect.suspend(() => Effect.sleep(this.computeIntervalMs())),
       ),
     );
   }
@@ -104,6 +109,11 @@
     });
   }
 
+  private computeIntervalMs(): number {
+    const daemons = this.view.listLive(readSteadyMs()).length + 1;
+    return Math.max(MIN_HEARTBEAT_MS, HEARTBEAT_MS_PER_DAEMON * daemons);
+  }
+
   private listSeeds(): Address[] {
     const {self, seeds} = this.settings;
     return seeds
@@ -150,6 +160,7 @@
       incarnation: this.incarnation,
       sequence: this.sequence,
       state: this.getState(),
+      intervalMs: this.computeIntervalMs(),
       isStoreReached: this.state.isStoreReached(),
       configurationVersion: configuration.getVersion(),
       backendsChange: backends.getVersion().changeRevision,
--- a/packages/router/src/members/member_view.ts
+++ b/packages/router/src/members/member_view.ts
@@ -1,9 +1,9 @@
 import {DaemonState, type Heartbeat} from './heartbeat.js';
 
-/** A daemon that was silent for so long is not named to clients. */
-const READY_AGE_MS = 900;
-/** A daemon that was silent for so long no longer counts as running. */
-const LIVE_AGE_MS = 3000;
+/** A daemon that left out so many heartbeats is not named to clients. */
+const READY_INTERVALS = 4.5;
+/** A daemon that left out so many heartbeats no longer counts as running. */
+const LIVE_INTERVALS = 12;
 /** A daemon that was silent for so long gets no more heartbeats. */
 const FORGET_AGE_MS = 20_000;
 
@@ -41,14 +41,14 @@
 
   /** Lists daemons that clients may be sent to, this one not included. */
   listReady(nowMs: number): Heartbeat[] {
-    return this.listHeardWithin(READY_AGE_MS, nowMs).filter(
+    return this.listHeardWithin(READY_INTERVALS, nowMs).filter(
       ({state}) => state === DaemonState.READY,
     );
   }
 
   /** Lists daemons that run, this one not included. */
   listLive(nowMs: number): Heartbeat[] {
-    return this.listHeardWithin(LIVE_AGE_MS, nowMs);
+    return this.listHeardWithin(LIVE_INTERVALS, nowMs);
   }
 
   /** Lists daemons that heartbeats are sent to. */
@@ -62,22 +62,25 @@
   /** Counts requests in flight at a backend server, by all other daemons. */
   countInFlight(serverId: string, nowMs: number): number {
     let count = 0;
-    for (const {heartbeat, heardAtMs} of this.peers.values()) {
-      if (nowMs - heardAtMs > LIVE_AGE_MS) continue;
+    for (const peer of this.peers.values()) {
+      if (!isHeardWithin(peer, LIVE_INTERVALS, nowMs)) continue;
+      const {heartbeat} = peer;
       count += heartbeat.inFlight[serverId] ?? 0;
     }
     return count;
   }
 
-  private listHeardWithin(ageMs: number, nowMs: number): Heartbeat[] {
-    const heard: Heartbeat[] = [];
-    for (const {heartbeat, heardAtMs} of this.peers.values()) {
-      if (nowMs - heardAtMs <= ageMs) heard.push(heartbeat);
-    }
-    return heard;
+  private listHeardWithin(intervals: number, nowMs: number): Heartbeat[] {
+    return [...this.peers.values()]
+      .filter(peer => isHeardWithin(peer, intervals, nowMs))
+      .map(peer => peer.heartbeat);
   }
 }
 
+function isHeardWithin(peer: Peer, intervals: number, nowMs: number): boolean {
+  return nowMs - peer.heardAtMs <= intervals * peer.heartbeat.intervalMs;
+}
+
 /** Clocks may jump back at a restart; a far lower sequence is a restart too. */
 function isNewer(heartbeat: Heartbeat, known: Heartbeat): boolean {
   if (heartbeat.incarnation === known.incarnation) {
