--- a/packages/decisions/src/members/choose_follower.ts
+++ b/packages/decisions/src/members/choose_follower.ts
@@ -5,6 +5,8 @@
  * so that two may be lost, slow or cut off at the same time.
  */
 const FOLLOWERS = 3;
+/** The one that writes what all know alike. */
+const WRITERS = 1;
 
 /** What a daemon is known to be able to do. */
 export interface FollowerCandidate {
@@ -26,10 +28,25 @@
   self: FollowerCandidate,
   others: readonly FollowerCandidate[],
 ): boolean {
-  if (!self.isStoreReached) return true;
+  return !self.isStoreReached || isAmongFirst(self, others, FOLLOWERS);
+}
+
+/** Decides whether a daemon writes to the store what all of them know alike. */
+export function isWriter(
+  self: FollowerCandidate,
+  others: readonly FollowerCandidate[],
+): boolean {
+  return self.isStoreReached && isAmongFirst(self, others, WRITERS);
+}
+
+function isAmongFirst(
+  self: FollowerCandidate,
+  others: readonly FollowerCandidate[],
+  most: number,
+): boolean {
   const own = hash32(self.id);
   const ahead = others.filter(
     other => other.isStoreReached && hash32(other.id) < own,
   );
-  return ahead.length < FOLLOWERS;
+  return ahead.length < most;
 }
--- a/packages/decisions/src/prompts/engine_history.feature
+++ b/packages/decisions/src/prompts/engine_history.feature
@@ -32,3 +32,11 @@
     And engine 1 joins at 105000 ms
     And the homes of 1000 subjects are listed at 110000 ms
     Then engine 1 is home of at most 0 subjects
+
+  Scenario: A daemon that starts after a release agrees once it knows the ends
+    Given engines 1 to 13 that started within 2000 ms at 0 ms
+    When engine 14 joins at 101000 ms
+    And engine 1 leaves at 104000 ms
+    And engine 2 leaves at 106000 ms
+    And the other daemon starts anew at 108000 ms and is told of the ends
+    Then both daemons agree on the homes of 1000 subjects at 110000 ms
--- a/packages/decisions/src/prompts/engine_history.ts
+++ b/packages/decisions/src/prompts/engine_history.ts
@@ -19,6 +19,14 @@
   endedAtMs: number;
 }
 
+/** An engine that no longer takes requests. */
+export interface EndedEngine {
+  readonly id: string;
+  readonly startedAtMs: number;
+  /** In milliseconds since the epoch. */
+  readonly endedAtMs: number;
+}
+
 /** An engine that takes requests. */
 export interface LiveEngine {
   readonly id: string;
@@ -55,6 +63,26 @@
     this.ended = this.ended.filter(life => nowMs - life.endedAtMs < HISTORY_MS);
   }
 
+  /** Lists the engines that ended within the history. */
+  listEnded(): EndedEngine[] {
+    return this.ended.map(({id, startedAtMs, endedAtMs}) => ({
+      id,
+      startedAtMs,
+      endedAtMs,
+    }));
+  }
+
+  /** Takes in ends that were seen before this daemon started. */
+  addEnded(ended: readonly EndedEngine[]): void {
+    for (const {id, startedAtMs, endedAtMs} of ended) {
+      const isKnown = [...this.ended, ...this.lives.values()].some(
+        life => life.id === id && life.startedAtMs === startedAtMs,
+      );
+      if (isKnown) continue;
+      this.ended.push({id, hash: hash32(id), startedAtMs, endedAtMs});
+    }
+  }
+
   /**
    * Lists the engines that take requests in the order in which a subject's
    * prompts try them: its home first, then by hash.
--- a/packages/decisions/src/prompts/engine_history_steps.ts
+++ b/packages/decisions/src/prompts/engine_history_steps.ts
@@ -95,6 +95,15 @@
   },
 );
 
+When(
+  'the other daemon starts anew at {int} ms and is told of the ends',
+  function (this: HistoryWorld, nowMs: number) {
+    this.other = new EngineHistory();
+    updateHistories(this, nowMs);
+    this.other.addEnded(this.history.listEnded());
+  },
+);
+
 Then(
   'each engine is home of {int} to {int} subjects',
   function (this: HistoryWorld, least: number, most: number) {
--- a/packages/decisions/src/prompts/prompt_placement.ts
+++ b/packages/decisions/src/prompts/prompt_placement.ts
@@ -1,4 +1,8 @@
-import {EngineHistory, type LiveEngine} from './engine_history.js';
+import {
+  EngineHistory,
+  type EndedEngine,
+  type LiveEngine,
+} from './engine_history.js';
 import type {EngineLoad} from './engine_load.js';
 import {PromptChoiceReason, type PromptChoice} from './prompt_choice.js';
 import type {PromptPart} from './prompt_part.js';
@@ -63,6 +67,16 @@
     return choice;
   }
 
+  /** Lists the engines that ended lately. */
+  listEnded(): EndedEngine[] {
+    return this.history.listEnded();
+  }
+
+  /** Takes in ends that were seen before this daemon started. */
+  addEnded(ended: readonly EndedEngine[]): void {
+    this.history.addEnded(ended);
+  }
+
   /** Forgets what an engine had read: it crashed or started anew. */
   removeEngine(engineId: string): void {
     this.warm.removeEngine(engineId);
--- a/packages/router/src/calls/server_chooser.ts
+++ b/packages/router/src/calls/server_chooser.ts
@@ -8,6 +8,7 @@
 import type {MemberView} from '../members/member_view.js';
 import type {BackendServer} from '../model/backend_server.js';
 import type {BackendBook} from '../state/backend_book.js';
+import type {EndedByService} from '../ports/engine_ends_store.js';
 import type {CallJob} from './call_job.js';
 import type {InFlight} from './in_flight.js';
 
@@ -41,6 +42,24 @@
     return servers.find(server => server.id === id);
   }
 
+  /** Lists the engines that ended lately, by service. */
+  listEnded(): EndedByService {
+    return Object.fromEntries(
+      [...this.placements]
+        .map(
+          ([service, placement]) => [service, placement.listEnded()] as const,
+        )
+        .filter(([, ended]) => ended.length > 0),
+    );
+  }
+
+  /** Takes in ends that were seen before this daemon started. */
+  addEnded(ended: EndedByService): void {
+    for (const [service, engines] of Object.entries(ended)) {
+      this.getPlacement(service).addEnded(engines);
+    }
+  }
+
   /** Forgets what a server had read: it is down. */
   recordDown(serverId: string): void {
     for (const placement of this.placements.values()) {
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -14,6 +14,7 @@
 export * from './ports/call_codec.js';
 export * from './ports/fleet_state_source.js';
 export * from './ports/member_registry.js';
+export * from './ports/engine_ends_store.js';
 export * from './state/backend_book.js';
 export * from './state/configuration_book.js';
 export * from './state/fleet_state.js';
--- a/packages/router/src/router_daemon.ts
+++ b/packages/router/src/router_daemon.ts
@@ -73,6 +73,7 @@
       yield* this.callers.start();
       yield* Effect.forkScoped(parts.ports.source.run(parts.state));
       yield* parts.members.start();
+      yield* Effect.forkScoped(parts.engineEnds.run());
       yield* Effect.forkScoped(this.runTicks());
       logger.log('The daemon listens.', {
         id: settings.self.id,
--- a/packages/router/src/router_parts.ts
+++ b/packages/router/src/router_parts.ts
@@ -20,8 +20,10 @@
 import {RouterMetrics} from './metrics/router_metrics.js';
 import type {RouterSettings} from './model/router_settings.js';
 import type {CallCodec} from './ports/call_codec.js';
+import type {EngineEndsStore} from './ports/engine_ends_store.js';
 import type {FleetStateSource} from './ports/fleet_state_source.js';
 import type {MemberRegistry} from './ports/member_registry.js';
+import {EngineEndsKeeper} from './state/engine_ends_keeper.js';
 import {FleetState} from './state/fleet_state.js';
 import {StreamDispatcher} from './streams/stream_dispatcher.js';
 
@@ -35,6 +37,7 @@
   readonly codec: CallCodec;
   readonly source: FleetStateSource;
   readonly registry: MemberRegistry;
+  readonly engineEnds: EngineEndsStore;
 }
 
 /** All parts of a router daemon, wired. */
@@ -45,6 +48,7 @@
   readonly members: MemberService;
   readonly access: AccessPoints;
   readonly budget: FleetRetryBudget;
+  readonly engineEnds: EngineEndsKeeper;
   private readonly inFlight = new InFlight();
   private readonly crashes = new CrashCounts();
   private readonly metrics = new RouterMetrics();
@@ -99,6 +103,13 @@
       ports.source,
       catchUp,
     );
+    this.engineEnds = new EngineEndsKeeper(
+      self.id,
+      this.state,
+      view,
+      chooser,
+      ports.engineEnds,
+    );
     const peerServer = new PeerServer([PEER_KEY]);
     peerServer.addMethod(
       PeerMethod.FETCH_FLEET_STATE,
