--- a/packages/standins/src/promises/promises_page_steps.ts
+++ b/packages/standins/src/promises/promises_page_steps.ts
@@ -2,9 +2,9 @@
 import {existsSync, readFileSync} from 'node:fs';
 import {Then, When, World} from '@cucumber/cucumber';
 
-const PAGE = new URL('../../../../docs/PROMISES.md', import.meta.url);
+const PAGES = ['docs/PROMISES.md', 'docs/PLATFORM_PROMISES.md'];
 const ROOT = new URL('../../../../', import.meta.url);
-const FEATURE = /packages\/\S+?\.feature/g;
+const FEATURE = /(?:packages|platform)\/\S+?\.feature/g;
 const STATES = ['proved', 'partial', 'not proved'];
 
 /** One row of the page. */
@@ -19,13 +19,11 @@
 }
 
 When('the page of promises is read', function (this: PageWorld) {
-  const lines = readFileSync(PAGE, 'utf8').split('\n');
-  this.rows = lines
-    .filter(line => line.startsWith('| '))
-    .slice(2)
-    .map(line => line.split('|').map(cell => cell.trim()))
-    .map(cells => ({state: cells[3] ?? '', note: cells[4] ?? ''}));
-  assert.ok(this.rows.length > 0);
+  this.rows = PAGES.flatMap(page => {
+    const rows = listRows(page);
+    assert.ok(rows.length > 0, page);
+    return rows;
+  });
 });
 
 Then('each of its rows has a known state', function (this: PageWorld) {
@@ -44,6 +42,15 @@
   for (const path of named) assert.ok(existsSync(new URL(path, ROOT)), path);
 });
 
+function listRows(page: string): PromiseRow[] {
+  return readFileSync(new URL(page, ROOT), 'utf8')
+    .split('\n')
+    .filter(line => line.startsWith('| '))
+    .slice(2)
+    .map(line => line.split('|').map(cell => cell.trim()))
+    .map(cells => ({state: cells[3] ?? '', note: cells[4] ?? ''}));
+}
+
 function listFeatures(note: string): string[] {
   return note.match(FEATURE) ?? [];
 }
