Take the changes of one feed answer in their order

A daemon that began to follow the store late read from an old version on, got "ready" and "removed" of one worker in one answer, removed it and then added it again; two seconds later it still sent requests there.

Ruled out: the peer that was cut off holding up the catch-up with the others. It was seen (one fetch at a time) and is mended too, since it delays news by up to 0.8 s: three peers are asked at once.

Fleets of up to six follow the store with every daemon, so that no daemon depends on its paths to the others.

A stream's log line tells its first event and its longest pause.

--- a/packages/decisions/src/members/choose_follower.ts
+++ b/packages/decisions/src/members/choose_follower.ts
@@ -1,10 +1,15 @@
 import {hash32} from '@greengagecross/common';
 
 /**
- * Daemons that follow the store's changes; the others hear from them. Three,
- * so that two may be lost, slow or cut off at the same time.
+ * Daemons of a large fleet that follow the store's changes; the others hear
+ * from them. Three, so that two may be lost, slow or cut off at the same time.
  */
 const FOLLOWERS = 3;
+/**
+ * Fleets up to this size follow the store with every daemon: a few calls a
+ * second more, and no daemon depends on its paths to the others.
+ */
+const SMALL_FLEET = 6;
 /** The one that writes what all know alike. */
 const WRITERS = 1;
 
@@ -19,8 +24,8 @@
  * Decides whether a daemon follows the store itself, for fleets whose calls
  * would otherwise grow with the number of daemons.
  *
- * Those first in hash order follow, as far as the store answers them. A daemon
- * that the store does not answer goes on trying.
+ * In a large fleet those first in hash order follow, as far as the store
+ * answers them. A daemon that the store does not answer goes on trying.
  *
  * @param others daemons heard within the last heartbeats, leaving ones left out
  */
@@ -28,7 +33,8 @@
   self: FollowerCandidate,
   others: readonly FollowerCandidate[],
 ): boolean {
-  return !self.isStoreReached || isAmongFirst(self, others, FOLLOWERS);
+  if (!self.isStoreReached || others.length < SMALL_FLEET) return true;
+  return isAmongFirst(self, others, FOLLOWERS);
 }
 
 /** Decides whether a daemon writes to the store what all of them know alike. */
--- a/packages/router/src/calls/call_handler.ts
+++ b/packages/router/src/calls/call_handler.ts
@@ -163,7 +163,8 @@
     outcome: CallOutcome | 'client-left',
   ): void {
     const afterMs = readSteadyMs() - startedAtMs;
-    const {attempts, mayHaveRun, placement} = job.trace;
+    const {attempts, mayHaveRun, placement, firstEventAtMs, longestPauseMs} =
+      job.trace;
     if (outcome !== 'client-left') {
       this.metrics.recordCall(
         job.route.kind,
@@ -184,6 +185,12 @@
       outcome,
       status: job.exchange.response.statusCode,
       afterMs: Math.round(afterMs),
+      ...(firstEventAtMs === undefined
+        ? {}
+        : {
+            firstEventMs: Math.round(firstEventAtMs - startedAtMs),
+            longestPauseMs: Math.round(longestPauseMs ?? 0),
+          }),
       ...this.describeBeliefs(),
     });
   }
--- a/packages/router/src/calls/call_job.ts
+++ b/packages/router/src/calls/call_job.ts
@@ -24,6 +24,10 @@
   attempts: string[];
   /** Whether some server may have run it. */
   mayHaveRun: boolean;
-  /** Whether some server was asked at all. */
+  /** Why its server was chosen; empty where no prompt was placed. */
   placement: string;
+  /** When a stream's first event was passed on, by the steady clock. */
+  firstEventAtMs?: number;
+  /** Longest time between two events of a stream, in milliseconds. */
+  longestPauseMs?: number;
 }
--- a/packages/router/src/members/state_catch_up.ts
+++ b/packages/router/src/members/state_catch_up.ts
@@ -12,7 +12,10 @@
 
 /** Time that this daemon's own feed has to bring what a peer knows already. */
 const FEED_GRACE_MS = 100;
-const FETCH_TIMEOUT_MS = 800;
+/** A live peer answers within a few ms; a lost packet is sent again in 200. */
+const FETCH_TIMEOUT_MS = 500;
+/** Peers asked at the same time: one that is cut off holds up no other. */
+const MAX_FETCHES = 3;
 const logger = new Logger('state');
 
 /**
@@ -23,7 +26,8 @@
  * on by a few daemons to all others; from the peer if the store has none newer.
  */
 export class StateCatchUp {
-  private isRunning = false;
+  /** Ids of the peers that are being asked. */
+  private readonly asked = new Set<string>();
 
   constructor(
     private readonly state: FleetState,
@@ -41,8 +45,11 @@
 
   /** Catches up with a peer unless the feed does so first. */
   run(heartbeat: Heartbeat): Effect.Effect<void> {
-    if (this.isRunning) return Effect.void;
-    this.isRunning = true;
+    const {id} = heartbeat;
+    if (this.asked.has(id) || this.asked.size >= MAX_FETCHES) {
+      return Effect.void;
+    }
+    this.asked.add(id);
     return Effect.gen({self: this}, function* () {
       if (this.source.isFollowing()) yield* Effect.sleep(FEED_GRACE_MS);
       if (!this.isBehind(heartbeat)) return;
@@ -59,19 +66,19 @@
         FleetStateMessageSchema,
         FETCH_TIMEOUT_MS,
       );
-      this.apply(message, heartbeat.id);
+      this.apply(message, id);
     }).pipe(
       Effect.catch(error =>
         Effect.sync(() =>
           logger.log('A peer did not tell its state.', {
-            peer: heartbeat.id,
+            peer: id,
             cause: error.message,
           }),
         ),
       ),
       Effect.ensuring(
         Effect.sync(() => {
-          this.isRunning = false;
+          this.asked.delete(id);
         }),
       ),
     );
--- a/packages/router/src/state/backend_book.ts
+++ b/packages/router/src/state/backend_book.ts
@@ -18,6 +18,13 @@
   readonly changeRevision: number;
 }
 
+/** One change of the list; several of one entry count in their order. */
+export interface EntryChange {
+  readonly id: string;
+  /** Undefined when the entry was removed. */
+  readonly server: BackendServer | undefined;
+}
+
 /** What changed in a list since a version, for a daemon that is behind. */
 export interface BackendChanges extends ListVersion {
   readonly changed: readonly BackendServer[];
@@ -69,26 +76,31 @@
     return isNews;
   }
 
-  /** Takes in changes up to a version of the store. */
+  /** Takes in changes up to a version of the store, in their order. */
   applyChanges(
-    changed: readonly BackendServer[],
-    removed: readonly string[],
+    changes: readonly EntryChange[],
     version: ListVersion,
     nowMs: number,
   ): void {
     this.readAtMs = nowMs;
     if (version.revision <= this.revision) return;
     this.setVersion(version);
-    if (changed.length + removed.length === 0) return;
-    for (const id of removed) this.removeEntry(id, nowMs);
-    for (const server of changed) this.putEntry(server);
+    if (changes.length === 0) return;
+    for (const {id, server} of changes) {
+      if (server === undefined) this.removeEntry(id, nowMs);
+      else this.putEntry(server);
+    }
     this.updateIndex();
   }
 
   /** Takes in what a peer knows; lapsed entries end with their grace here. */
   applyPeerChanges(changes: BackendChanges, nowMs: number): void {
     if (changes.revision <= this.revision) return;
-    this.applyChanges(changes.changed, changes.removed, changes, nowMs);
+    const entries = [
+      ...changes.removed.map(id => ({id, server: undefined})),
+      ...changes.changed.map(server => ({id: server.id, server})),
+    ];
+    this.applyChanges(entries, changes, nowMs);
     for (const id of changes.lapsed) this.setLapsed(id, nowMs);
   }
 
--- a/packages/router/src/streams/event_relay.ts
+++ b/packages/router/src/streams/event_relay.ts
@@ -1,5 +1,6 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {Effect} from 'effect';
+import {readSteadyMs} from '@greengagecross/common';
 import type {OutgoingHeaders} from '@greengagecross/http';
 import {AttemptFailure, AttemptFailureKind} from '../calls/attempt_failure.js';
 import {EventSplitter} from './event_splitter.js';
@@ -11,6 +12,9 @@
 export class EventRelay {
   private lastId: string | undefined;
   private hasStarted = false;
+  private firstEventAtMs: number | undefined;
+  private lastEventAtMs = 0;
+  private longestPauseMs = 0;
 
   /** @param lastId the last event that the client had before */
   constructor(
@@ -25,6 +29,16 @@
     return this.hasStarted;
   }
 
+  /** Gets when the first event was passed on, by the steady clock. */
+  getFirstEventAtMs(): number | undefined {
+    return this.firstEventAtMs;
+  }
+
+  /** Gets the longest time between two events, in milliseconds. */
+  getLongestPauseMs(): number {
+    return this.longestPauseMs;
+  }
+
   /** Gets the id of the last event that was passed on. */
   getLastId(): string | undefined {
     return this.lastId;
@@ -103,10 +117,18 @@
     const {bytes, lastId} = splitter.accept(chunk);
     if (bytes.length === 0) return;
     if (lastId !== undefined) this.lastId = lastId;
+    this.recordPause(readSteadyMs());
     this.start(status, headers);
     this.response.write(bytes);
   }
 
+  private recordPause(nowMs: number): void {
+    this.firstEventAtMs ??= nowMs;
+    const pauseMs = nowMs - Math.max(this.lastEventAtMs, this.firstEventAtMs);
+    this.longestPauseMs = Math.max(this.longestPauseMs, pauseMs);
+    this.lastEventAtMs = nowMs;
+  }
+
   private start(status: number, headers: OutgoingHeaders): void {
     if (this.hasStarted) return;
     this.hasStarted = true;
--- a/packages/router/src/streams/stream_dispatcher.ts
+++ b/packages/router/src/streams/stream_dispatcher.ts
@@ -56,7 +56,7 @@
         };
         const result = yield* Effect.result(
           this.attempts.run(job, plan, reply =>
-            this.relayReply(relay, server.id, reply),
+            this.relayReply(job, relay, server.id, reply),
           ),
         );
         if (Result.isSuccess(result)) {
@@ -82,6 +82,7 @@
   }
 
   private relayReply(
+    job: CallJob,
     relay: EventRelay,
     serverId: string,
     reply: AttemptReply,
@@ -89,6 +90,7 @@
     const {status, headers} = reply.head;
     if (status < 200 || status >= 300) return readAnswer(serverId, reply);
     return relay.relay(reply.stream, status, headers, serverId).pipe(
+      Effect.ensuring(Effect.sync(() => recordTimes(job, relay))),
       Effect.map(() => {
         relay.finish(status, headers);
         return CallOutcome.STREAMED;
@@ -102,3 +104,10 @@
     return this.budget.take(job.service, daemons, nowMs);
   }
 }
+
+function recordTimes({trace}: CallJob, relay: EventRelay): void {
+  const firstEventAtMs = relay.getFirstEventAtMs();
+  if (firstEventAtMs === undefined) return;
+  trace.firstEventAtMs = firstEventAtMs;
+  trace.longestPauseMs = relay.getLongestPauseMs();
+}
