Copy what an engine has read of a subject instead of reading it again

Cause: of the shared parts that were read again, all but a few moved because their engine was leaving or was over the load bound; both kinds of engine still hold them. The placement now names such an engine, and the request asks the chosen one to copy from it first: the home of a subject that overflows, the engine that leaves and was its home (10 s long), or the one that took the home's place. Not for parts under 500 tokens, which are read faster.

Moving runs, pins and backups were not weighed.

What is left is read again because the engine had ended before the subject's next prompt; no call copies without a request.

--- a/packages/decisions/src/prompts/engine_history.ts
+++ b/packages/decisions/src/prompts/engine_history.ts
@@ -27,6 +27,13 @@
   readonly endedAtMs: number;
 }
 
+/** Where a subject lives, and the engine that it lived on before. */
+export interface SubjectHome {
+  readonly id: string;
+  /** Undefined when it did not move within the history. */
+  readonly previous?: EndedEngine;
+}
+
 /** An engine that takes requests. */
 export interface LiveEngine {
   readonly id: string;
@@ -90,28 +97,40 @@
   listInOrder(subject: string, nowMs: number): string[] {
     const key = hash32(subject);
     const live = sortByScore(key, [...this.lives.values()]);
-    const home = this.findHome(key, live, nowMs);
+    const home = this.findLiveHome(key, live, nowMs)?.id;
     const ids = live.map(life => life.id);
     if (home === undefined || home === ids[0]) return ids;
     return [home, ...ids.filter(id => id !== home)];
   }
 
-  private findHome(
+  /** Finds the engine that a subject lives on; undefined without engines. */
+  findHome(subject: string, nowMs: number): SubjectHome | undefined {
+    const key = hash32(subject);
+    const live = sortByScore(key, [...this.lives.values()]);
+    return this.findLiveHome(key, live, nowMs);
+  }
+
+  private findLiveHome(
     key: number,
     live: readonly EngineLife[],
     nowMs: number,
-  ): string | undefined {
+  ): SubjectHome | undefined {
     const all =
       this.ended.length === 0
         ? live
         : sortByScore(key, [...live, ...this.ended]);
     let atMs = Math.max(nowMs - HISTORY_MS, findFleetStart(all));
+    let previous: EngineLife | undefined;
     for (;;) {
       const home = all.find(
         life => life.startedAtMs <= atMs && life.endedAtMs > atMs,
       );
-      if (home === undefined) return live[0]?.id;
-      if (home.endedAtMs === Number.POSITIVE_INFINITY) return home.id;
+      const id = home?.id ?? live[0]?.id;
+      if (id === undefined) return undefined;
+      if (home === undefined || home.endedAtMs === Number.POSITIVE_INFINITY) {
+        return previous === undefined ? {id} : {id, previous};
+      }
+      previous = home;
       atMs = home.endedAtMs;
     }
   }
@@ -123,10 +142,9 @@
   return (starts[Math.floor((starts.length - 1) / 2)] ?? 0) + SETTLE_MS;
 }
 
-function sortByScore(key: number, lives: EngineLife[]): EngineLife[] {
-  return lives.sort(
-    (a, b) =>
-      computeScore(key, b.hash) - computeScore(key, a.hash) ||
-      (a.id < b.id ? -1 : 1),
-  );
+function sortByScore(key: number, lives: readonly EngineLife[]): EngineLife[] {
+  return lives
+    .map(life => ({life, score: computeScore(key, life.hash)}))
+    .sort((a, b) => b.score - a.score || (a.life.id < b.life.id ? -1 : 1))
+    .map(({life}) => life);
 }
--- a/packages/decisions/src/prompts/prompt_choice.ts
+++ b/packages/decisions/src/prompts/prompt_choice.ts
@@ -13,6 +13,11 @@
 /** The engine chosen for a prompt, with the inputs that decided it. */
 export interface PromptChoice {
   readonly engineId: string;
+  /**
+   * An engine that has probably read the subject where the chosen one has not,
+   * and whose memory of it may be copied; it may have stopped since.
+   */
+  readonly memorySourceId?: string;
   readonly reason: PromptChoiceReason;
   /** Place in the subject's hash order; 0 is its home. */
   readonly rank: number;
--- a/packages/decisions/src/prompts/prompt_placement.ts
+++ b/packages/decisions/src/prompts/prompt_placement.ts
@@ -19,6 +19,10 @@
 const COSTLY_BOUND = {perMean: 2, extra: 2};
 /** Shared tokens that are costly to read: about 25 ms of an engine's time. */
 const COSTLY_TOKENS = 4000;
+/** Copying fewer tokens takes longer than reading them: its setup is 8 ms. */
+const MIN_COPIED_TOKENS = 500;
+/** An engine that leaves serves for some seconds more, in milliseconds. */
+const LEAVING_MS = 10_000;
 
 /**
  * Chooses engines for prompts that share parts: skewed subjects, one of them
@@ -59,7 +63,7 @@
     const bound = computeBound(usable, subject?.tokens ?? 0);
     if (subject === undefined) return chooseLeastLoaded(usable, bound);
     const choice =
-      this.chooseForSubject(subject.id, usable, bound, nowMs) ??
+      this.chooseForSubject(subject, usable, bound, nowMs) ??
       chooseLeastLoaded(usable, bound);
     if (choice !== undefined) {
       this.warm.record(subject.id, choice.engineId, nowMs);
@@ -83,7 +87,7 @@
   }
 
   private chooseForSubject(
-    subject: string,
+    {id: subject, tokens}: PromptPart,
     engines: readonly EngineLoad[],
     bound: number,
     nowMs: number,
@@ -101,14 +105,40 @@
     const rank = warmRank < 0 ? ordered.findIndex(hasRoom) : warmRank;
     const chosen = ordered[rank];
     if (chosen === undefined) return undefined;
+    const isRead = warmRank >= 0 || tokens < MIN_COPIED_TOKENS;
+    const sourceId = isRead
+      ? undefined
+      : this.findMemorySource(subject, chosen.id, byId, nowMs);
     return {
       engineId: chosen.id,
+      ...(sourceId === undefined ? {} : {memorySourceId: sourceId}),
       reason: chooseReason(rank, warmRank >= 0),
       rank,
       inFlight: chosen.inFlight,
       bound,
     };
   }
+
+  /**
+   * Finds an engine other than the chosen one that has read a subject: its
+   * home, the one that leaves and was its home, or one that took what the home
+   * had no room for.
+   */
+  private findMemorySource(
+    subject: string,
+    chosenId: string,
+    engines: ReadonlyMap<string, EngineLoad>,
+    nowMs: number,
+  ): string | undefined {
+    const home = this.history.findHome(subject, nowMs);
+    if (home !== undefined && home.id !== chosenId) return home.id;
+    const previous = home?.previous;
+    const isLeaving =
+      previous !== undefined && nowMs - previous.endedAtMs < LEAVING_MS;
+    if (isLeaving) return previous.id;
+    const isOther = (id: string): boolean => id !== chosenId && engines.has(id);
+    return this.warm.findLast(subject, isOther, nowMs);
+  }
 }
 
 /** Finds the last part that is shared; the very last is the request's own. */
--- a/packages/decisions/src/prompts/warm_engines.ts
+++ b/packages/decisions/src/prompts/warm_engines.ts
@@ -30,6 +30,22 @@
     return usedAtMs !== undefined && nowMs - usedAtMs < WARM_MS;
   }
 
+  /** Finds the engine where a subject was sent last, of those that count. */
+  findLast(
+    subject: string,
+    isCounted: (engineId: string) => boolean,
+    nowMs: number,
+  ): string | undefined {
+    let last: string | undefined;
+    let lastMs = nowMs - WARM_MS;
+    for (const [engineId, usedAtMs] of this.subjects.get(subject) ?? []) {
+      if (usedAtMs <= lastMs || !isCounted(engineId)) continue;
+      last = engineId;
+      lastMs = usedAtMs;
+    }
+    return last;
+  }
+
   /** Forgets an engine that lost its memory, as in a crash. */
   removeEngine(engineId: string): void {
     for (const engines of this.subjects.values()) engines.delete(engineId);
--- a/packages/router/src/calls/backend_attempts.ts
+++ b/packages/router/src/calls/backend_attempts.ts
@@ -20,6 +20,7 @@
 import {AttemptFailure, AttemptFailureKind} from './attempt_failure.js';
 import type {CallJob} from './call_job.js';
 import type {InFlight} from './in_flight.js';
+import type {ServerChoice} from './server_choice.js';
 
 /**
  * Longest time to open a connection, in milliseconds. A round trip takes a
@@ -40,8 +41,7 @@
 }
 
 /** Where an attempt goes, and how patient it is. */
-export interface AttemptPlan {
-  readonly server: BackendServer;
+export interface AttemptPlan extends ServerChoice {
   readonly lastEventId?: string;
   /** Longest time without a byte, in milliseconds. */
   readonly silenceMs: number;
@@ -198,6 +198,9 @@
     serverId: plan.server.id,
     leftMs,
     priority,
+    ...(plan.memorySource === undefined
+      ? {}
+      : {memorySource: plan.memorySource}),
     ...(customer === undefined ? {} : {customer}),
     ...(plan.lastEventId === undefined ? {} : {lastEventId: plan.lastEventId}),
   };
--- a/packages/router/src/calls/server_chooser.ts
+++ b/packages/router/src/calls/server_chooser.ts
@@ -11,6 +11,7 @@
 import type {EndedByService} from '../ports/engine_ends_store.js';
 import type {CallJob} from './call_job.js';
 import type {InFlight} from './in_flight.js';
+import type {ServerChoice} from './server_choice.js';
 
 /** Chooses a backend server by what this daemon knows and was told. */
 export class ServerChooser {
@@ -27,7 +28,7 @@
   ) {}
 
   /** Chooses a server that was not tried yet; undefined when there is none. */
-  choose(job: CallJob, tried: ReadonlySet<string>): BackendServer | undefined {
+  choose(job: CallJob, tried: ReadonlySet<string>): ServerChoice | undefined {
     const servers = this.backends
       .listReady(job.service)
       .filter(server => !tried.has(server.id));
@@ -35,11 +36,12 @@
     const nowMs = readSteadyMs();
     const ids = servers.map(server => server.id);
     const avoided = this.health.listAvoided(ids, nowMs);
-    const id =
-      job.call.prompt.length === 0
-        ? this.chooseForCall(servers, avoided, nowMs)
-        : this.chooseForPrompt(job, servers, avoided, nowMs);
-    return servers.find(server => server.id === id);
+    if (job.call.prompt.length > 0) {
+      return this.chooseForPrompt(job, servers, avoided, nowMs);
+    }
+    const id = this.chooseForCall(servers, avoided, nowMs);
+    const server = servers.find(candidate => candidate.id === id);
+    return server === undefined ? undefined : {server};
   }
 
   /** Lists the engines that ended lately, by service. */
@@ -72,7 +74,7 @@
     servers: readonly BackendServer[],
     avoided: ReadonlySet<string>,
     nowMs: number,
-  ): string | undefined {
+  ): ServerChoice | undefined {
     const wallMs = readNowMs();
     this.updateEngines(job.service, wallMs);
     const choice = this.getPlacement(job.service).choose(
@@ -84,11 +86,25 @@
       })),
       wallMs,
     );
-    if (choice === undefined) return undefined;
-    const {reason, rank, inFlight, bound} = choice;
+    const server = servers.find(({id}) => id === choice?.engineId);
+    if (choice === undefined || server === undefined) return undefined;
+    const {reason, rank, inFlight, bound, memorySourceId} = choice;
+    const source = this.findMemorySource(memorySourceId, nowMs);
     const subject = findSubject(job.call.prompt);
     job.trace.placement = `${reason} ${rank} load ${inFlight}/${bound.toFixed(1)} subject ${subject?.id}:${subject?.tokens}`;
-    return choice.engineId;
+    if (source === undefined) return {server};
+    job.trace.placement += ` copied from ${source.id}`;
+    return {server, memorySource: source.address};
+  }
+
+  /** An engine that cannot be reached has nothing to copy. */
+  private findMemorySource(
+    id: string | undefined,
+    nowMs: number,
+  ): BackendServer | undefined {
+    if (id === undefined) return undefined;
+    const isAvoided = this.health.listAvoided([id], nowMs).has(id);
+    return isAvoided ? undefined : this.backends.find(id);
   }
 
   private getPlacement(service: string): PromptPlacement {
--- a/packages/router/src/calls/service_dispatcher.ts
+++ b/packages/router/src/calls/service_dispatcher.ts
@@ -41,8 +41,9 @@
       let failedReply: CallAnswer | undefined;
       this.budget.recordFirstTry(job.service, readSteadyMs());
       while (runs < job.route.maxAttempts && tried.size < MAX_SENDS) {
-        const server = this.chooser.choose(job, tried);
-        if (server === undefined) break;
+        const choice = this.chooser.choose(job, tried);
+        if (choice === undefined) break;
+        const {server} = choice;
         if (tried.size > 0 && !this.takeRetry(job)) break;
         tried.add(server.id);
         const mayRetry = isSafe && runs + 1 < job.route.maxAttempts;
--- a/packages/router/src/state/backend_book.ts
+++ b/packages/router/src/state/backend_book.ts
@@ -158,6 +158,11 @@
     return server === undefined || server.isDraining ? undefined : server;
   }
 
+  /** Finds a server, also one that takes no new requests any more. */
+  find(id: string): BackendServer | undefined {
+    return this.entries.get(id)?.server;
+  }
+
   /** Gets the ids of all servers, lapsed ones included. */
   listIds(): Set<string> {
     return new Set(this.entries.keys());
--- a/packages/router/src/streams/stream_dispatcher.ts
+++ b/packages/router/src/streams/stream_dispatcher.ts
@@ -43,14 +43,15 @@
       let runs = 0;
       this.budget.recordFirstTry(job.service, readSteadyMs());
       while (runs < maxAttempts && tried.size < MAX_SENDS) {
-        const server = this.chooser.choose(job, tried);
-        if (server === undefined) break;
+        const choice = this.chooser.choose(job, tried);
+        if (choice === undefined) break;
+        const {server} = choice;
         if (tried.size > 0 && !this.takeRetry(job)) break;
         tried.add(server.id);
         const mayResume = isResumable && runs + 1 < maxAttempts;
         const lastEventId = relay.getLastId();
         const plan = {
-          server,
+          ...choice,
           silenceMs: mayResume ? RESUMABLE_SILENCE_MS : PATIENT_SILENCE_MS,
           ...(lastEventId === undefined ? {} : {lastEventId}),
         };
