Send heartbeats half as often in large fleets, news at once

A heartbeat every 30 ms a daemon (900 ms at 30) instead of 15; readiness and liveness by age; what a daemon was the first to read from the store, and its own state, are told at once; a new daemon alone is answered. Loads of others are added up every 50 ms, not for each engine of each request.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -4,6 +4,7 @@
 export * from './members/neighbour_policy.js';
 export * from './members/ring_neighbours.js';
 export * from './members/link_knowledge.js';
+export * from './members/fleet_heartbeats.js';
 export * from './members/heartbeat_interval.js';
 export * from './members/poll_interval.js';
 export * from './members/relayed_statuses.js';
--- a/packages/router/src/members/member_service.ts
+++ b/packages/router/src/members/member_service.ts
@@ -5,7 +5,12 @@
   readSteadyMs,
   type Address,
 } from '@greengagecross/common';
-import {isFollower, type CrashCounts} from '@greengagecross/decisions';
+import {
+  computeFleetHeartbeatMs,
+  isFollower,
+  MIN_FLEET_HEARTBEAT_MS,
+  type CrashCounts,
+} from '@greengagecross/decisions';
 import type {InFlight} from '../calls/in_flight.js';
 import type {RouterSettings} from '../model/router_settings.js';
 import type {FleetStateSource} from '../ports/fleet_state_source.js';
@@ -16,13 +21,6 @@
 import type {MemberView} from './member_view.js';
 import type {StateCatchUp} from './state_catch_up.js';
 
-/** Shortest time between heartbeats: loads told are at most so old, in ms. */
-const MIN_HEARTBEAT_MS = 200;
-/**
- * Time between heartbeats for each daemon heard, in ms: all daemons together
- * then send as many to each one however many they are.
- */
-const HEARTBEAT_MS_PER_DAEMON = 15;
 /** How long daemons found in the registry are called before they answer. */
 const CONTACT_MS = 6000;
 /** Time between reads of the registry while no other daemon is heard. */
@@ -36,6 +34,8 @@
   private readonly socket: HeartbeatSocket;
   private readonly incarnation = readNowMs();
   private sequence = 0;
+  private last: Heartbeat | undefined;
+  private lastSentAtMs = Number.NEGATIVE_INFINITY;
   private isLeaving = false;
   private contacts: readonly Address[] = [];
   private contactsEndMs = 0;
@@ -86,9 +86,9 @@
       Effect.andThen(
         Effect.sync(() => {
           this.updateFollowing();
-          this.sendHeartbeat();
+          if (this.isHeartbeatDue()) this.sendHeartbeat();
         }),
-        Effect.suspend(() => Effect.sleep(this.computeIntervalMs())),
+        Effect.sleep(MIN_FLEET_HEARTBEAT_MS),
       ),
     );
   }
@@ -111,7 +111,22 @@
 
   private computeIntervalMs(): number {
     const daemons = this.view.listLive(readSteadyMs()).length + 1;
-    return Math.max(MIN_HEARTBEAT_MS, HEARTBEAT_MS_PER_DAEMON * daemons);
+    return computeFleetHeartbeatMs(daemons);
+  }
+
+  /** What this daemon was the first to read from the store waits for nothing. */
+  private isHeartbeatDue(): boolean {
+    const {last} = this;
+    if (last?.state !== this.getState()) return true;
+    const dueAtMs = this.lastSentAtMs + this.computeIntervalMs();
+    // Ticks come late rather than early; the next one would be too late.
+    if (readSteadyMs() >= dueAtMs - MIN_FLEET_HEARTBEAT_MS / 2) return true;
+    const {configuration, backends} = this.state;
+    return (
+      this.source.isFollowing() &&
+      (last.configurationVersion !== configuration.getVersion() ||
+        last.backendsChange !== backends.getVersion().changeRevision)
+    );
   }
 
   private listSeeds(): Address[] {
@@ -148,7 +163,9 @@
     const hosts = new Set(known.map(({host}) => host));
     const contacts = nowMs < this.contactsEndMs ? this.contacts : [];
     const unknown = contacts.filter(({host}) => !hosts.has(host));
-    this.socket.send(this.makeHeartbeat(), [...known, ...unknown]);
+    this.last = this.makeHeartbeat();
+    this.lastSentAtMs = nowMs;
+    this.socket.send(this.last, [...known, ...unknown]);
   }
 
   private makeHeartbeat(): Heartbeat {
@@ -184,8 +201,10 @@
         incarnation: heartbeat.incarnation,
       });
     }
-    // A new one learns of this daemon by the answer.
-    if (!isKnown) this.sendHeartbeat();
+    // A new one learns of this daemon by the answer; all others know it.
+    if (!isKnown) {
+      this.socket.send(this.makeHeartbeat(), [heartbeat.heartbeats]);
+    }
     for (const [fingerprint, count] of Object.entries(heartbeat.crashes)) {
       this.crashes.observe(fingerprint, count, nowMs);
     }
--- a/packages/router/src/members/member_view.ts
+++ b/packages/router/src/members/member_view.ts
@@ -1,9 +1,8 @@
+import {computeLiveAgeMs, computeReadyAgeMs} from '@greengagecross/decisions';
 import {DaemonState, type Heartbeat} from './heartbeat.js';
 
-/** A daemon that left out so many heartbeats is not named to clients. */
-const READY_INTERVALS = 4.5;
-/** A daemon that left out so many heartbeats no longer counts as running. */
-const LIVE_INTERVALS = 12;
+/** Totals of loads are added up again after so long, in milliseconds. */
+const TOTALS_AGE_MS = 50;
 /** A daemon that was silent for so long gets no more heartbeats. */
 const FORGET_AGE_MS = 20_000;
 
@@ -15,6 +14,9 @@
 /** The other daemons, as last heard. */
 export class MemberView {
   private readonly peers = new Map<string, Peer>();
+  /** By backend server, the requests in flight of all other daemons. */
+  private totals = new Map<string, number>();
+  private totalsAtMs = Number.NEGATIVE_INFINITY;
 
   constructor(private readonly selfId: string) {}
 
@@ -41,14 +43,14 @@
 
   /** Lists daemons that clients may be sent to, this one not included. */
   listReady(nowMs: number): Heartbeat[] {
-    return this.listHeardWithin(READY_INTERVALS, nowMs).filter(
+    return this.listHeard(computeReadyAgeMs, nowMs).filter(
       ({state}) => state === DaemonState.READY,
     );
   }
 
   /** Lists daemons that run, this one not included. */
   listLive(nowMs: number): Heartbeat[] {
-    return this.listHeardWithin(LIVE_INTERVALS, nowMs);
+    return this.listHeard(computeLiveAgeMs, nowMs);
   }
 
   /** Lists daemons that heartbeats are sent to. */
@@ -61,26 +63,32 @@
 
   /** Counts requests in flight at a backend server, by all other daemons. */
   countInFlight(serverId: string, nowMs: number): number {
-    let count = 0;
-    for (const peer of this.peers.values()) {
-      if (!isHeardWithin(peer, LIVE_INTERVALS, nowMs)) continue;
-      const {heartbeat} = peer;
-      count += heartbeat.inFlight[serverId] ?? 0;
+    if (nowMs - this.totalsAtMs > TOTALS_AGE_MS) this.updateTotals(nowMs);
+    return this.totals.get(serverId) ?? 0;
+  }
+
+  private updateTotals(nowMs: number): void {
+    this.totalsAtMs = nowMs;
+    this.totals = new Map();
+    for (const {inFlight} of this.listLive(nowMs)) {
+      for (const [serverId, count] of Object.entries(inFlight)) {
+        this.totals.set(serverId, (this.totals.get(serverId) ?? 0) + count);
+      }
     }
-    return count;
   }
 
-  private listHeardWithin(intervals: number, nowMs: number): Heartbeat[] {
+  private listHeard(
+    computeAgeMs: (intervalMs: number) => number,
+    nowMs: number,
+  ): Heartbeat[] {
     return [...this.peers.values()]
-      .filter(peer => isHeardWithin(peer, intervals, nowMs))
+      .filter(({heartbeat, heardAtMs}) => {
+        return nowMs - heardAtMs <= computeAgeMs(heartbeat.intervalMs);
+      })
       .map(peer => peer.heartbeat);
   }
 }
 
-function isHeardWithin(peer: Peer, intervals: number, nowMs: number): boolean {
-  return nowMs - peer.heardAtMs <= intervals * peer.heartbeat.intervalMs;
-}
-
 /** Clocks may jump back at a restart; a far lower sequence is a restart too. */
 function isNewer(heartbeat: Heartbeat, known: Heartbeat): boolean {
   if (heartbeat.incarnation === known.incarnation) {
