Send a resumable stream elsewhere when its engine answers with a failure

The stream dispatcher passed such an answer on at once, also on routes that allow a second engine; plain services already tried again.

Ruled out: choosing other engines (every engine of the service failed alike). Streams that may not be resumed keep the failure, as they may have run.

requests.feature, "chat | fails", failed first.

--- a/packages/router/src/streams/stream_dispatcher.ts
+++ b/packages/router/src/streams/stream_dispatcher.ts
@@ -41,6 +41,7 @@
       const tried = new Set<string>();
       const {isResumable, maxAttempts} = job.route;
       let runs = 0;
+      let failedReply: CallAnswer | undefined;
       this.budget.recordFirstTry(job.service, readSteadyMs());
       while (runs < maxAttempts && tried.size < MAX_SENDS) {
         const choice = this.chooser.choose(job, tried);
@@ -62,8 +63,11 @@
         );
         if (Result.isSuccess(result)) {
           if (typeof result.success === 'string') return result.success;
-          if (!relay.isStarted()) return result.success;
-          break;
+          runs += 1;
+          job.trace.mayHaveRun = true;
+          failedReply = result.success;
+          if (!isResumable || failedReply.status < 500) break;
+          continue;
         }
         if (!result.failure.isPossiblyRun()) continue;
         runs += 1;
@@ -73,6 +77,7 @@
         relay.closeBroken();
         return CallOutcome.BROKEN_OFF;
       }
+      if (failedReply !== undefined) return failedReply;
       if (job.trace.mayHaveRun) {
         return this.answers.make(CallOutcome.UNKNOWN, job.call);
       }
