--- a/packages/router/src/calls/service_dispatcher.ts
+++ b/packages/router/src/calls/service_dispatcher.ts
@@ -1,34 +1,30 @@
 import {Effect, Result} from 'effect';
-import {readSteadyMs} from '@greengagecross/common';
-import type {FleetRetryBudget} from '@greengagecross/decisions';
 import {readBody} from '@greengagecross/http';
-import type {MemberView} from '../members/member_view.js';
 import {CallKind} from '../model/call_kind.js';
 import {AttemptFailure, AttemptFailureKind} from './attempt_failure.js';
 import type {AttemptReply, BackendAttempts} from './backend_attempts.js';
 import {CallOutcome, type CallAnswer} from './call_answer.js';
 import type {CallJob} from './call_job.js';
+import {
+  MAX_SENDS,
+  PATIENT_SILENCE_MS,
+  RETRY_AFTER_MS,
+} from './dispatch_limits.js';
+import type {FleetRetries} from './fleet_retries.js';
 import type {OwnAnswers} from './own_answers.js';
 import type {ServerChooser} from './server_chooser.js';
 
-/** Servers asked for one request where none of them ran it. */
-const MAX_SENDS = 3;
 /** Largest answer that is read whole before it is passed on, in bytes. */
 const MAX_REPLY_BYTES = 8 * 1024 * 1024;
 /** Time without a byte after which an idempotent request goes elsewhere. */
 const RETRYABLE_SILENCE_FACTOR = 3;
-/** Longest silence that is waited for, in milliseconds. */
-const PATIENT_SILENCE_MS = 60_000;
-/** When a refused client may come again: servers are back within seconds. */
-const RETRY_AFTER_MS = 300;
 
 /** Dispatches requests of plain services. */
 export class ServiceDispatcher {
   constructor(
     private readonly chooser: ServerChooser,
     private readonly attempts: BackendAttempts,
-    private readonly budget: FleetRetryBudget,
-    private readonly members: MemberView,
+    private readonly retries: FleetRetries,
     private readonly answers: OwnAnswers,
   ) {}
 
@@ -39,12 +35,12 @@
       const isSafe = job.route.kind === CallKind.SAFE;
       let runs = 0;
       let failedReply: CallAnswer | undefined;
-      this.budget.recordFirstTry(job.service, readSteadyMs());
+      this.retries.recordFirstTry(job.service);
       while (runs < job.route.maxAttempts && tried.size < MAX_SENDS) {
         const choice = this.chooser.choose(job, tried);
         if (choice === undefined) break;
         const {server} = choice;
-        if (tried.size > 0 && !this.takeRetry(job)) break;
+        if (tried.size > 0 && !this.retries.take(job.service)) break;
         tried.add(server.id);
         const mayRetry = isSafe && runs + 1 < job.route.maxAttempts;
         const silenceMs = mayRetry
@@ -76,12 +72,6 @@
       return this.answers.make(outcome, job.call, RETRY_AFTER_MS);
     });
   }
-
-  private takeRetry(job: CallJob): boolean {
-    const nowMs = readSteadyMs();
-    const daemons = this.members.listLive(nowMs).length + 1;
-    return this.budget.take(job.service, daemons, nowMs);
-  }
 }
 
 /** Reads an answer whole, so that one that breaks off can be asked for again. */
--- a/packages/router/src/router_parts.ts
+++ b/packages/router/src/router_parts.ts
@@ -9,6 +9,7 @@
 import {AccessPoints} from './access_points.js';
 import {BackendAttempts} from './calls/backend_attempts.js';
 import {CallHandler} from './calls/call_handler.js';
+import {FleetRetries} from './calls/fleet_retries.js';
 import {InFlight} from './calls/in_flight.js';
 import {OwnAnswers} from './calls/own_answers.js';
 import {ServerChooser} from './calls/server_chooser.js';
@@ -80,7 +81,8 @@
       this.crashes,
       serverId => chooser.recordDown(serverId),
     );
-    const toDispatch = [chooser, attempts, budget, view, answers] as const;
+    const retries = new FleetRetries(budget, view);
+    const toDispatch = [chooser, attempts, retries, answers] as const;
     this.calls = new CallHandler(
       ports.codec,
       this.state,
--- a/packages/router/src/streams/stream_dispatcher.ts
+++ b/packages/router/src/streams/stream_dispatcher.ts
@@ -1,32 +1,28 @@
 import {Effect, Result} from 'effect';
-import {readSteadyMs} from '@greengagecross/common';
-import type {FleetRetryBudget} from '@greengagecross/decisions';
 import type {AttemptFailure} from '../calls/attempt_failure.js';
 import type {AttemptReply, BackendAttempts} from '../calls/backend_attempts.js';
 import {CallOutcome, type CallAnswer} from '../calls/call_answer.js';
 import type {CallJob} from '../calls/call_job.js';
+import {
+  MAX_SENDS,
+  PATIENT_SILENCE_MS,
+  RETRY_AFTER_MS,
+} from '../calls/dispatch_limits.js';
+import type {FleetRetries} from '../calls/fleet_retries.js';
 import type {OwnAnswers} from '../calls/own_answers.js';
 import type {ServerChooser} from '../calls/server_chooser.js';
 import {readAnswer} from '../calls/service_dispatcher.js';
-import type {MemberView} from '../members/member_view.js';
 import {EventRelay} from './event_relay.js';
 
-/** Engines asked for one request where none of them ran it. */
-const MAX_SENDS = 3;
 /** Silence after which a stream that can be resumed goes elsewhere, in ms. */
 const RESUMABLE_SILENCE_MS = 1200;
-/** Longest silence that is waited for, in milliseconds. */
-const PATIENT_SILENCE_MS = 60_000;
-/** When a refused client may come again: engines are back within seconds. */
-const RETRY_AFTER_MS = 300;
 
 /** Dispatches generations, whose answers are streams of events. */
 export class StreamDispatcher {
   constructor(
     private readonly chooser: ServerChooser,
     private readonly attempts: BackendAttempts,
-    private readonly budget: FleetRetryBudget,
-    private readonly members: MemberView,
+    private readonly retries: FleetRetries,
     private readonly answers: OwnAnswers,
   ) {}
 
@@ -42,12 +38,12 @@
       const {isResumable, maxAttempts} = job.route;
       let runs = 0;
       let failedReply: CallAnswer | undefined;
-      this.budget.recordFirstTry(job.service, readSteadyMs());
+      this.retries.recordFirstTry(job.service);
       while (runs < maxAttempts && tried.size < MAX_SENDS) {
         const choice = this.chooser.choose(job, tried);
         if (choice === undefined) break;
         const {server} = choice;
-        if (tried.size > 0 && !this.takeRetry(job)) break;
+        if (tried.size > 0 && !this.retries.take(job.service)) break;
         tried.add(server.id);
         const mayResume = isResumable && runs + 1 < maxAttempts;
         const lastEventId = relay.getLastId();
@@ -103,12 +99,6 @@
       }),
     );
   }
-
-  private takeRetry(job: CallJob): boolean {
-    const nowMs = readSteadyMs();
-    const daemons = this.members.listLive(nowMs).length + 1;
-    return this.budget.take(job.service, daemons, nowMs);
-  }
 }
 
 function recordTimes({trace}: CallJob, relay: EventRelay): void {
