--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -32,6 +32,7 @@
 export * from './limits/class_demand.js';
 export * from './limits/engine_admission.js';
 export * from './limits/engine_occupancy.js';
+export * from './limits/own_delay.js';
 export * from './limits/waiting_list.js';
 export * from './retries/request_deadline.js';
 export * from './retries/retry_policy.js';
--- /dev/null
+++ b/packages/decisions/src/limits/own_delay_steps.ts
@@ -0,0 +1,36 @@
+import assert from 'node:assert/strict';
+import {Given, Then, When, World} from '@cucumber/cucumber';
+import {OWN_DELAY_SAMPLE_MS, OwnDelay} from './own_delay.js';
+
+interface DelayWorld extends World {
+  delay: OwnDelay;
+  nowMs: number;
+}
+
+Given(
+  'a daemon whose timers come {int} ms late',
+  function (this: DelayWorld, lateMs: number) {
+    this.delay = new OwnDelay();
+    this.delay.sample(0);
+    this.nowMs = OWN_DELAY_SAMPLE_MS + lateMs;
+    this.delay.sample(this.nowMs);
+  },
+);
+
+When('its next timer comes in time', function (this: DelayWorld) {
+  this.delay.sample(this.nowMs + OWN_DELAY_SAMPLE_MS);
+});
+
+Then(
+  /^it (takes|refuses) a request that has (\d+) ms$/,
+  function (this: DelayWorld, does: string, budgetMs: string) {
+    assert.equal(this.delay.isTooLate(Number(budgetMs)), does === 'refuses');
+  },
+);
+
+Then(
+  'a request that it reads has waited {int} ms',
+  function (this: DelayWorld, waitedMs: number) {
+    assert.equal(this.delay.getDelayMs(), waitedMs);
+  },
+);
--- a/packages/standins/src/fleet/free_ports.ts
+++ b/packages/http/src/free_ports.ts
@@ -8,7 +8,10 @@
 
 let nextPort = FIRST_PORT + computeOffset(process.pid);
 
-/** Finds ports that nothing listens on; all are held until all are known. */
+/**
+ * Finds ports for stand-ins and tests that nothing listens on; all are held
+ * until all are known.
+ */
 export async function findFreePorts(count: number): Promise<number[]> {
   const servers: Server[] = [];
   const ports: number[] = [];
--- a/packages/router/src/access_points.ts
+++ b/packages/router/src/access_points.ts
@@ -3,6 +3,7 @@
 import type {ExchangeHandler, HttpExchange} from '@greengagecross/http';
 import type {PeerServer} from '@greengagecross/peers';
 import {chooseAddresses} from './directory/choose_addresses.js';
+import {computeDirectoryTtlMs} from './directory/compute_directory_ttl.js';
 import {DaemonState} from './members/heartbeat.js';
 import type {MemberService} from './members/member_service.js';
 import type {MemberView} from './members/member_view.js';
@@ -10,14 +11,8 @@
 import type {DaemonIdentity} from './model/daemon_identity.js';
 import type {CallCodec} from './ports/call_codec.js';
 
-/** How long clients keep a directory answer: a daemon that leaves is out of
- * use three times that later, within half of the usual stop grace. */
-const DIRECTORY_TTL_MS = 1000;
-
 /** Answers everything that is not a client's request for a backend server. */
 export class AccessPoints {
-  readonly ttlMs = DIRECTORY_TTL_MS;
-
   constructor(
     private readonly self: DaemonIdentity,
     private readonly codec: CallCodec,
@@ -46,7 +41,8 @@
         return;
       }
       const addresses = chooseAddresses(daemons, zone);
-      exchange.sendJson(200, this.codec.encodeDirectory(addresses, this.ttlMs));
+      const ttlMs = computeDirectoryTtlMs(daemons.length);
+      exchange.sendJson(200, this.codec.encodeDirectory(addresses, ttlMs));
     });
 
   /** Gives all metrics as text. */
--- a/packages/router/src/calls/call_answer.ts
+++ b/packages/router/src/calls/call_answer.ts
@@ -21,6 +21,8 @@
   UNKNOWN = 'unknown',
   /** Its time was over. */
   TIMED_OUT = 'timed-out',
+  /** This daemon read it too late to serve it in its time. */
+  OVERLOADED = 'overloaded',
   STOPPING = 'stopping',
 }
 
--- a/packages/router/src/calls/call_handler.ts
+++ b/packages/router/src/calls/call_handler.ts
@@ -1,18 +1,17 @@
 import {Effect, Result} from 'effect';
 import {hash32, Logger, readSteadyMs} from '@greengagecross/common';
-import type {CrashCounts} from '@greengagecross/decisions';
+import type {CrashCounts, OwnDelay} from '@greengagecross/decisions';
 import type {HttpExchange} from '@greengagecross/http';
 import type {RouterMetrics} from '../metrics/router_metrics.js';
 import {CallKind} from '../model/call_kind.js';
 import type {ClientCall} from '../model/client_call.js';
-import type {Route} from '../model/route.js';
 import type {CallCodec} from '../ports/call_codec.js';
-import {chooseService} from '../routing/choose_service.js';
 import type {FleetState} from '../state/fleet_state.js';
 import type {ConfigurationView} from '../state/configuration_book.js';
 import type {StreamDispatcher} from '../streams/stream_dispatcher.js';
 import {CallOutcome, type CallAnswer} from './call_answer.js';
 import type {CallJob} from './call_job.js';
+import {chooseAdmission, type Admitted} from './choose_admission.js';
 import type {OwnAnswers} from './own_answers.js';
 import type {ServiceDispatcher} from './service_dispatcher.js';
 
@@ -23,16 +22,18 @@
 const START_WAIT_MS = 300;
 /** When a client may come again to a daemon that cannot serve yet. */
 const START_RETRY_MS = 500;
-/** Least urgent rank that a backend server knows. */
-const MAX_PRIORITY = 9;
+/** Refusals of a daemon that may serve the same request a moment later. */
+const PASSING_OUTCOMES: ReadonlySet<CallOutcome> = new Set([
+  CallOutcome.NO_CONFIGURATION,
+  CallOutcome.OVERLOADED,
+  CallOutcome.STOPPING,
+]);
 const logger = new Logger('calls');
 
-/** What a request may use, once its route and customer are known. */
-interface Admitted {
-  readonly route: Route;
-  readonly service: string;
-  readonly customer: string | undefined;
-  readonly priority: number;
+/** When a request was read, and when its final answer is due. */
+interface CallTimes {
+  readonly startedAtMs: number;
+  readonly dueAtMs: number;
 }
 
 /** Answers requests of clients: route, customer, body, dispatch, one log line. */
@@ -43,6 +44,7 @@
     private readonly services: ServiceDispatcher,
     private readonly streams: StreamDispatcher,
     private readonly crashes: CrashCounts,
+    private readonly ownDelay: OwnDelay,
     private readonly answers: OwnAnswers,
     private readonly metrics: RouterMetrics,
     private readonly isRefusing: () => boolean,
@@ -67,7 +69,18 @@
       if (typeof admitted === 'string') {
         return yield* this.refuse(exchange, call, admitted);
       }
-      return yield* this.run(exchange, call, view, admitted, startedAtMs);
+      const {timeoutMs} = admitted.route;
+      const budgetMs = Math.min(call.deadlineMs ?? timeoutMs, timeoutMs);
+      if (this.ownDelay.isTooLate(budgetMs)) {
+        return yield* this.refuse(exchange, call, CallOutcome.OVERLOADED);
+      }
+      // What a request waited unread is gone from its time.
+      const sentAtMs = startedAtMs - this.ownDelay.getDelayMs();
+      const dueAtMs = sentAtMs + budgetMs;
+      return yield* this.run(exchange, call, view, admitted, {
+        startedAtMs,
+        dueAtMs,
+      });
     });
   }
 
@@ -76,11 +89,8 @@
     call: ClientCall,
     view: ConfigurationView,
     admitted: Admitted,
-    startedAtMs: number,
+    {startedAtMs, dueAtMs}: CallTimes,
   ): Effect.Effect<void> {
-    const {timeoutMs} = admitted.route;
-    const budgetMs = Math.min(call.deadlineMs ?? timeoutMs, timeoutMs);
-    const dueAtMs = startedAtMs + budgetMs;
     const {maxBodyBytes} = view.configuration.limits;
     return Effect.gen({self: this}, function* () {
       const read = yield* Effect.result(exchange.readBody(maxBodyBytes));
@@ -152,6 +162,7 @@
         request: call.id,
         outcome,
         status: answer.status,
+        ownDelayMs: Math.round(this.ownDelay.getDelayMs()),
         ...this.describeBeliefs(),
       });
     });
@@ -207,34 +218,12 @@
   }
 }
 
-/** Finds a request's route and customer, or why there is none. */
-function chooseAdmission(
-  view: ConfigurationView,
-  call: ClientCall,
-): Admitted | CallOutcome {
-  const route = view.routes.find(call.host, call.path);
-  if (route === undefined) return CallOutcome.NO_ROUTE;
-  const service = chooseService(route, call.id ?? '');
-  const base = {route, service, customer: undefined, priority: route.priority};
-  if (route.isPublic || view.customers === undefined) return base;
-  const customer = view.customers.find(call.credential ?? '');
-  if (customer === undefined) return CallOutcome.UNKNOWN_KEY;
-  const priority = customer.priority ?? route.priority;
-  return {
-    ...base,
-    customer: customer.name,
-    priority: Math.min(MAX_PRIORITY, Math.max(0, priority)),
-  };
-}
-
 function sendAnswer(exchange: HttpExchange, answer: CallAnswer): void {
   exchange.send(answer.status, answer.headers, answer.body);
 }
 
 function isPassing(outcome: CallOutcome): boolean {
-  return (
-    outcome === CallOutcome.NO_CONFIGURATION || outcome === CallOutcome.STOPPING
-  );
+  return PASSING_OUTCOMES.has(outcome);
 }
 
 function isWhole(outcome: CallOutcome): boolean {
--- a/packages/router/src/calls/own_answers.ts
+++ b/packages/router/src/calls/own_answers.ts
@@ -14,6 +14,7 @@
   [CallOutcome.NO_SERVER]: 503,
   [CallOutcome.NOT_RUN]: 503,
   [CallOutcome.CONDEMNED]: 503,
+  [CallOutcome.OVERLOADED]: 503,
   [CallOutcome.STOPPING]: 503,
   [CallOutcome.UNKNOWN]: 502,
   [CallOutcome.TIMED_OUT]: 504,
--- a/packages/router/src/router_daemon.ts
+++ b/packages/router/src/router_daemon.ts
@@ -1,5 +1,6 @@
 import {Deferred, Effect, type Scope} from 'effect';
 import {Logger, readSteadyMs, type Address} from '@greengagecross/common';
+import {OWN_DELAY_SAMPLE_MS} from '@greengagecross/decisions';
 import {
   HttpServer,
   type ExchangeHandler,
@@ -13,8 +14,11 @@
 /** Time until a client that sends nothing of its request is cut, in ms. */
 const HEADERS_TIMEOUT_MS = 10_000;
 const REQUEST_TIMEOUT_MS = 30_000;
-/** Clients may keep a directory answer for three times its lifetime. */
-const DIRECTORY_KEPT_FACTOR = 3;
+/**
+ * How long a daemon that leaves still takes requests, in ms: clients of a small
+ * fleet have a new directory answer by then, and what began has time to end.
+ */
+const LEAVING_SERVED_MS = 3000;
 /** Left of the grace when what still runs is cut, in ms. */
 const CUT_MARGIN_MS = 400;
 const TICK_MS = 250;
@@ -75,6 +79,7 @@
       yield* parts.members.start();
       yield* Effect.forkScoped(parts.engineEnds.run());
       yield* Effect.forkScoped(this.runTicks());
+      yield* Effect.forkScoped(this.runDelaySamples());
       logger.log('The daemon listens.', {
         id: settings.self.id,
         callers: settings.self.callers.port,
@@ -83,6 +88,16 @@
     });
   }
 
+  /** Measures how late this process comes to do anything. */
+  private runDelaySamples(): Effect.Effect<never> {
+    const sample = Effect.sync(() =>
+      this.parts.ownDelay.sample(readSteadyMs()),
+    );
+    return Effect.forever(
+      Effect.andThen(sample, Effect.sleep(OWN_DELAY_SAMPLE_MS)),
+    );
+  }
+
   /** Applies limits that may change, and ends what is over. */
   private runTicks(): Effect.Effect<never> {
     const {state, health} = this.parts;
@@ -109,10 +124,9 @@
       logger.log('The daemon is leaving.', {
         active: this.callers.countActive(),
       });
-      const servedMs = DIRECTORY_KEPT_FACTOR * this.parts.access.ttlMs;
       const endMs = startedAtMs + this.stopGraceMs - CUT_MARGIN_MS;
       while (readSteadyMs() < endMs) {
-        const isServed = readSteadyMs() - startedAtMs > servedMs;
+        const isServed = readSteadyMs() - startedAtMs > LEAVING_SERVED_MS;
         this.isRefusing = isServed;
         if (isServed && this.callers.countActive() === 0) break;
         yield* Effect.sleep(IDLE_CHECK_MS);
--- a/packages/router/src/router_parts.ts
+++ b/packages/router/src/router_parts.ts
@@ -1,6 +1,7 @@
 import {
   CrashCounts,
   FleetRetryBudget,
+  OwnDelay,
   WorkerHealth,
 } from '@greengagecross/decisions';
 import {HttpClient} from '@greengagecross/http';
@@ -49,6 +50,7 @@
   readonly members: MemberService;
   readonly access: AccessPoints;
   readonly budget: FleetRetryBudget;
+  readonly ownDelay = new OwnDelay();
   readonly engineEnds: EngineEndsKeeper;
   private readonly inFlight = new InFlight();
   private readonly crashes = new CrashCounts();
@@ -89,6 +91,7 @@
       new ServiceDispatcher(...toDispatch),
       new StreamDispatcher(...toDispatch),
       this.crashes,
+      this.ownDelay,
       answers,
       this.metrics,
       isRefusing,
--- a/packages/standins/src/bench/members/measure_fleet.ts
+++ b/packages/standins/src/bench/members/measure_fleet.ts
@@ -4,7 +4,7 @@
 import {join} from 'node:path';
 import {fileURLToPath} from 'node:url';
 import {promisify} from 'node:util';
-import {findFreePorts} from '../../fleet/free_ports.js';
+import {findFreePorts} from '@greengagecross/http';
 import type {NodePlan} from './member_node.js';
 import type {NeighbourWay, ProcessFigures} from './member_process.js';
 
--- a/packages/standins/src/bench/members/members_steps.ts
+++ b/packages/standins/src/bench/members/members_steps.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {After, Given, Then, When, World} from '@cucumber/cucumber';
 import {formatAddress} from '@greengagecross/common';
-import {findFreePorts} from '../../fleet/free_ports.js';
+import {findFreePorts} from '@greengagecross/http';
 import {waitUntil} from '../../fleet/wait_until.js';
 import {FleetCourse} from './fleet_course.js';
 import {LoopbackNode} from './loopback_node.js';
--- a/packages/standins/src/bench/path/path_bench.ts
+++ b/packages/standins/src/bench/path/path_bench.ts
@@ -1,9 +1,9 @@
 import {fileURLToPath} from 'node:url';
 import {HeaderName} from '@greengagecross/common';
+import {findFreePorts} from '@greengagecross/http';
 import {Child} from '../../fleet/child.js';
 import {Fleet} from '../../fleet/fleet.js';
 import {planFleet, PlannedService} from '../../fleet/fleet_plan.js';
-import {findFreePorts} from '../../fleet/free_ports.js';
 import {closeCalls} from '../../fleet/http_json.js';
 import type {Bench} from '../main.js';
 import {runLookups} from './lookup_run.js';
--- a/packages/standins/src/contracts/platform_contracts_steps.ts
+++ b/packages/standins/src/contracts/platform_contracts_steps.ts
@@ -3,7 +3,7 @@
 import {After, Given, Then, When, World} from '@cucumber/cucumber';
 import {Effect, Exit, Result, Scope} from 'effect';
 import type {Address} from '@greengagecross/common';
-import {HttpClient} from '@greengagecross/http';
+import {findFreePorts, HttpClient} from '@greengagecross/http';
 import {
   HostRole,
   HostState,
@@ -19,7 +19,6 @@
   type WeightStore,
 } from '@greengagecross/platform';
 import {NO_FAULTS, type StandinFaults} from '../faults.js';
-import {findFreePorts} from '../fleet/free_ports.js';
 import {PlatformServer} from '../platform/platform_server.js';
 import {WEIGHT_CASES} from './backend_cases.js';
 import {makeWrite, OBJECT_CASES, TABLE_CASES} from './contract_cases.js';
--- a/packages/standins/src/edges/silent_server.ts
+++ b/packages/standins/src/edges/silent_server.ts
@@ -1,8 +1,11 @@
 import type {Socket} from 'node:net';
 import {Effect, Scope, Exit} from 'effect';
 import type {Address} from '@greengagecross/common';
-import {HttpServer, type HttpExchange} from '@greengagecross/http';
-import {findFreePorts} from '../fleet/free_ports.js';
+import {
+  findFreePorts,
+  type HttpExchange,
+  HttpServer,
+} from '@greengagecross/http';
 
 const LIMIT_MS = 60_000;
 
--- a/packages/standins/src/fleet/fleet_plan.ts
+++ b/packages/standins/src/fleet/fleet_plan.ts
@@ -6,8 +6,8 @@
 } from '@greengagecross/common';
 import {HostRole, HostState, type Host} from '@greengagecross/platform';
 import type {Answers} from '@greengagecross/questionnaire';
+import {findFreePorts} from '@greengagecross/http';
 import type {EngineProfile} from '../backends/engine_profile.js';
-import {findFreePorts} from './free_ports.js';
 import {
   Deployment,
   listCustomerNames,
--- a/packages/standins/src/promises/whole_answers_steps.ts
+++ b/packages/standins/src/promises/whole_answers_steps.ts
@@ -3,12 +3,15 @@
 import {Effect, Exit, Scope} from 'effect';
 import {BackendHeader} from '@greengagecross/backend';
 import {Outcome, type Address} from '@greengagecross/common';
-import {HttpServer, type HttpExchange} from '@greengagecross/http';
+import {
+  findFreePorts,
+  type HttpExchange,
+  HttpServer,
+} from '@greengagecross/http';
 import {DEFAULT_PROFILE} from '../backends/engine_profile.js';
 import {EngineServer} from '../backends/engine_server.js';
 import {computeAnswerTokens} from '../backends/expected_answer.js';
 import type {Told} from '../callers/told.js';
-import {findFreePorts} from '../fleet/free_ports.js';
 import {ChatRig} from './chat_rig.js';
 import {CuttingProxy} from './cutting_proxy.js';
 import {ENGINE_SCRIPTS, type EngineScript} from './engine_scripts.js';
