Copy no memory from an engine that has just failed the request

Cause: found by reading. The engine chosen after a cut was told to copy from the engine that had just been cut, which may be dark: the copy then waits for it.

requests.feature, "A chat that its engine lost is not copied from that engine", failed first.

--- a/packages/router/src/calls/server_chooser.ts
+++ b/packages/router/src/calls/server_chooser.ts
@@ -89,7 +89,7 @@
     const server = servers.find(({id}) => id === choice?.engineId);
     if (choice === undefined || server === undefined) return undefined;
     const {reason, rank, inFlight, bound, memorySourceId} = choice;
-    const source = this.findMemorySource(memorySourceId, nowMs);
+    const source = this.findMemorySource(job, memorySourceId, nowMs);
     const subject = findSubject(job.call.prompt);
     job.trace.placement = `${reason} ${rank} load ${inFlight}/${bound.toFixed(1)} subject ${subject?.id}:${subject?.tokens}`;
     if (source === undefined) return {server};
@@ -97,12 +97,13 @@
     return {server, memorySource: source.address};
   }
 
-  /** An engine that cannot be reached has nothing to copy. */
+  /** An engine that failed this request, or is not reached, is no source. */
   private findMemorySource(
+    job: CallJob,
     id: string | undefined,
     nowMs: number,
   ): BackendServer | undefined {
-    if (id === undefined) return undefined;
+    if (id === undefined || job.trace.attempts.includes(id)) return undefined;
     const isAvoided = this.health.listAvoided([id], nowMs).has(id);
     return isAvoided ? undefined : this.backends.find(id);
   }
