--- a/packages/decisions/src/prompts/prompt_placement.ts
+++ b/packages/decisions/src/prompts/prompt_placement.ts
@@ -19,7 +19,7 @@
 const COSTLY_BOUND = {perMean: 2, extra: 2};
 /** Shared tokens that are costly to read: about 25 ms of an engine's time. */
 const COSTLY_TOKENS = 4000;
-/** Copying fewer tokens takes longer than reading them: its setup is 8 ms. */
+/** Fewer tokens are not worth a copy, whose setup takes 8 ms. */
 const MIN_COPIED_TOKENS = 500;
 /** An engine that leaves serves for some seconds more, in milliseconds. */
 const LEAVING_MS = 10_000;
--- a/packages/router/src/directory/compute_directory_ttl.ts
+++ b/packages/router/src/directory/compute_directory_ttl.ts
@@ -8,8 +8,7 @@
 /**
  * Computes how long clients keep a directory answer.
  *
- * Their look-ups grow with the clients, and in a large fleet cost the daemons
- * as much as a tenth of the requests do.
+ * Their look-ups grow with the clients and cost the daemons processor time.
  *
  * @param daemons daemons that the answer chooses from
  */
