Give bytes of faulty workers to no request, and close their connections

Cause: a refusal without an id was believed on a kept connection, so that an earlier one that a worker sent once more made the next request, which it ran, 'not run' (503, or a run at a second worker). The unused body of a refusal was read for ever if it had no end. Informational heads and comments counted as progress of a reply, so that a stalled one was not given up. The time after which a stream is resumed follows the objectives of its route.

--- a/packages/backend/src/http_engine_client.ts
+++ b/packages/backend/src/http_engine_client.ts
@@ -5,11 +5,12 @@
   toError,
   type BackendServer,
 } from '@greengagecross/common';
-import type {
-  HttpClient,
-  OpenReply,
-  OutgoingHeaders,
-  OutgoingRequest,
+import {
+  discardBody,
+  type HttpClient,
+  type OpenReply,
+  type OutgoingHeaders,
+  type OutgoingRequest,
 } from '@greengagecross/http';
 import type {BackendCall} from './backend_call.js';
 import {BackendError} from './backend_error.js';
@@ -133,7 +134,7 @@
           if (isLeavingReply(call, reply)) this.onLeaving(id);
           const replyError = findReplyError(call, reply);
           if (replyError === undefined) return Effect.succeed(reply);
-          reply.stream.resume();
+          discardBody(reply.stream);
           return Effect.fail(replyError);
         }),
       );
--- a/packages/daemon/src/callers/chat_attempt.ts
+++ b/packages/daemon/src/callers/chat_attempt.ts
@@ -17,6 +17,7 @@
 } from '@greengagecross/common';
 import type {RequestDeadline} from '@greengagecross/decisions';
 import {
+  discardBody,
   readBody,
   type HttpExchange,
   type OpenReply,
@@ -81,8 +82,7 @@
       const reply = yield* this.engines.open(call, job.body);
       yield* checkAttemptId(reply, call);
       if (reply.status >= 500) {
-        // Discards the body.
-        reply.stream.resume();
+        discardBody(reply.stream);
         yield* Effect.fail(
           new BackendError(BackendFailure.INVALID_REPLY, server.id),
         );
--- a/packages/daemon/src/relay/chat_stream.ts
+++ b/packages/daemon/src/relay/chat_stream.ts
@@ -3,6 +3,7 @@
 import {createParser} from 'eventsource-parser';
 import {BackendError, BackendFailure} from '@greengagecross/backend';
 import {OUTCOME_EVENT, type OutcomeEvent} from '@greengagecross/common';
+import {discardBody} from '@greengagecross/http';
 import {EventVerdict, type StreamCheck} from './stream_check.js';
 
 /** Data of the last event of a complete answer (the done event). */
@@ -68,8 +69,8 @@
               break;
             case EventVerdict.DONE:
               end(Effect.void);
-              // Discards what follows the done event.
-              stream.resume();
+              // Reads what follows the done event.
+              discardBody(stream);
               break;
             case EventVerdict.BROKEN:
               fail(BackendFailure.INVALID_REPLY);
--- a/packages/http/src/connection_pool.ts
+++ b/packages/http/src/connection_pool.ts
@@ -1,4 +1,4 @@
-import {Agent, type ClientRequestArgs} from 'node:http';
+import {Agent, type ClientRequest, type ClientRequestArgs} from 'node:http';
 import type {Duplex} from 'node:stream';
 import {Socket} from 'node:net';
 import {SocketByteCounter} from './socket_byte_counter.js';
@@ -10,7 +10,13 @@
 
 type ConnectionCallback = (error: Error | null, stream: Duplex) => void;
 
-/** Keep-alive connections to other processes, with a count of their bytes. */
+/**
+ * Keep-alive connections to other processes, with a count of their bytes.
+ *
+ * Bytes that arrive on an idle connection belong to no request: a faulty server
+ * may send a reply twice. The connection is closed, because Node would drop
+ * them, or pass the part that arrives later to the next request.
+ */
 export class ConnectionPool extends Agent {
   readonly bytes = new SocketByteCounter();
 
@@ -33,6 +39,19 @@
     return stream;
   }
 
+  /** Node calls this when a connection becomes idle. */
+  override keepSocketAlive(stream: Duplex): boolean {
+    stream.once('data', closeOnData);
+    // Node returns whether the connection may be kept; its types say void.
+    return super.keepSocketAlive(stream) as unknown as boolean;
+  }
+
+  /** Node calls this when an idle connection gets its next request. */
+  override reuseSocket(stream: Duplex, request: ClientRequest): void {
+    stream.off('data', closeOnData);
+    super.reuseSocket(stream, request);
+  }
+
   /** Closes the idle connections to one address. */
   closeIdle(host: string, port: number): void {
     const prefix = `${host}:${port}:`;
@@ -42,3 +61,7 @@
     }
   }
 }
+
+function closeOnData(this: Duplex): void {
+  this.destroy();
+}
--- a/packages/http/src/index.ts
+++ b/packages/http/src/index.ts
@@ -3,6 +3,7 @@
  * connections; both count the bytes of their sockets.
  */
 export * from './connection_pool.js';
+export * from './discard_body.js';
 export * from './free_ports.js';
 export * from './liveness_connection.js';
 export * from './http_client.js';
--- a/packages/http/src/silence_detector.ts
+++ b/packages/http/src/silence_detector.ts
@@ -7,6 +7,9 @@
 /**
  * Calls `onSilent` when no byte is received within the silence timeout.
  *
+ * Until the reply head is complete, bytes do not count: a faulty server may
+ * send a head or informational heads without end.
+ *
  * Time during which the reader of the reply applies backpressure does not
  * count: no byte can arrive then, even if the other end is healthy.
  */
@@ -35,7 +38,9 @@
 
   private check(): void {
     const bytesRead = this.socket.bytesRead;
-    if (bytesRead !== this.lastBytesRead || this.isBackpressured()) {
+    const isProgressing =
+      this.reply !== undefined && bytesRead !== this.lastBytesRead;
+    if (isProgressing || this.isBackpressured()) {
       this.lastBytesRead = bytesRead;
       this.silentChecks = 0;
       return;
--- a/packages/router/src/calls/backend_attempts.ts
+++ b/packages/router/src/calls/backend_attempts.ts
@@ -7,6 +7,7 @@
   type ServerHealth,
 } from '@greengagecross/decisions';
 import {
+  discardBody,
   HttpFailure,
   RequestPhase,
   type HttpClient,
@@ -141,7 +142,10 @@
     const head = this.codec.decodeReply(job.call, reply);
     const isRefusal = head.isNotRun || head.status === MISDIRECTED_STATUS;
     if (head.isReplyToRequest && isRefusal) {
-      stream.resume();
+      // A refusal without an id may be sent once more for the next request on
+      // the connection, which the server may run; so no request follows it.
+      if (head.hasRequestId) discardBody(stream);
+      else stream.destroy();
       return makeFailure(AttemptFailureKind.NOT_RUN, server.id);
     }
     const isSuccess = head.status >= 200 && head.status < 300;
--- a/packages/router/src/model/backend_reply_head.ts
+++ b/packages/router/src/model/backend_reply_head.ts
@@ -18,6 +18,8 @@
   readonly status: number;
   /** Whether the reply belongs to the request that was sent, by its id. */
   readonly isReplyToRequest: boolean;
+  /** Whether the reply carries the id of any request. */
+  readonly hasRequestId: boolean;
   /** Whether the server states that it did not run the request. */
   readonly isNotRun: boolean;
   /**
--- a/packages/router/src/streams/event_relay.ts
+++ b/packages/router/src/streams/event_relay.ts
@@ -2,6 +2,7 @@
 import {Effect} from 'effect';
 import {readSteadyMs} from '@greengagecross/common';
 import type {OutgoingHeaders} from '@greengagecross/http';
+import type {BackendReplyHead} from '../model/backend_reply_head.js';
 import {AttemptFailure, AttemptFailureKind} from '../calls/attempt_failure.js';
 import {EventSplitter} from './event_splitter.js';
 
@@ -56,12 +57,15 @@
    *
    * The response head is sent with the first event, so that another answer is
    * still possible when the server disconnects before any event.
+   *
+   * @param stallTimeoutMs maximum time without a complete event, in milliseconds.
+   *     Other bytes do not count: a stalled server may send some now and then.
    */
   forward(
     stream: IncomingMessage,
-    status: number,
-    headers: OutgoingHeaders,
+    {status, headers}: BackendReplyHead,
     serverId: string,
+    stallTimeoutMs: number,
   ): Effect.Effect<void, AttemptFailure> {
     return Effect.callback<void, AttemptFailure>(resume => {
       const splitter = new EventSplitter(
@@ -71,6 +75,7 @@
       const end = (failure?: AttemptFailureKind, cause?: Error): void => {
         if (isEnded) return;
         isEnded = true;
+        clearTimeout(stallTimer);
         stream.off('data', onData);
         if (failure === undefined) {
           resume(Effect.void);
@@ -79,9 +84,16 @@
         stream.destroy();
         resume(Effect.fail(new AttemptFailure(failure, serverId, cause)));
       };
+      // The client applies backpressure while it does not read: no event can
+      // be forwarded then, even if the server is sound.
+      const stallTimer = setTimeout(() => {
+        if (this.response.writableNeedDrain) stallTimer.refresh();
+        else end(AttemptFailureKind.SILENT);
+      }, stallTimeoutMs);
       const onData = (chunk: Buffer): void => {
         try {
-          this.write(splitter, chunk, status, headers);
+          const hasEvent = this.write(splitter, chunk, status, headers);
+          if (hasEvent) stallTimer.refresh();
         } catch (thrown) {
           end(AttemptFailureKind.INVALID_REPLY, thrown as Error);
           return;
@@ -101,6 +113,7 @@
       stream.once('close', () => end(AttemptFailureKind.DISCONNECTED));
       return Effect.sync(() => {
         isEnded = true;
+        clearTimeout(stallTimer);
         stream.destroy();
       });
     });
@@ -117,18 +130,20 @@
     this.response.destroy();
   }
 
+  /** Forwards the complete events; returns whether there was any. */
   private write(
     splitter: EventSplitter,
     chunk: Buffer,
     status: number,
     headers: OutgoingHeaders,
-  ): void {
-    const {bytes, lastId} = splitter.accept(chunk);
-    if (bytes.length === 0) return;
+  ): boolean {
+    const {bytes, lastId, hasData} = splitter.accept(chunk);
+    if (bytes.length === 0) return false;
     if (lastId !== undefined) this.lastEventId = lastId;
-    this.recordPause(readSteadyMs());
+    if (hasData) this.recordPause(readSteadyMs());
     this.start(status, headers);
     this.response.write(bytes);
+    return hasData;
   }
 
   private recordPause(nowMs: number): void {
--- a/packages/router/src/streams/event_splitter.ts
+++ b/packages/router/src/streams/event_splitter.ts
@@ -4,6 +4,8 @@
   readonly bytes: Buffer;
   /** Id of the last event that has an id; undefined when none has. */
   readonly lastId?: string;
+  /** Whether any event has data; comments and empty lines are no data. */
+  readonly hasData: boolean;
 }
 
 /** Engines send no larger event; a larger one makes the reply invalid. */
@@ -41,7 +43,7 @@
       throw new Error('event exceeds the size limit of 1 MiB');
     }
     const complete = bytes.subarray(0, end);
-    if (end === 0) return {bytes: EMPTY};
+    if (end === 0) return {bytes: EMPTY, hasData: false};
     return this.lastReceivedId === undefined
       ? makeCompleteEvents(complete)
       : this.removeReceived(complete);
@@ -59,7 +61,7 @@
     while (start < complete.length) {
       const end = findFirstEnd(complete, start);
       const event = complete.subarray(start, end);
-      const id = findLastId(event);
+      const id = findLastId(event.toString('latin1'));
       if (id === undefined || !(Number(id) <= lastReceived)) kept.push(event);
       start = end;
     }
@@ -68,8 +70,10 @@
 }
 
 function makeCompleteEvents(bytes: Buffer): CompleteEvents {
-  const lastId = findLastId(bytes);
-  return lastId === undefined ? {bytes} : {bytes, lastId};
+  const text = bytes.toString('latin1');
+  const lastId = findLastId(text);
+  const hasData = text.startsWith('data:') || text.includes('\ndata:');
+  return lastId === undefined ? {bytes, hasData} : {bytes, lastId, hasData};
 }
 
 /** Returns the end offset of the last complete event; 0 when there is none. */
@@ -94,9 +98,8 @@
   return bytes[at - 1] === CARRIAGE_RETURN && bytes[at - 2] === LINE_FEED;
 }
 
-function findLastId(bytes: Buffer): string | undefined {
-  const text = bytes.toString('latin1');
-  let found: string | undefined;
-  for (const match of text.matchAll(/^id: ?([^\r\n]*)/gm)) found = match[1];
-  return found;
+function findLastId(text: string): string | undefined {
+  const start = text.lastIndexOf('\nid:') + 1;
+  if (!text.startsWith('id:', start)) return undefined;
+  return /^id: ?([^\r\n]*)/.exec(text.slice(start))?.[1];
 }
--- a/packages/router/src/streams/stream_dispatcher.ts
+++ b/packages/router/src/streams/stream_dispatcher.ts
@@ -1,6 +1,10 @@
 import {Effect, Result} from 'effect';
 import type {AttemptFailure} from '../calls/attempt_failure.js';
-import type {AttemptReply, BackendAttempts} from '../calls/backend_attempts.js';
+import type {
+  AttemptPlan,
+  AttemptReply,
+  BackendAttempts,
+} from '../calls/backend_attempts.js';
 import {CallOutcome, type CallAnswer} from '../calls/call_answer.js';
 import type {CallJob} from '../calls/call_job.js';
 import {
@@ -12,10 +16,20 @@
 import type {LocalAnswers} from '../calls/local_answers.js';
 import type {ServerChooser} from '../calls/server_chooser.js';
 import {readReply} from '../calls/service_dispatcher.js';
+import type {Route} from '../model/route.js';
 import {EventRelay} from './event_relay.js';
 
-/** Silence timeout after which a stream is resumed on another server. */
-const RESUMABLE_TIMEOUT_MS = 1200;
+/**
+ * Shortest time without an event after which a stream is resumed on another
+ * server. Engines that are busy pause for up to a second.
+ */
+const MIN_RESUME_AFTER_MS = 1200;
+/**
+ * The same as multiples of the route's objectives, so that a sound stream on a
+ * route with long pauses is not given up; clients wait about twice as long.
+ */
+const RESUME_AFTER_OBJECTIVES = 2;
+const RESUME_AFTER_EVENT_GAPS = 4;
 
 /** Dispatches generations: models' answers that are sent as event streams. */
 export class StreamDispatcher {
@@ -52,13 +66,13 @@
         const plan = {
           ...choice,
           silenceTimeoutMs: mayResume
-            ? RESUMABLE_TIMEOUT_MS
+            ? computeResumeAfterMs(job.route)
             : MAX_SILENCE_TIMEOUT_MS,
           ...(lastEventId === undefined ? {} : {lastEventId}),
         };
         const result = yield* Effect.result(
           this.attempts.run(job, plan, reply =>
-            this.relayReply(job, relay, server.id, reply),
+            this.relayReply(job, relay, plan, reply),
           ),
         );
         if (Result.isSuccess(result)) {
@@ -90,12 +104,13 @@
   private relayReply(
     job: CallJob,
     relay: EventRelay,
-    serverId: string,
+    {server, silenceTimeoutMs}: AttemptPlan,
     reply: AttemptReply,
   ): Effect.Effect<CallAnswer | CallOutcome, AttemptFailure> {
-    const {status, headers} = reply.head;
-    if (status < 200 || status >= 300) return readReply(serverId, reply);
-    return relay.forward(reply.stream, status, headers, serverId).pipe(
+    const {head, stream} = reply;
+    const {status, headers} = head;
+    if (status < 200 || status >= 300) return readReply(server.id, reply);
+    return relay.forward(stream, head, server.id, silenceTimeoutMs).pipe(
       Effect.ensuring(Effect.sync(() => recordTimes(job, relay))),
       Effect.map(() => {
         relay.finish(status, headers);
@@ -105,6 +120,14 @@
   }
 }
 
+function computeResumeAfterMs({objectiveMs, maxEventGapMs = 0}: Route): number {
+  return Math.max(
+    MIN_RESUME_AFTER_MS,
+    RESUME_AFTER_OBJECTIVES * objectiveMs,
+    RESUME_AFTER_EVENT_GAPS * maxEventGapMs,
+  );
+}
+
 function recordTimes({trace}: CallJob, relay: EventRelay): void {
   const firstEventAtMs = relay.getFirstEventAtMs();
   if (firstEventAtMs === undefined) return;
