Watch daemons and add up loads through a few others in large fleets

Cause: heartbeats go from every daemon to every other one each 30 ms for each daemon, 2.3 s at 78. Change: each daemon sends a heartbeat each 0.4 s to four watchers, which report its silence to all; two reports take it out of the directory until it is heard, and nothing it runs is given up (FleetWatch). Daemons report loads to a collector of their zone, and collectors exchange the sums (LoadSums). The interval of a start counts daemons that were discovered but not heard. Result: fleet_watch.feature, virtual time: out of the directory in 1.5 s at 36, 78 and 300 daemons, 13 of 78 within 3 s; frozen, deaf and cut daemons condemn nobody.

--- a/packages/decisions/src/members/ring_neighbours.ts
+++ b/packages/decisions/src/members/ring_neighbours.ts
@@ -1,29 +1,33 @@
 import {hash32} from '@greengagecross/common';
 import {NeighbourPolicy, type Neighbours} from './neighbour_policy.js';
 
-/** Half of `MAX_FULL_MESH_OTHERS` in heartbeat_interval.ts. */
+/** Default number of rings: half of `MAX_FULL_MESH_OTHERS` in heartbeat_interval.ts. */
 const RING_COUNT = 2;
 
 /**
- * Orders the daemons by hash on two rings. Each daemon sends heartbeats to the
- * next daemon on each ring and receives heartbeats from the previous one. Up to
- * five daemons are all neighbours. Two neighbours use one connection for both
+ * Orders the daemons by hash on several rings, two by default. Each daemon sends
+ * heartbeats to the next daemon on each ring and receives heartbeats from the
+ * previous one. Up to twice as many other daemons as rings are all neighbours. Two neighbours use one connection for both
  * directions, and a member that joins or leaves changes only its own and its
  * neighbours' connections.
  */
 export class RingNeighbours extends NeighbourPolicy {
+  constructor(private readonly ringCount = RING_COUNT) {
+    super();
+  }
+
   override choose(selfId: string, others: readonly string[]): Neighbours {
     const ids = [...others, selfId];
     const targets = new Set<string>();
     const sources = new Set<string>();
-    if (others.length <= 2 * RING_COUNT) {
+    if (others.length <= 2 * this.ringCount) {
       const ring = sortRing(ids, 0);
-      for (let step = 1; step <= RING_COUNT; step += 1) {
+      for (let step = 1; step <= this.ringCount; step += 1) {
         targets.add(findAt(ring, selfId, step));
         sources.add(findAt(ring, selfId, -step));
       }
     } else {
-      for (let index = 0; index < RING_COUNT; index += 1) {
+      for (let index = 0; index < this.ringCount; index += 1) {
         const ring = sortRing(ids, index);
         targets.add(findAt(ring, selfId, 1));
         sources.add(findAt(ring, selfId, -1));
--- a/packages/router/src/members/heartbeat.ts
+++ b/packages/router/src/members/heartbeat.ts
@@ -45,6 +45,10 @@
   backendsChange: Schema.Number,
   /** The sender's requests in flight, by id of the backend server. */
   inFlight: Schema.Record(Schema.String, Schema.Number),
+  /** Ids of the daemons that watch the sender; see `FleetWatch`. */
+  watchers: Schema.optionalKey(Schema.Array(Schema.String)),
+  /** Incarnations of silent daemons, by id, that the sender watches. */
+  silent: Schema.optionalKey(Schema.Record(Schema.String, Schema.Number)),
   /** Number of server crashes attributed to a request, by fingerprint. */
   crashes: Schema.Record(Schema.String, Schema.Number),
 });
--- a/packages/router/src/members/heartbeat_socket.ts
+++ b/packages/router/src/members/heartbeat_socket.ts
@@ -8,11 +8,15 @@
   type Address,
 } from '@greengagecross/common';
 import {HeartbeatSchema, type Heartbeat} from './heartbeat.js';
+import {LoadMessageSchema, type LoadMessage} from './load_message.js';
 
 const logger = new Logger('members');
 
+/** The beginning of a load message in JSON; heartbeats have no kind. */
+const LOAD_MESSAGE_START = '{"kind":';
+
 /**
- * Exchanges heartbeats over UDP: unlike a connection, a datagram to a host that
+ * Exchanges heartbeats and load messages over UDP: unlike a connection, a datagram to a host that
  * does not respond never blocks the sender.
  */
 export class HeartbeatSocket {
@@ -21,6 +25,7 @@
   constructor(
     private readonly address: Address,
     private readonly onHeartbeat: (heartbeat: Heartbeat) => void,
+    private readonly onLoad: (message: LoadMessage) => void,
   ) {}
 
   /** Opens the socket; closes it with the scope. */
@@ -31,13 +36,14 @@
     );
   }
 
-  /** Sends a heartbeat to each address; lost datagrams are not resent. */
-  send(heartbeat: Heartbeat, addresses: readonly Address[]): void {
-    const bytes = Buffer.from(JSON.stringify(heartbeat));
+  /** Sends a message to each address; lost datagrams are not resent. */
+  send(message: Heartbeat | LoadMessage, addresses: readonly Address[]): void {
+    if (addresses.length === 0) return;
+    const bytes = Buffer.from(JSON.stringify(message));
     for (const {host, port} of addresses) {
       this.socket?.send(bytes, port, host, error => {
         if (error === null) return;
-        logger.log('A heartbeat could not be sent.', {
+        logger.log('A heartbeat or load message could not be sent.', {
           host,
           cause: error.message,
         });
@@ -57,17 +63,22 @@
   }
 
   private receive(bytes: Buffer): void {
+    const text = bytes.toString();
     try {
+      if (text.startsWith(LOAD_MESSAGE_START)) {
+        this.onLoad(decodeJson(LoadMessageSchema, text, 'load message'));
+        return;
+      }
       const heartbeat = decodeJson(
         HeartbeatSchema,
-        bytes.toString(),
+        text,
         'heartbeat',
         ExcessProperties.IGNORED,
       );
       this.onHeartbeat(heartbeat);
     } catch (thrown) {
       const cause = toError(thrown).message;
-      logger.log('A heartbeat could not be decoded.', {cause});
+      logger.log('A heartbeat or load message could not be decoded.', {cause});
     }
   }
 }
--- /dev/null
+++ b/packages/router/src/members/load_exchange.ts
@@ -0,0 +1,134 @@
+import type {Address} from '@greengagecross/common';
+import {
+  addCounts,
+  chooseCollectors,
+  computeLoadIntervalMs,
+  type LoadSums,
+  type ServerCounts,
+} from '@greengagecross/decisions';
+import type {DaemonIdentity} from '../model/daemon_identity.js';
+import type {Heartbeat} from './heartbeat.js';
+import {LoadMessageKind, type LoadMessage} from './load_message.js';
+import type {MemberView} from './member_view.js';
+
+/** Sends one datagram to each address. */
+export type SendLoad = (
+  message: LoadMessage,
+  addresses: readonly Address[],
+) => void;
+
+type Collector = Pick<DaemonIdentity, 'id' | 'availabilityZone' | 'heartbeats'>;
+
+/**
+ * Exchanges loads through one collector for each availability zone; see
+ * `LoadSums` of package decisions. `nowMs` is a time on the monotonic clock.
+ */
+export class LoadExchange {
+  private lastSentAtMs = Number.NEGATIVE_INFINITY;
+
+  constructor(
+    private readonly self: DaemonIdentity,
+    private readonly view: MemberView,
+    private readonly sums: LoadSums,
+    private readonly send: SendLoad,
+  ) {}
+
+  /**
+   * Reports this daemon's requests in flight if that is due and, if this daemon
+   * is the collector of its zone, sends the sums.
+   *
+   * @param isReady whether this daemon is ready and may be a collector
+   * @param toleranceMs how much earlier than the interval counts as due
+   */
+  runTick(
+    counts: ServerCounts,
+    isReady: boolean,
+    nowMs: number,
+    toleranceMs: number,
+  ): void {
+    const ready: Collector[] = this.view.listReady(nowMs);
+    if (isReady) ready.push(this.self);
+    const zone = this.self.availabilityZone;
+    const neighbours = ready.filter(
+      daemon => daemon.availabilityZone === zone && daemon !== this.self,
+    );
+    const intervalMs = computeLoadIntervalMs(neighbours.length + 1);
+    if (nowMs - this.lastSentAtMs < intervalMs - toleranceMs) return;
+    this.lastSentAtMs = nowMs;
+    this.sums.setIntervalMs(intervalMs);
+    this.sums.setOwnReport(counts);
+    const collectors = chooseCollectors(ready);
+    const collector = collectors.get(zone);
+    if (collector === undefined) return;
+    if (collector !== this.self) {
+      const report = this.makeMessage(LoadMessageKind.REPORT, counts);
+      this.send(report, [collector.heartbeats]);
+      return;
+    }
+    this.sums.recordReport(this.self.id, counts, nowMs);
+    const others = [...collectors.values()].filter(
+      other => other !== this.self,
+    );
+    this.sendSums(neighbours, others, nowMs);
+  }
+
+  /** Records the counts of a message. */
+  receive(message: LoadMessage, nowMs: number): void {
+    const {kind, id, availabilityZone: zone, inFlight} = message;
+    switch (kind) {
+      case LoadMessageKind.REPORT:
+        this.sums.recordReport(id, inFlight, nowMs);
+        return;
+      case LoadMessageKind.ZONE:
+        this.sums.recordZone(zone, inFlight, nowMs);
+        return;
+      case LoadMessageKind.ALL:
+        this.sums.recordSums(inFlight, nowMs);
+    }
+  }
+
+  private sendSums(
+    neighbours: readonly Collector[],
+    collectors: readonly Collector[],
+    nowMs: number,
+  ): void {
+    const {sums, self} = this;
+    const running = this.view.listRunning(nowMs);
+    const isUnreported = ({id, availabilityZone: zone}: Heartbeat): boolean =>
+      zone === self.availabilityZone
+        ? !sums.isRecent(id, nowMs)
+        : !sums.isRecent(zone, nowMs);
+    // Daemons without a recent report count as in their last heartbeats.
+    const unreported = running.filter(isUnreported);
+    const isOwnZone = ({availabilityZone: zone}: Heartbeat): boolean =>
+      zone === self.availabilityZone;
+    const zone = addCounts([
+      sums.addReports(nowMs),
+      ...unreported.filter(isOwnZone).map(({inFlight}) => inFlight),
+    ]);
+    const all = addCounts([
+      zone,
+      sums.addZones(nowMs),
+      ...unreported
+        .filter(heartbeat => !isOwnZone(heartbeat))
+        .map(({inFlight}) => inFlight),
+    ]);
+    sums.recordSums(all, nowMs);
+    this.send(
+      this.makeMessage(LoadMessageKind.ZONE, zone),
+      collectors.map(({heartbeats}) => heartbeats),
+    );
+    this.send(
+      this.makeMessage(LoadMessageKind.ALL, all),
+      neighbours.map(({heartbeats}) => heartbeats),
+    );
+  }
+
+  private makeMessage(
+    kind: LoadMessageKind,
+    inFlight: ServerCounts,
+  ): LoadMessage {
+    const {id, availabilityZone} = this.self;
+    return {kind, id, availabilityZone, inFlight};
+  }
+}
--- a/packages/router/src/members/member_service.ts
+++ b/packages/router/src/members/member_service.ts
@@ -1,15 +1,13 @@
 import {Effect, FiberSet, type Scope} from 'effect';
-import {
-  Logger,
-  readNowMs,
-  readSteadyMs,
-  type Address,
-} from '@greengagecross/common';
+import {Logger, readSteadyMs} from '@greengagecross/common';
 import {
   computeFleetHeartbeatMs,
   isStoreFollower,
   MIN_FLEET_HEARTBEAT_MS,
+  WATCH_HEARTBEAT_MS,
   type CrashCounts,
+  type FleetWatch,
+  type LoadSums,
 } from '@greengagecross/decisions';
 import type {InFlightCounter} from '../calls/in_flight_counter.js';
 import type {RouterSettings} from '../model/router_settings.js';
@@ -18,13 +16,11 @@
 import type {FleetState} from '../state/fleet_state.js';
 import {DaemonState, type Heartbeat} from './heartbeat.js';
 import {HeartbeatSocket} from './heartbeat_socket.js';
+import {LoadExchange} from './load_exchange.js';
 import type {MemberView} from './member_view.js';
+import {PeerDiscovery} from './peer_discovery.js';
 import type {StateCatchUp} from './state_catch_up.js';
 
-/** How long heartbeats are sent to discovered addresses that have sent none. */
-const DISCOVERY_MS = 6000;
-/** Interval between reads of the registry while no peer is running. */
-const REGISTRY_POLL_MS = 3000;
 /** Maximum number of crash counts in a heartbeat: keeps it below 8 KB. */
 const MAX_CRASHES = 20;
 const logger = new Logger('members');
@@ -32,13 +28,14 @@
 /** Discovers the other daemons and exchanges heartbeats with them. */
 export class MemberService {
   private readonly socket: HeartbeatSocket;
-  private readonly incarnation = readNowMs();
+  private readonly loads: LoadExchange;
   private sequence = 0;
   private lastHeartbeat: Heartbeat | undefined;
   private lastSentAtMs = Number.NEGATIVE_INFINITY;
+  /** When the watchers were last sent a heartbeat, on the monotonic clock. */
+  private lastWatchMs = Number.NEGATIVE_INFINITY;
   private isLeaving = false;
-  private discoveryAddresses: readonly Address[] = [];
-  private discoveryEndMs = 0;
+  private readonly discovery: PeerDiscovery;
   private runFiber: ((effect: Effect.Effect<void>) => unknown) | undefined;
 
   constructor(
@@ -47,12 +44,22 @@
     private readonly view: MemberView,
     private readonly inFlight: InFlightCounter,
     private readonly crashes: CrashCounts,
-    private readonly registry: MemberRegistry,
+    registry: MemberRegistry,
     private readonly source: FleetStateSource,
     private readonly catchUp: StateCatchUp,
+    private readonly watch: FleetWatch,
+    sums: LoadSums,
+    private readonly incarnation: number,
   ) {
-    this.socket = new HeartbeatSocket(settings.self.heartbeats, heartbeat =>
-      this.receive(heartbeat),
+    const {self} = settings;
+    this.discovery = new PeerDiscovery(settings, view, registry);
+    this.socket = new HeartbeatSocket(
+      self.heartbeats,
+      heartbeat => this.receive(heartbeat),
+      message => this.loads.receive(message, readSteadyMs()),
+    );
+    this.loads = new LoadExchange(self, view, sums, (message, addresses) =>
+      this.socket.send(message, addresses),
     );
   }
 
@@ -62,9 +69,8 @@
       const run = yield* FiberSet.makeRuntime<never, void, never>();
       this.runFiber = effect => run(effect);
       yield* this.socket.open();
-      this.setDiscoveryAddresses(this.listSeeds());
-      yield* Effect.forkScoped(this.registry.add(this.settings.self));
-      yield* Effect.forkScoped(this.runDiscovery());
+      yield* Effect.forkScoped(this.discovery.addSelf());
+      yield* Effect.forkScoped(this.discovery.run());
       yield* Effect.forkScoped(this.runHeartbeats());
     });
   }
@@ -86,32 +92,53 @@
       Effect.andThen(
         Effect.sync(() => {
           this.updateFollowing();
-          if (this.isHeartbeatDue()) this.sendHeartbeat();
+          this.runTick();
         }),
         Effect.sleep(MIN_FLEET_HEARTBEAT_MS),
       ),
     );
   }
 
-  /** Reads the registry at the start and then while no peer is running. */
-  private runDiscovery(): Effect.Effect<never> {
-    return Effect.gen({self: this}, function* () {
-      for (;;) {
-        if (this.view.listRunning(readSteadyMs()).length === 0) {
-          const found = yield* this.registry.list();
-          const {self} = this.settings;
-          const others = found.filter(({id}) => id !== self.id);
-          const addresses = others.map(({heartbeats}) => heartbeats);
-          this.setDiscoveryAddresses([...addresses, ...this.listSeeds()]);
-        }
-        yield* Effect.sleep(REGISTRY_POLL_MS);
-      }
-    });
+  /** Sends the heartbeats and loads that are due. */
+  private runTick(): void {
+    const nowMs = readSteadyMs();
+    const toleranceMs = MIN_FLEET_HEARTBEAT_MS / 2;
+    const intervalMs = this.computeIntervalMs();
+    const watched = this.view.listWatched(nowMs);
+    const isUrgent = this.watch.update(watched, intervalMs, nowMs);
+    if (isUrgent || this.isHeartbeatDue()) {
+      this.sendHeartbeat();
+    } else if (nowMs - this.lastWatchMs >= WATCH_HEARTBEAT_MS - toleranceMs) {
+      this.sendToWatchers(nowMs);
+    }
+    // In a small fleet heartbeats carry loads often enough.
+    if (intervalMs <= WATCH_HEARTBEAT_MS) return;
+    const counts = this.inFlight.toRecord();
+    const isReady = this.getState() === DaemonState.READY;
+    this.loads.runTick(counts, isReady, nowMs, toleranceMs);
+  }
+
+  private sendToWatchers(nowMs: number): void {
+    const ids = this.watch.listRecipients(nowMs);
+    if (ids.length === 0) return;
+    this.lastWatchMs = nowMs;
+    const watchers = this.view.findHeartbeats(ids);
+    this.socket.send(
+      this.makeHeartbeat(),
+      watchers.map(({heartbeats}) => heartbeats),
+    );
   }
 
+  /**
+   * Computes the heartbeat interval. Discovered daemons count, also before they
+   * are heard: when all daemons start at once, each would otherwise send to all
+   * others at the interval of a small fleet.
+   */
   private computeIntervalMs(): number {
-    const daemons = this.view.listRunning(readSteadyMs()).length + 1;
-    return computeFleetHeartbeatMs(daemons);
+    const nowMs = readSteadyMs();
+    const running = this.view.listRunning(nowMs).length;
+    const discovered = this.discovery.listAddresses(nowMs).length;
+    return computeFleetHeartbeatMs(Math.max(running, discovered) + 1);
   }
 
   /**
@@ -132,18 +159,6 @@
     );
   }
 
-  private listSeeds(): Address[] {
-    const {self, seeds} = this.settings;
-    return seeds
-      .filter(({host}) => host !== self.heartbeats.host)
-      .map(({host}) => ({host, port: self.heartbeats.port}));
-  }
-
-  private setDiscoveryAddresses(addresses: readonly Address[]): void {
-    this.discoveryAddresses = addresses;
-    this.discoveryEndMs = readSteadyMs() + DISCOVERY_MS;
-  }
-
   /**
    * Starts or stops following the store. A daemon follows the store if it is one
    * of the followers or its state is incomplete: the store is the fastest source.
@@ -169,11 +184,12 @@
       .listHeartbeatTargets(nowMs)
       .map(peer => peer.heartbeats);
     const hosts = new Set(peers.map(({host}) => host));
-    const candidates =
-      nowMs < this.discoveryEndMs ? this.discoveryAddresses : [];
-    const newAddresses = candidates.filter(({host}) => !hosts.has(host));
+    const newAddresses = this.discovery
+      .listAddresses(nowMs)
+      .filter(({host}) => !hosts.has(host));
     this.lastHeartbeat = this.makeHeartbeat();
     this.lastSentAtMs = nowMs;
+    this.lastWatchMs = nowMs;
     this.socket.send(this.lastHeartbeat, [...peers, ...newAddresses]);
   }
 
@@ -191,6 +207,8 @@
       configurationVersion: configuration.getVersion(),
       backendsChange: backends.getVersion().changeRevision,
       inFlight: this.inFlight.toRecord(),
+      watchers: this.watch.getWatchers(),
+      silent: this.watch.getSilent(),
       crashes: Object.fromEntries(
         crashes.map(count => [count.fingerprint, count.crashes]),
       ),
--- a/packages/router/src/members/member_view.ts
+++ b/packages/router/src/members/member_view.ts
@@ -1,4 +1,10 @@
-import {computeLiveAgeMs, computeReadyAgeMs} from '@greengagecross/decisions';
+import {
+  computeLiveAgeMs,
+  computeReadyAgeMs,
+  type FleetWatch,
+  type LoadSums,
+  type WatchedDaemon,
+} from '@greengagecross/decisions';
 import {DaemonState, type Heartbeat} from './heartbeat.js';
 
 /** Maximum age of the cached totals of requests in flight, in milliseconds. */
@@ -22,7 +28,11 @@
   private totals = new Map<string, number>();
   private totalsAtMs = Number.NEGATIVE_INFINITY;
 
-  constructor(private readonly selfId: string) {}
+  constructor(
+    private readonly selfId: string,
+    private readonly watch: FleetWatch,
+    private readonly sums: LoadSums,
+  ) {}
 
   /**
    * Records a heartbeat.
@@ -37,6 +47,7 @@
       return false;
     }
     this.peers.set(heartbeat.id, {heartbeat, lastSeenAtMs: nowMs});
+    this.watch.recordReports(heartbeat.id, heartbeat.silent ?? {}, nowMs);
     return true;
   }
 
@@ -50,19 +61,40 @@
     return this.peers.get(id)?.heartbeat.state;
   }
 
-  /** Lists peers that accept new clients; excludes this daemon. */
+  /**
+   * Lists peers that accept new clients; excludes this daemon and peers that
+   * their watchers suspect to have stopped.
+   */
   listReady(nowMs: number): Heartbeat[] {
-    return this.listSeenWithin(computeReadyAgeMs, nowMs).filter(
-      ({state}) => state === DaemonState.READY,
+    return this.listPeersSeenWithin(computeReadyAgeMs, nowMs)
+      .filter(
+        peer =>
+          peer.heartbeat.state === DaemonState.READY &&
+          !this.watch.isSuspected(toWatchedDaemon(peer)),
+      )
+      .map(peer => peer.heartbeat);
+  }
+
+  /** Lists the peers that count as running for their watchers. */
+  listWatched(nowMs: number): WatchedDaemon[] {
+    return this.listPeersSeenWithin(computeLiveAgeMs, nowMs).map(
+      toWatchedDaemon,
     );
   }
 
+  /** Finds the last heartbeats of some daemons; unknown ones are omitted. */
+  findHeartbeats(ids: readonly string[]): Heartbeat[] {
+    return ids.flatMap(id => this.peers.get(id)?.heartbeat ?? []);
+  }
+
   /**
    * Lists peers that count as running: those with a recent heartbeat, whatever
    * their state; excludes this daemon.
    */
   listRunning(nowMs: number): Heartbeat[] {
-    return this.listSeenWithin(computeLiveAgeMs, nowMs);
+    return this.listPeersSeenWithin(computeLiveAgeMs, nowMs).map(
+      peer => peer.heartbeat,
+    );
   }
 
   /** Removes silent peers and lists the others, to send heartbeats to them. */
@@ -73,8 +105,13 @@
     return [...this.peers.values()].map(peer => peer.heartbeat);
   }
 
-  /** Returns the running peers' requests in flight at a server, added up. */
+  /**
+   * Returns the running peers' requests in flight at a server, added up: by the
+   * sums of the collectors or, without recent ones, by heartbeats.
+   */
   countInFlight(serverId: string, nowMs: number): number {
+    const others = this.sums.countOthers(serverId, nowMs);
+    if (others !== undefined) return others;
     if (nowMs - this.totalsAtMs > TOTALS_MAX_AGE_MS) this.updateTotals(nowMs);
     return this.totals.get(serverId) ?? 0;
   }
@@ -89,18 +126,21 @@
     }
   }
 
-  private listSeenWithin(
+  private listPeersSeenWithin(
     computeAgeMs: (intervalMs: number) => number,
     nowMs: number,
-  ): Heartbeat[] {
-    return [...this.peers.values()]
-      .filter(({heartbeat, lastSeenAtMs}) => {
-        return nowMs - lastSeenAtMs <= computeAgeMs(heartbeat.intervalMs);
-      })
-      .map(peer => peer.heartbeat);
+  ): Peer[] {
+    return [...this.peers.values()].filter(({heartbeat, lastSeenAtMs}) => {
+      return nowMs - lastSeenAtMs <= computeAgeMs(heartbeat.intervalMs);
+    });
   }
 }
 
+function toWatchedDaemon({heartbeat, lastSeenAtMs}: Peer): WatchedDaemon {
+  const {id, incarnation, watchers = []} = heartbeat;
+  return {id, incarnation, lastSeenAtMs, watchers};
+}
+
 /**
  * Returns whether a heartbeat was sent after the current one. The clock that
  * gives the incarnation may be set back before a restart, so that a lower
--- a/packages/router/src/router_parts.ts
+++ b/packages/router/src/router_parts.ts
@@ -2,8 +2,11 @@
   CrashCounts,
   FleetRetryBudget,
   EventLoopDelay,
+  FleetWatch,
+  LoadSums,
   ServerHealth,
 } from '@greengagecross/decisions';
+import {readNowMs} from '@greengagecross/common';
 import {HttpClient} from '@greengagecross/http';
 import {PeerClient, PeerMethod, PeerServer} from '@greengagecross/peers';
 import {Effect} from 'effect';
@@ -67,7 +70,10 @@
     isRefusing: () => boolean,
   ) {
     const {self} = settings;
-    const view = new MemberView(self.id);
+    const incarnation = readNowMs();
+    const watch = new FleetWatch(self.id, incarnation);
+    const sums = new LoadSums();
+    const view = new MemberView(self.id, watch, sums);
     const answers = new LocalAnswers(ports.codec);
     const budget = new FleetRetryBudget(settings.retryLimits);
     this.budget = budget;
@@ -110,6 +116,9 @@
       ports.registry,
       ports.source,
       catchUp,
+      watch,
+      sums,
+      incarnation,
     );
     this.endedEngines = new EndedEnginesPersister(
       self.id,
