--- a/packages/decisions/src/members/fleet_watch_steps.ts
+++ b/packages/decisions/src/members/fleet_watch_steps.ts
@@ -17,8 +17,6 @@
   readonly id: string;
   readonly watch: FleetWatch;
   readonly peers: Map<string, WatchedDaemon>;
-  /** Offset of its timer, so that daemons do not act at the same moment. */
-  readonly offsetMs: number;
   lastToAllMs: number;
   lastToWatchersMs: number;
   isSilent: boolean;
@@ -33,6 +31,11 @@
   /** Ids of running daemons that were left out, with those who did so. */
   readonly leftOut = new Map<string, Set<string>>();
   brokenPair: readonly string[] = [];
+  /** Daemons by the phase of their timers, so that not all act at once. */
+  private readonly byPhase: SimulatedDaemon[][] = Array.from(
+    {length: TICK_MS},
+    () => [],
+  );
   private readonly random = new SeededRandom(7);
   private readonly intervalMs: number;
 
@@ -43,17 +46,18 @@
     this.intervalMs = computeFleetHeartbeatMs(count);
     for (let at = 0; at < count; at += 1) {
       const id = `d${at}`;
-      this.daemons.push({
+      const daemon: SimulatedDaemon = {
         id,
         watch: new FleetWatch(id, 1),
         peers: new Map(),
-        offsetMs: (at * 37) % TICK_MS,
         lastToAllMs: -this.random.nextUnit() * this.intervalMs,
         lastToWatchersMs: 0,
         isSilent: false,
         isDeaf: false,
         isFrozen: false,
-      });
+      };
+      this.daemons.push(daemon);
+      this.byPhase[(at * 37) % TICK_MS]?.push(daemon);
     }
     for (const daemon of this.daemons) {
       for (const {id} of this.daemons) {
@@ -67,9 +71,8 @@
   run(forMs: number): void {
     const endMs = this.nowMs + forMs;
     for (; this.nowMs < endMs; this.nowMs += 1) {
-      for (const daemon of this.daemons) {
-        const isDue = (this.nowMs + daemon.offsetMs) % TICK_MS === 0;
-        if (isDue && !daemon.isFrozen) this.runTick(daemon);
+      for (const daemon of this.byPhase[this.nowMs % TICK_MS] ?? []) {
+        if (!daemon.isFrozen) this.runTick(daemon);
       }
     }
   }
--- a/packages/http/src/free_ports.ts
+++ b/packages/http/src/free_ports.ts
@@ -1,4 +1,7 @@
 import {createServer, type Server} from 'node:net';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {PortReservations} from './port_reservations.js';
 
 /** The range lies below the ephemeral ports of outgoing connections. */
 const FIRST_PORT = 10_000;
@@ -9,13 +12,14 @@
  */
 const PORTS_BETWEEN_PROCESSES = 211;
 
+let reservations: PortReservations | undefined;
 let nextPort = FIRST_PORT + computeOffset(process.pid);
 
 /**
  * Finds free TCP ports on 127.0.0.1 for tests and stand-ins (test doubles).
  *
- * Each port stays bound until `count` ports are found; then all are released.
- * Another process may still bind a port before the caller does.
+ * Each port stays bound until `count` ports are found; then all are closed. They
+ * stay reserved for this process: no other one finds them while it runs.
  */
 export async function findFreePorts(count: number): Promise<number[]> {
   const servers: Server[] = [];
@@ -25,6 +29,10 @@
     nextPort = FIRST_PORT + computeOffset(0, nextPort - FIRST_PORT + 1);
     const server = await openServer(port);
     if (server === undefined) continue;
+    if (!getReservations().acquire(port)) {
+      await closeServer(server);
+      continue;
+    }
     servers.push(server);
     ports.push(port);
   }
@@ -32,6 +40,14 @@
   return ports;
 }
 
+function getReservations(): PortReservations {
+  if (reservations !== undefined) return reservations;
+  const created = new PortReservations(join(tmpdir(), 'greengagecross-ports'));
+  process.once('exit', () => created.releaseAll());
+  reservations = created;
+  return created;
+}
+
 /**
  * Computes the offset of a port from the first port, wrapped to the range of
  * ports. With process id 0, only the increment counts.
--- /dev/null
+++ b/packages/http/src/port_reservations.feature
@@ -0,0 +1,18 @@
+Feature: A port that a test has found is not given to another process
+
+  # Guards against a restarted daemon that finds its port taken: between its stop
+  # and its start another scenario's search found the port free.
+
+  Scenario: A port stays reserved while its process runs, also when it is closed
+    Given a running process that has found 3 ports and listens on none
+    Then another process does not reserve any of these ports
+    And the process itself still has them
+
+  Scenario: Ports of a process that has ended are free
+    Given a process that found 3 ports and ended without releasing them
+    Then another process reserves each of these ports
+
+  Scenario: Released ports are free
+    Given a running process that has found 3 ports and listens on none
+    When it releases its ports
+    Then another process reserves each of these ports
--- /dev/null
+++ b/packages/http/src/port_reservations_steps.ts
@@ -0,0 +1,75 @@
+import assert from 'node:assert/strict';
+import {spawnSync} from 'node:child_process';
+import {mkdtempSync, rmSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {After, Given, Then, When, World} from '@cucumber/cucumber';
+import {PortReservations} from './port_reservations.js';
+
+const FIRST_PORT = 11_000;
+
+/** World with the reservations of two processes in one folder. */
+interface PortWorld extends World {
+  portFolder: string | undefined;
+  owner: PortReservations;
+  ports: readonly number[];
+}
+
+function acquirePorts(
+  world: PortWorld,
+  processId: number,
+  count: number,
+): void {
+  world.portFolder = mkdtempSync(join(tmpdir(), 'ports-'));
+  world.owner = new PortReservations(world.portFolder, processId);
+  world.ports = Array.from({length: count}, (unused, at) => FIRST_PORT + at);
+  for (const port of world.ports) assert.ok(world.owner.acquire(port));
+}
+
+function makeOther(world: PortWorld): PortReservations {
+  assert.ok(world.portFolder);
+  return new PortReservations(world.portFolder);
+}
+
+Given(
+  'a running process that has found {int} ports and listens on none',
+  function (this: PortWorld, count: number) {
+    acquirePorts(this, process.ppid, count);
+  },
+);
+
+Given(
+  'a process that found {int} ports and ended without releasing them',
+  function (this: PortWorld, count: number) {
+    const {pid} = spawnSync(process.execPath, ['--version']);
+    acquirePorts(this, pid, count);
+  },
+);
+
+When('it releases its ports', function (this: PortWorld) {
+  this.owner.releaseAll();
+});
+
+Then(
+  'another process does not reserve any of these ports',
+  function (this: PortWorld) {
+    const other = makeOther(this);
+    for (const port of this.ports) assert.equal(other.acquire(port), false);
+  },
+);
+
+Then('the process itself still has them', function (this: PortWorld) {
+  for (const port of this.ports) assert.ok(this.owner.acquire(port));
+});
+
+Then(
+  'another process reserves each of these ports',
+  function (this: PortWorld) {
+    const other = makeOther(this);
+    for (const port of this.ports) assert.ok(other.acquire(port));
+  },
+);
+
+After(function (this: PortWorld) {
+  if (this.portFolder !== undefined) rmSync(this.portFolder, {recursive: true});
+});
--- a/packages/router/src/members/load_exchange.ts
+++ b/packages/router/src/members/load_exchange.ts
@@ -25,6 +25,7 @@
  */
 export class LoadExchange {
   private lastSentAtMs = Number.NEGATIVE_INFINITY;
+  private intervalMs = 0;
 
   constructor(
     private readonly self: DaemonIdentity,
@@ -46,16 +47,16 @@
     nowMs: number,
     toleranceMs: number,
   ): void {
+    if (nowMs - this.lastSentAtMs < this.intervalMs - toleranceMs) return;
+    this.lastSentAtMs = nowMs;
     const ready: Collector[] = this.view.listReady(nowMs);
     if (isReady) ready.push(this.self);
     const zone = this.self.availabilityZone;
     const neighbours = ready.filter(
       daemon => daemon.availabilityZone === zone && daemon !== this.self,
     );
-    const intervalMs = computeLoadIntervalMs(neighbours.length + 1);
-    if (nowMs - this.lastSentAtMs < intervalMs - toleranceMs) return;
-    this.lastSentAtMs = nowMs;
-    this.sums.setIntervalMs(intervalMs);
+    this.intervalMs = computeLoadIntervalMs(neighbours.length + 1);
+    this.sums.setIntervalMs(this.intervalMs);
     this.sums.setOwnReport(counts);
     const collectors = chooseCollectors(ready);
     const collector = collectors.get(zone);
