--- a/packages/router/src/members/member_service.ts
+++ b/packages/router/src/members/member_service.ts
@@ -19,6 +19,7 @@
 import {LoadExchange} from './load_exchange.js';
 import type {MemberView} from './member_view.js';
 import {PeerDiscovery} from './peer_discovery.js';
+import {SuspicionLog} from './suspicion_log.js';
 import type {StateCatchUp} from './state_catch_up.js';
 
 /** Maximum number of crash counts in a heartbeat: keeps it below 8 KB. */
@@ -34,6 +35,7 @@
   private lastSentAtMs = Number.NEGATIVE_INFINITY;
   /** When the watchers were last sent a heartbeat, on the monotonic clock. */
   private lastWatchMs = Number.NEGATIVE_INFINITY;
+  private readonly suspicionLog = new SuspicionLog();
   private isLeaving = false;
   private readonly discovery: PeerDiscovery;
   private runFiber: ((effect: Effect.Effect<void>) => unknown) | undefined;
@@ -106,6 +108,7 @@
     const intervalMs = this.computeIntervalMs();
     const watched = this.view.listWatched(nowMs);
     const isUrgent = this.watch.update(watched, intervalMs, nowMs);
+    this.suspicionLog.update(this.view.listSuspected(nowMs));
     if (isUrgent || this.isHeartbeatDue()) {
       this.sendHeartbeat();
     } else if (nowMs - this.lastWatchMs >= WATCH_HEARTBEAT_MS - toleranceMs) {
--- a/packages/router/src/members/member_view.ts
+++ b/packages/router/src/members/member_view.ts
@@ -82,6 +82,13 @@
     );
   }
 
+  /** Lists the ids of the running peers that count as stopped. */
+  listSuspected(nowMs: number): string[] {
+    return this.listWatched(nowMs)
+      .filter(daemon => this.watch.isSuspected(daemon))
+      .map(({id}) => id);
+  }
+
   /** Finds the last heartbeats of some daemons; unknown ones are omitted. */
   findHeartbeats(ids: readonly string[]): Heartbeat[] {
     return ids.flatMap(id => this.peers.get(id)?.heartbeat ?? []);
--- a/packages/router/src/router_parts.ts
+++ b/packages/router/src/router_parts.ts
@@ -161,6 +161,11 @@
       help: 'Daemons with a recent heartbeat, including this daemon.',
       read: () => view.listRunning(performance.now()).length + 1,
     });
+    this.metrics.addGauge({
+      name: 'greengagecross_members_suspected',
+      help: 'Daemons left out of the directory by reports of their watchers.',
+      read: () => view.listSuspected(performance.now()).length,
+    });
     this.metrics.addGauge({
       name: 'greengagecross_store_reached',
       help: '1 if the last call to the store succeeded, otherwise 0.',
