--- a/packages/router/src/members/heartbeat_socket_steps.ts
+++ b/packages/router/src/members/heartbeat_socket_steps.ts
@@ -67,10 +67,15 @@
   }
 }
 
-function sendBytes(world: SocketWorld, bytes: Buffer): Promise<void> {
-  return new Promise(resolve =>
+/**
+ * Sends a datagram and lets the receiver, which runs in this process, read it:
+ * the system drops datagrams that exceed its buffer.
+ */
+async function sendBytes(world: SocketWorld, bytes: Buffer): Promise<void> {
+  await new Promise<void>(resolve =>
     world.sender.send(bytes, world.port, HOST, () => resolve()),
   );
+  await new Promise<void>(resolve => setTimeout(resolve, 1));
 }
 
 Given(
