Do not give up a stream because this process was paused

Cause: found while reading the new timer of a stream's events: after a pause of the process the timer is due before the bytes that arrived meanwhile are read, so that a sound stream was cut and resumed at another engine. Change: four checks within the timeout, of which a pause uses up one (StallTimer), as in SilenceDetector. Leaving daemons are not watched: each planned stop would be logged as a suspicion by every other daemon.

--- a/packages/router/src/members/member_view.ts
+++ b/packages/router/src/members/member_view.ts
@@ -75,11 +75,11 @@
       .map(peer => peer.heartbeat);
   }
 
-  /** Lists the peers that count as running for their watchers. */
+  /** Lists the running peers that are watched; leaving ones stop on purpose. */
   listWatched(nowMs: number): WatchedDaemon[] {
-    return this.listPeersSeenWithin(computeLiveAgeMs, nowMs).map(
-      toWatchedDaemon,
-    );
+    return this.listPeersSeenWithin(computeLiveAgeMs, nowMs)
+      .filter(({heartbeat}) => heartbeat.state !== DaemonState.LEAVING)
+      .map(toWatchedDaemon);
   }
 
   /** Lists the ids of the running peers that count as stopped. */
--- a/packages/router/src/streams/event_relay.ts
+++ b/packages/router/src/streams/event_relay.ts
@@ -5,6 +5,7 @@
 import type {BackendReplyHead} from '../model/backend_reply_head.js';
 import {AttemptFailure, AttemptFailureKind} from '../calls/attempt_failure.js';
 import {EventSplitter} from './event_splitter.js';
+import {StallTimer} from './stall_timer.js';
 
 /**
  * Relays an event stream to one client. The stream can span several server
@@ -75,7 +76,7 @@
       const end = (failure?: AttemptFailureKind, cause?: Error): void => {
         if (isEnded) return;
         isEnded = true;
-        clearTimeout(stallTimer);
+        stallTimer.stop();
         stream.off('data', onData);
         if (failure === undefined) {
           resume(Effect.void);
@@ -86,14 +87,15 @@
       };
       // The client applies backpressure while it does not read: no event can
       // be forwarded then, even if the server is sound.
-      const stallTimer = setTimeout(() => {
-        if (this.response.writableNeedDrain) stallTimer.refresh();
-        else end(AttemptFailureKind.SILENT);
-      }, stallTimeoutMs);
+      const stallTimer = new StallTimer(
+        stallTimeoutMs,
+        () => this.response.writableNeedDrain,
+        () => end(AttemptFailureKind.SILENT),
+      );
       const onData = (chunk: Buffer): void => {
         try {
           const hasEvent = this.write(splitter, chunk, status, headers);
-          if (hasEvent) stallTimer.refresh();
+          if (hasEvent) stallTimer.recordProgress();
         } catch (thrown) {
           end(AttemptFailureKind.INVALID_REPLY, thrown as Error);
           return;
@@ -113,7 +115,7 @@
       stream.once('close', () => end(AttemptFailureKind.DISCONNECTED));
       return Effect.sync(() => {
         isEnded = true;
-        clearTimeout(stallTimer);
+        stallTimer.stop();
         stream.destroy();
       });
     });
