--- a/packages/decisions/src/members/fleet_watch.ts
+++ b/packages/decisions/src/members/fleet_watch.ts
@@ -11,7 +11,10 @@
  * that a single broken connection does not.
  */
 const MIN_REPORTS = 2;
-/** A watcher that has heard no daemon for this long does not report. */
+/**
+ * A watcher that received no heartbeat for this long does not report: its own
+ * connection may be broken.
+ */
 const MAX_OWN_SILENCE_MS = 500;
 /**
  * Longest time between two updates. After a longer one this process was paused
--- a/packages/router/src/members/member_service.ts
+++ b/packages/router/src/members/member_service.ts
@@ -133,9 +133,9 @@
   }
 
   /**
-   * Computes the heartbeat interval. Discovered daemons count, also before they
-   * are heard: when all daemons start at once, each would otherwise send to all
-   * others at the interval of a small fleet.
+   * Computes the heartbeat interval. Discovered daemons count, also before their
+   * first heartbeat: when all daemons start at once, each would otherwise send to
+   * all others at the interval of a small fleet.
    */
   private computeIntervalMs(): number {
     const nowMs = readSteadyMs();
--- a/packages/router/src/streams/stream_dispatcher.ts
+++ b/packages/router/src/streams/stream_dispatcher.ts
@@ -21,7 +21,7 @@
 
 /**
  * Shortest time without an event after which a stream is resumed on another
- * server. Engines that are busy pause for up to a second.
+ * server. Clients give up after two seconds or more.
  */
 const MIN_RESUME_AFTER_MS = 1200;
 /**
