Log which prompt parts a failed attempt had and whether its answer had begun

A cut attempt looked the same whether the server had written events or not, and only one part of its prompt was logged, so that the log could not tell a request that crashes engines from a request that ran beside it.

The line of a failed attempt now has hasEvent and promptParts, and greengagecross_attempt_failures_total counts failures by kind and by whether an event had come. What attempts tell is recorded in AttemptRecorder, split from BackendAttempts; no decision changes. explaining.feature passes.

--- a/packages/decisions/src/prompts/prompt_part.ts
+++ b/packages/decisions/src/prompts/prompt_part.ts
@@ -7,3 +7,11 @@
   /** Number of tokens of the part, as the caller sent it. */
   readonly tokens: number;
 }
+
+/**
+ * Lists the ids of the parts that a prompt may share with others: all but the
+ * last, which is unique to the request.
+ */
+export function listSharedParts(parts: readonly PromptPart[]): string[] {
+  return parts.slice(0, -1).map(({id}) => id);
+}
--- /dev/null
+++ b/packages/router/src/calls/attempt_recorder.ts
@@ -0,0 +1,113 @@
+import {Logger, readSteadyMs} from '@greengagecross/common';
+import {
+  listSharedParts,
+  ServerResult,
+  type CrashCounts,
+  type ServerHealth,
+} from '@greengagecross/decisions';
+import type {RouterMetrics} from '../metrics/router_metrics.js';
+import type {BackendReplyHead} from '../model/backend_reply_head.js';
+import {AttemptFailureKind, type AttemptFailure} from './attempt_failure.js';
+import type {CallJob} from './call_job.js';
+
+/**
+ * An attempt that the deadline or the client's disconnect cancels before a reply
+ * head counts as a failure of its server if it has lasted at least this long.
+ */
+const MIN_CANCELLED_FAILURE_MS = 700;
+const logger = new Logger('attempts');
+
+/** How far one attempt has come. */
+export interface AttemptProgress {
+  /** On the monotonic clock. */
+  readonly startedAtMs: number;
+  hasHead: boolean;
+  /** Whether the server has written an event, so has begun its answer. */
+  hasEvent: boolean;
+}
+
+/** Records what attempts tell about servers and about requests. */
+export class AttemptRecorder {
+  constructor(
+    private readonly health: ServerHealth,
+    private readonly crashes: CrashCounts,
+    private readonly metrics: RouterMetrics,
+    private readonly onUnreachable: (serverId: string) => void,
+  ) {}
+
+  /** Records that a request is being sent to a server. */
+  recordSend(serverId: string, nowMs: number): void {
+    this.health.recordSend(serverId, nowMs);
+  }
+
+  /** Records the head of a reply. */
+  recordReply(
+    serverId: string,
+    head: BackendReplyHead,
+    startedAtMs: number,
+  ): void {
+    const nowMs = readSteadyMs();
+    const result = head.status >= 500 ? ServerResult.ERROR : ServerResult.OK;
+    this.health.recordResult(serverId, result, nowMs);
+    if (result === ServerResult.OK) {
+      this.health.recordLatency(serverId, nowMs - startedAtMs);
+    }
+  }
+
+  /** Records and logs an attempt that gave no complete reply. */
+  recordFailure(
+    job: CallJob,
+    failure: AttemptFailure,
+    {startedAtMs, hasEvent}: AttemptProgress,
+  ): void {
+    const nowMs = readSteadyMs();
+    const {serverId, kind} = failure;
+    job.trace.mayHaveRun ||= failure.isPossiblyRun();
+    this.metrics.recordAttemptFailure(kind, hasEvent);
+    this.health.recordResult(serverId, toServerResult(kind), nowMs);
+    if (kind === AttemptFailureKind.DISCONNECTED) {
+      this.crashes.recordDisconnect(job.fingerprint, serverId, nowMs);
+    }
+    if (kind === AttemptFailureKind.NOT_SENT) {
+      this.onUnreachable(serverId);
+      for (const count of this.crashes.recordDown(serverId, nowMs)) {
+        logger.log('A server crash was attributed to a request.', {
+          fingerprint: count.fingerprint,
+          crashes: count.crashes,
+          server: serverId,
+        });
+      }
+    }
+    logger.log('An attempt failed.', {
+      request: job.call.id,
+      server: serverId,
+      kind,
+      afterMs: Math.round(nowMs - startedAtMs),
+      hasEvent,
+      promptParts: listSharedParts(job.call.prompt).join(','),
+      failureShare: Number(this.health.getFailureShare(serverId).toFixed(2)),
+      cause: failure.cause()?.message,
+    });
+  }
+
+  /** Records an attempt that was cancelled before the head of a reply. */
+  recordCancelled(serverId: string, startedAtMs: number): void {
+    const nowMs = readSteadyMs();
+    if (nowMs - startedAtMs < MIN_CANCELLED_FAILURE_MS) return;
+    this.health.recordResult(serverId, ServerResult.SILENT, nowMs);
+  }
+}
+
+function toServerResult(kind: AttemptFailureKind): ServerResult {
+  switch (kind) {
+    case AttemptFailureKind.NOT_SENT:
+      return ServerResult.UNREACHABLE;
+    case AttemptFailureKind.NOT_RUN:
+      return ServerResult.SHED;
+    case AttemptFailureKind.SILENT:
+      return ServerResult.SILENT;
+    case AttemptFailureKind.DISCONNECTED:
+    case AttemptFailureKind.INVALID_REPLY:
+      return ServerResult.INVALID_REPLY;
+  }
+}
--- a/packages/router/src/calls/backend_attempts.ts
+++ b/packages/router/src/calls/backend_attempts.ts
@@ -1,11 +1,6 @@
 import type {IncomingMessage} from 'node:http';
 import {Effect} from 'effect';
-import {Logger, readSteadyMs, toError} from '@greengagecross/common';
-import {
-  ServerResult,
-  type CrashCounts,
-  type ServerHealth,
-} from '@greengagecross/decisions';
+import {readSteadyMs, toError} from '@greengagecross/common';
 import {
   discardBody,
   HttpFailure,
@@ -19,6 +14,7 @@
 import type {DispatchFields} from '../model/dispatch_fields.js';
 import type {CallCodec} from '../ports/call_codec.js';
 import {AttemptFailure, AttemptFailureKind} from './attempt_failure.js';
+import type {AttemptRecorder} from './attempt_recorder.js';
 import type {CallJob} from './call_job.js';
 import type {InFlightCounter} from './in_flight_counter.js';
 import type {ServerChoice} from './server_choice.js';
@@ -28,11 +24,6 @@
  * lost first packet is retransmitted only after one second.
  */
 const CONNECT_TIMEOUT_MS = 350;
-/**
- * An attempt that the deadline or the client's disconnect cancels before a reply
- * head counts as a failure of its server if it has lasted at least this long.
- */
-const MIN_CANCELLED_FAILURE_MS = 700;
 /**
  * Status of a server that received a request meant for another server; it did
  * not run the request.
@@ -40,15 +31,19 @@
 const MISDIRECTED_STATUS = 421;
 /** Statuses that guarantee to a client that its request is never run. */
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
-const logger = new Logger('attempts');
 
 /** A reply whose head was validated as belonging to the request. */
 export interface AttemptReply {
   readonly head: BackendReplyHead;
   /** The reply body, not read yet. */
   readonly stream: IncomingMessage;
+  /** To be called with each event of a stream that the server has written. */
+  readonly onEvent: () => void;
 }
 
+/** A validated reply before its body is read. */
+type OpenedReply = Omit<AttemptReply, 'onEvent'>;
+
 /** Server and silence timeout of an attempt. */
 export interface AttemptPlan extends ServerChoice {
   /** Id of the event after which a stream resumes, if any. */
@@ -57,18 +52,13 @@
   readonly silenceTimeoutMs: number;
 }
 
-/**
- * Makes attempts: sends a request once to one backend server, and records the
- * result for the rating of that server.
- */
+/** Makes attempts: sends a request once to one backend server. */
 export class BackendAttempts {
   constructor(
     private readonly client: HttpClient,
     private readonly codec: CallCodec,
-    private readonly health: ServerHealth,
     private readonly inFlight: InFlightCounter,
-    private readonly crashes: CrashCounts,
-    private readonly onUnreachable: (serverId: string) => void,
+    private readonly recorder: AttemptRecorder,
   ) {}
 
   /**
@@ -84,24 +74,31 @@
     const {server} = plan;
     return Effect.suspend(() => {
       const startedAtMs = readSteadyMs();
-      let hasHead = false;
+      const progress = {startedAtMs, hasHead: false, hasEvent: false};
+      const onEvent = (): void => {
+        progress.hasEvent = true;
+      };
       this.inFlight.add(server.id);
-      this.health.recordSend(server.id, startedAtMs);
+      this.recorder.recordSend(server.id, startedAtMs);
       job.trace.attempts.push(server.id);
       return this.open(job, plan).pipe(
         Effect.tap(({head}) =>
           Effect.sync(() => {
-            hasHead = true;
-            this.recordReply(server.id, head, startedAtMs);
+            progress.hasHead = true;
+            this.recorder.recordReply(server.id, head, startedAtMs);
           }),
         ),
-        Effect.flatMap(handleReply),
+        Effect.flatMap(opened => handleReply({...opened, onEvent})),
         Effect.tapError(failure =>
-          Effect.sync(() => this.recordFailure(job, failure, startedAtMs)),
+          Effect.sync(() =>
+            this.recorder.recordFailure(job, failure, progress),
+          ),
         ),
         Effect.onInterrupt(() =>
           Effect.sync(() => {
-            if (!hasHead) this.recordCancelled(server.id, startedAtMs);
+            if (!progress.hasHead) {
+              this.recorder.recordCancelled(server.id, startedAtMs);
+            }
           }),
         ),
         Effect.ensuring(Effect.sync(() => this.inFlight.remove(server.id))),
@@ -112,7 +109,7 @@
   private open(
     job: CallJob,
     plan: AttemptPlan,
-  ): Effect.Effect<AttemptReply, AttemptFailure> {
+  ): Effect.Effect<OpenedReply, AttemptFailure> {
     const {server} = plan;
     const outgoing = {
       address: server.address,
@@ -136,7 +133,7 @@
     job: CallJob,
     server: BackendServer,
     reply: OpenReply,
-  ): Effect.Effect<AttemptReply, AttemptFailure> {
+  ): Effect.Effect<OpenedReply, AttemptFailure> {
     const {stream} = reply;
     stream.on('error', () => undefined);
     const head = this.codec.decodeReply(job.call, reply);
@@ -159,57 +156,6 @@
     }
     return Effect.succeed({head, stream});
   }
-
-  private recordReply(
-    serverId: string,
-    head: BackendReplyHead,
-    startedAtMs: number,
-  ): void {
-    const nowMs = readSteadyMs();
-    const result = head.status >= 500 ? ServerResult.ERROR : ServerResult.OK;
-    this.health.recordResult(serverId, result, nowMs);
-    if (result === ServerResult.OK) {
-      this.health.recordLatency(serverId, nowMs - startedAtMs);
-    }
-  }
-
-  private recordFailure(
-    job: CallJob,
-    failure: AttemptFailure,
-    startedAtMs: number,
-  ): void {
-    const nowMs = readSteadyMs();
-    const {serverId, kind} = failure;
-    job.trace.mayHaveRun ||= failure.isPossiblyRun();
-    this.health.recordResult(serverId, toServerResult(kind), nowMs);
-    if (kind === AttemptFailureKind.DISCONNECTED) {
-      this.crashes.recordDisconnect(job.fingerprint, serverId, nowMs);
-    }
-    if (kind === AttemptFailureKind.NOT_SENT) {
-      this.onUnreachable(serverId);
-      for (const count of this.crashes.recordDown(serverId, nowMs)) {
-        logger.log('A server crash was attributed to a request.', {
-          fingerprint: count.fingerprint,
-          crashes: count.crashes,
-          server: serverId,
-        });
-      }
-    }
-    logger.log('An attempt failed.', {
-      request: job.call.id,
-      server: serverId,
-      kind,
-      afterMs: Math.round(nowMs - startedAtMs),
-      failureShare: Number(this.health.getFailureShare(serverId).toFixed(2)),
-      cause: failure.cause()?.message,
-    });
-  }
-
-  private recordCancelled(serverId: string, startedAtMs: number): void {
-    const nowMs = readSteadyMs();
-    if (nowMs - startedAtMs < MIN_CANCELLED_FAILURE_MS) return;
-    this.health.recordResult(serverId, ServerResult.SILENT, nowMs);
-  }
 }
 
 function makeDispatchFields(job: CallJob, plan: AttemptPlan): DispatchFields {
@@ -243,17 +189,3 @@
       : AttemptFailureKind.DISCONNECTED;
   return new AttemptFailure(kind, serverId, cause);
 }
-
-function toServerResult(kind: AttemptFailureKind): ServerResult {
-  switch (kind) {
-    case AttemptFailureKind.NOT_SENT:
-      return ServerResult.UNREACHABLE;
-    case AttemptFailureKind.NOT_RUN:
-      return ServerResult.SHED;
-    case AttemptFailureKind.SILENT:
-      return ServerResult.SILENT;
-    case AttemptFailureKind.DISCONNECTED:
-    case AttemptFailureKind.INVALID_REPLY:
-      return ServerResult.INVALID_REPLY;
-  }
-}
--- a/packages/router/src/metrics/router_metrics.ts
+++ b/packages/router/src/metrics/router_metrics.ts
@@ -1,4 +1,5 @@
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
+import type {AttemptFailureKind} from '../calls/attempt_failure.js';
 import type {CallOutcome} from '../calls/call_answer.js';
 import type {CallKind} from '../model/call_kind.js';
 
@@ -30,6 +31,12 @@
     labelNames: ['kind'],
     registers: [this.registry],
   });
+  private readonly attemptFailures = new Counter({
+    name: 'greengagecross_attempt_failures_total',
+    help: 'Attempts without a complete reply, by why and by whether the server had written an event.',
+    labelNames: ['failure', 'had_event'],
+    registers: [this.registry],
+  });
   private readonly seconds = new Histogram({
     name: 'greengagecross_call_seconds',
     help: 'Time from a request to the end of its answer, in seconds.',
@@ -69,6 +76,11 @@
     this.seconds.observe({kind}, seconds);
   }
 
+  /** Records an attempt that gave no complete reply. */
+  recordAttemptFailure(failure: AttemptFailureKind, hadEvent: boolean): void {
+    this.attemptFailures.inc({failure, had_event: String(hadEvent)});
+  }
+
   /** Formats all metrics in the Prometheus text format. */
   format(): Promise<string> {
     return this.registry.metrics();
--- a/packages/router/src/router_parts.ts
+++ b/packages/router/src/router_parts.ts
@@ -11,6 +11,7 @@
 import {PeerClient, PeerMethod, PeerServer} from '@greengagecross/peers';
 import {Effect} from 'effect';
 import {OperationalEndpoints} from './operational_endpoints.js';
+import {AttemptRecorder} from './calls/attempt_recorder.js';
 import {BackendAttempts} from './calls/backend_attempts.js';
 import {CallHandler} from './calls/call_handler.js';
 import {FleetRetries} from './calls/fleet_retries.js';
@@ -84,13 +85,17 @@
       this.inFlight,
       view,
     );
+    const recorder = new AttemptRecorder(
+      this.health,
+      this.crashes,
+      this.metrics,
+      serverId => chooser.recordUnreachable(serverId),
+    );
     const attempts = new BackendAttempts(
       this.backendClient,
       ports.codec,
-      this.health,
       this.inFlight,
-      this.crashes,
-      serverId => chooser.recordUnreachable(serverId),
+      recorder,
     );
     const retries = new FleetRetries(budget, view);
     const dispatcherArguments = [chooser, attempts, retries, answers] as const;
--- a/packages/router/src/streams/event_relay.ts
+++ b/packages/router/src/streams/event_relay.ts
@@ -61,12 +61,14 @@
    *
    * @param stallTimeoutMs maximum time without a complete event, in milliseconds.
    *     Other bytes do not count: a stalled server may send some now and then.
+   * @param onEvent called when events with data have been received
    */
   forward(
     stream: IncomingMessage,
     {status, headers}: BackendReplyHead,
     serverId: string,
     stallTimeoutMs: number,
+    onEvent: () => void = () => undefined,
   ): Effect.Effect<void, AttemptFailure> {
     return Effect.callback<void, AttemptFailure>(resume => {
       const splitter = new EventSplitter(
@@ -95,7 +97,10 @@
       const onData = (chunk: Buffer): void => {
         try {
           const hasEvent = this.write(splitter, chunk, status, headers);
-          if (hasEvent) stallTimer.recordProgress();
+          if (hasEvent) {
+            stallTimer.recordProgress();
+            onEvent();
+          }
         } catch (thrown) {
           end(AttemptFailureKind.INVALID_REPLY, thrown as Error);
           return;
--- a/packages/router/src/streams/stream_dispatcher.ts
+++ b/packages/router/src/streams/stream_dispatcher.ts
@@ -107,16 +107,18 @@
     {server, silenceTimeoutMs}: AttemptPlan,
     reply: AttemptReply,
   ): Effect.Effect<CallAnswer | CallOutcome, AttemptFailure> {
-    const {head, stream} = reply;
+    const {head, stream, onEvent} = reply;
     const {status, headers} = head;
     if (status < 200 || status >= 300) return readReply(server.id, reply);
-    return relay.forward(stream, head, server.id, silenceTimeoutMs).pipe(
-      Effect.ensuring(Effect.sync(() => recordTimes(job, relay))),
-      Effect.map(() => {
-        relay.finish(status, headers);
-        return CallOutcome.STREAMED;
-      }),
-    );
+    return relay
+      .forward(stream, head, server.id, silenceTimeoutMs, onEvent)
+      .pipe(
+        Effect.ensuring(Effect.sync(() => recordTimes(job, relay))),
+        Effect.map(() => {
+          relay.finish(status, headers);
+          return CallOutcome.STREAMED;
+        }),
+      );
   }
 }
 
