Refuse prompts with a part that crashes engines, whatever else they hold

Cause: a request that crashes servers was known by the hash of its whole body. Requests that share only the part that crashes an engine each began at zero and were sent to two or three engines.

Change: CrashSuspects (packages/decisions) blames a crash on the shared parts that waited at the server for a first event; an answer that begins clears them; three crashes in sequence condemn the part that explains most of them, and what it explains counts against no other. PromptGuard (packages/router) tells a crash from a cut by a new connection, sends changes to all daemons at once and with heartbeats, and lets one daemon try a condemned part again after 60 s, doubled each time. A refused client gets 503 with that time.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -7,7 +7,7 @@
  *   `SuspectRegistry`, `CostPlacement`, `BudgetedRetryPolicy`, limits and
  *   orders. Its times are milliseconds since the epoch.
  * - Package `router`: heartbeats from every daemon to every other,
- *   `CrashCounts`, `PromptPlacement`, `FleetRetryBudget`, `EventLoopDelay` and
+ *   `CrashCounts`, `CrashSuspects`, `PromptPlacement`, `FleetRetryBudget`, `EventLoopDelay` and
  *   the choice of workers. Its times are milliseconds of the monotonic clock,
  *   but for `PromptPlacement`: milliseconds since the epoch.
  *
@@ -75,6 +75,8 @@
 export * from './workers/choose_worker.js';
 export * from './retries/fleet_retry_budget.js';
 export * from './suspects/crash_counts.js';
+export * from './suspects/choose_condemned.js';
+export * from './suspects/crash_suspects.js';
 export * from './prompts/warm_engines.js';
 export * from './prompts/engine_history.js';
 export * from './members/choose_follower.js';
--- /dev/null
+++ b/packages/decisions/src/suspects/crash_suspects.ts
@@ -0,0 +1,241 @@
+import {
+  chooseCondemned,
+  isSameCrash,
+  type CondemnedPart,
+  type PositionedPart,
+  type ServerCrash,
+  type SuspectPart,
+} from './choose_condemned.js';
+
+/**
+ * A part under which an answer began within this time is not blamed: a server
+ * would have crashed under that answer.
+ */
+const RECENT_ANSWER_MS = 2000;
+/** How long reports repeat that a part was cleared, for daemons that missed it. */
+const CLEARED_REPORT_MS = 10_000;
+/** How long crashes are remembered: longer than a condemnation. */
+const MEMORY_MS = 1_200_000;
+/** An older report can arrive after a newer one and look newer by this much. */
+const MAX_DELIVERY_MS = 20;
+const MAX_SUSPECTS = 500;
+const MAX_CRASHES_PER_PART = 16;
+const MAX_ANSWERED_PARTS = 5000;
+
+/** What one daemon tells others of a part; ages are in milliseconds. */
+export interface CrashReport extends PositionedPart {
+  readonly crashes: readonly {
+    readonly server: string;
+    readonly ageMs: number;
+    readonly sentAgeMs: number;
+  }[];
+  /** Age of the last answer that began; absent if there was none. */
+  readonly clearedAgeMs?: number;
+}
+
+/** The fields that change while a part is a suspect. */
+interface Suspect extends SuspectPart {
+  crashes: ServerCrash[];
+  clearedAtMs: number;
+}
+
+/**
+ * Attributes crashes of backend servers to the prompt part that caused them. A
+ * crash makes suspects of all shared parts of the requests that waited for
+ * their first event; an answer that begins clears the parts of its request. A
+ * part that the crashes have in common, with no answer in between, is
+ * condemned. Crashes that a condemned part explains count against no other.
+ *
+ * Used by package `router`; whole requests are counted by `CrashCounts`. Each
+ * `nowMs` is in milliseconds of the monotonic clock.
+ */
+export class CrashSuspects {
+  private readonly suspects = new Map<string, Suspect>();
+  /** When an answer last began, by part; the longest ago first. */
+  private readonly answeredAtMs = new Map<string, number>();
+  private condemned: ReadonlyMap<string, CondemnedPart> = new Map();
+
+  /**
+   * Records that a server crashed while a request waited for its first event.
+   *
+   * @return the ids of the parts that this crash makes suspects, or more suspect
+   */
+  recordCrash(parts: readonly PositionedPart[], crash: ServerCrash): string[] {
+    const blamed = parts.filter(({id}) => {
+      const answeredAtMs = this.answeredAtMs.get(id) ?? -Infinity;
+      if (crash.atMs - answeredAtMs < RECENT_ANSWER_MS) return false;
+      return this.addCrash(this.getSuspect(id, parts), crash);
+    });
+    if (blamed.length > 0) this.updateCondemned(crash.atMs);
+    return blamed.map(({id}) => id);
+  }
+
+  /**
+   * Records that a server began an answer, which clears the request's parts.
+   *
+   * @return the ids of the parts that were suspects
+   */
+  recordAnswer(partIds: readonly string[], nowMs: number): string[] {
+    for (const id of partIds) this.recordAnswered(id, nowMs);
+    if (this.suspects.size === 0) return [];
+    const cleared = partIds.filter(id => {
+      const suspect = this.suspects.get(id);
+      return suspect !== undefined && this.removeCrashes(suspect, nowMs);
+    });
+    if (cleared.length > 0) this.updateCondemned(nowMs);
+    return cleared;
+  }
+
+  /** Merges what another daemon reports. */
+  merge(reports: readonly CrashReport[], nowMs: number): void {
+    for (const {id, position, crashes, clearedAgeMs} of reports) {
+      const suspect = this.getSuspect(id, [{id, position}]);
+      if (clearedAgeMs !== undefined) {
+        this.removeCrashes(suspect, nowMs - clearedAgeMs);
+      }
+      for (const {server, ageMs, sentAgeMs} of crashes) {
+        if (ageMs >= MEMORY_MS) continue;
+        const [atMs, sentAtMs] = [nowMs - ageMs, nowMs - sentAgeMs];
+        this.addCrash(suspect, {server, atMs, sentAtMs});
+      }
+    }
+    this.updateCondemned(nowMs);
+  }
+
+  /** Finds a condemned part of a prompt; undefined if there is none. */
+  findCondemned(partIds: readonly string[]): CondemnedPart | undefined {
+    if (this.condemned.size === 0) return undefined;
+    for (const id of partIds) {
+      const found = this.condemned.get(id);
+      if (found !== undefined) return found;
+    }
+    return undefined;
+  }
+
+  /** Lists the condemned parts. */
+  listCondemned(): CondemnedPart[] {
+    return [...this.condemned.values()];
+  }
+
+  /** Counts the parts with crashes since their last answer. */
+  countSuspects(): number {
+    let count = 0;
+    for (const {crashes} of this.suspects.values()) {
+      if (crashes.length > 0) count += 1;
+    }
+    return count;
+  }
+
+  /** Makes the reports of some parts; unknown ones are omitted. */
+  makeReports(partIds: readonly string[], nowMs: number): CrashReport[] {
+    return partIds.flatMap(id => {
+      const suspect = this.suspects.get(id);
+      return suspect === undefined ? [] : [makeReport(suspect, nowMs)];
+    });
+  }
+
+  /** Makes at most `limit` reports, condemned parts and latest changes first. */
+  listReports(limit: number, nowMs: number): CrashReport[] {
+    if (this.suspects.size === 0) return [];
+    const open = [...this.suspects.values()].filter(
+      ({crashes, clearedAtMs}) =>
+        crashes.length > 0 || nowMs - clearedAtMs < CLEARED_REPORT_MS,
+    );
+    const isCondemned = ({id}: Suspect): boolean => this.condemned.has(id);
+    return [
+      ...open.filter(isCondemned),
+      ...open.filter(suspect => !isCondemned(suspect)).reverse(),
+    ]
+      .slice(0, limit)
+      .map(suspect => makeReport(suspect, nowMs));
+  }
+
+  private recordAnswered(id: string, nowMs: number): void {
+    this.answeredAtMs.delete(id);
+    this.answeredAtMs.set(id, nowMs);
+    if (this.answeredAtMs.size <= MAX_ANSWERED_PARTS) return;
+    const oldest = this.answeredAtMs.keys().next().value;
+    if (oldest !== undefined) this.answeredAtMs.delete(oldest);
+  }
+
+  private getSuspect(id: string, parts: readonly PositionedPart[]): Suspect {
+    const known = this.suspects.get(id);
+    if (known !== undefined) return known;
+    const position = parts.find(part => part.id === id)?.position ?? 0;
+    const suspect = {id, position, crashes: [], clearedAtMs: -Infinity};
+    if (this.suspects.size >= MAX_SUSPECTS) this.removeOldest();
+    this.suspects.set(id, suspect);
+    return suspect;
+  }
+
+  private removeOldest(): void {
+    for (const id of this.suspects.keys()) {
+      if (this.condemned.has(id)) continue;
+      this.suspects.delete(id);
+      return;
+    }
+  }
+
+  /** Adds a crash unless it is known or older than the last answer. */
+  private addCrash(suspect: Suspect, crash: ServerCrash): boolean {
+    if (crash.atMs <= suspect.clearedAtMs + MAX_DELIVERY_MS) return false;
+    const same = suspect.crashes.find(known => isSameCrash(known, crash));
+    // Of several waiting requests, the one sent last tells the most.
+    if (same !== undefined && same.sentAtMs >= crash.sentAtMs) return false;
+    suspect.crashes = suspect.crashes.filter(known => known !== same);
+    suspect.crashes.push(
+      same === undefined ? crash : {...same, sentAtMs: crash.sentAtMs},
+    );
+    suspect.crashes.sort((a, b) => a.atMs - b.atMs);
+    suspect.crashes = suspect.crashes.slice(-MAX_CRASHES_PER_PART);
+    // Insertion at the end keeps the map in order of change.
+    this.suspects.delete(suspect.id);
+    this.suspects.set(suspect.id, suspect);
+    return true;
+  }
+
+  /** Removes the crashes up to an answer; returns whether there were any. */
+  private removeCrashes(suspect: Suspect, atMs: number): boolean {
+    if (atMs <= suspect.clearedAtMs) return false;
+    const before = suspect.crashes.length;
+    suspect.crashes = suspect.crashes.filter(crash => crash.atMs > atMs);
+    if (before === suspect.crashes.length) return false;
+    suspect.clearedAtMs = atMs;
+    return true;
+  }
+
+  private updateCondemned(nowMs: number): void {
+    this.removeExpired(nowMs);
+    const all = [...this.suspects.values()];
+    this.condemned = new Map(
+      chooseCondemned(all).map(part => [part.id, part] as const),
+    );
+  }
+
+  private removeExpired(nowMs: number): void {
+    for (const {id, crashes, clearedAtMs} of this.suspects.values()) {
+      const lastMs = crashes.at(-1)?.atMs;
+      const isExpired =
+        lastMs === undefined
+          ? nowMs - clearedAtMs > CLEARED_REPORT_MS
+          : nowMs - lastMs > MEMORY_MS;
+      if (isExpired) this.suspects.delete(id);
+    }
+  }
+}
+
+function makeReport(suspect: SuspectPart, nowMs: number): CrashReport {
+  const {id, position, crashes, clearedAtMs} = suspect;
+  return {
+    id,
+    position,
+    crashes: crashes.map(({server, atMs, sentAtMs}) => ({
+      server,
+      ageMs: Math.round(nowMs - atMs),
+      sentAgeMs: Math.round(nowMs - sentAtMs),
+    })),
+    ...(clearedAtMs === -Infinity
+      ? {}
+      : {clearedAgeMs: Math.round(nowMs - clearedAtMs)}),
+  };
+}
--- /dev/null
+++ b/packages/http/src/check_listener.ts
@@ -0,0 +1,51 @@
+import {connect} from 'node:net';
+import {Effect} from 'effect';
+import type {Address} from '@greengagecross/common';
+
+/** What a new connection to an address shows of its process. */
+export enum ListenerState {
+  /** The connection was accepted and stayed open. */
+  UP = 'up',
+  /** The connection was refused, or closed at once: the process has ended. */
+  DOWN = 'down',
+  /** No answer came in time, which a broken path explains as well. */
+  UNKNOWN = 'unknown',
+}
+
+/** The listener of a process that ends may outlive its connections briefly. */
+const HOLD_MS = 100;
+
+/** Opens a connection to an address and closes it again. */
+export function checkListener(
+  {host, port}: Address,
+  timeoutMs: number,
+): Effect.Effect<ListenerState> {
+  return Effect.callback(resume => {
+    const socket = connect({host, port});
+    let isAccepted = false;
+    const end = (state: ListenerState): void => {
+      clearTimeout(timer);
+      resume(Effect.succeed(state));
+      socket.destroy();
+    };
+    let timer = setTimeout(() => end(ListenerState.UNKNOWN), timeoutMs);
+    socket.once('connect', () => {
+      isAccepted = true;
+      clearTimeout(timer);
+      timer = setTimeout(() => end(ListenerState.UP), HOLD_MS);
+    });
+    socket.once('error', (error: NodeJS.ErrnoException) => {
+      const isRefused = isAccepted || error.code === 'ECONNREFUSED';
+      end(isRefused ? ListenerState.DOWN : ListenerState.UNKNOWN);
+    });
+    // Node reports that the other end closed only while the socket is read.
+    socket.resume();
+    socket.once('close', () =>
+      end(isAccepted ? ListenerState.DOWN : ListenerState.UNKNOWN),
+    );
+    return Effect.sync(() => {
+      clearTimeout(timer);
+      socket.destroy();
+    });
+  });
+}
--- a/packages/http/src/index.ts
+++ b/packages/http/src/index.ts
@@ -2,6 +2,7 @@
  * HTTP server with one fiber per connection, and HTTP client with keep-alive
  * connections; both count the bytes of their sockets.
  */
+export * from './check_listener.js';
 export * from './connection_pool.js';
 export * from './discard_body.js';
 export * from './free_ports.js';
--- a/packages/router/src/calls/attempt_recorder.ts
+++ b/packages/router/src/calls/attempt_recorder.ts
@@ -1,3 +1,4 @@
+import {Effect} from 'effect';
 import {Logger, readSteadyMs} from '@greengagecross/common';
 import {
   listSharedParts,
@@ -7,6 +8,8 @@
 } from '@greengagecross/decisions';
 import type {RouterMetrics} from '../metrics/router_metrics.js';
 import type {BackendReplyHead} from '../model/backend_reply_head.js';
+import type {BackendServer} from '../model/backend_server.js';
+import type {PromptGuard} from '../suspects/prompt_guard.js';
 import {AttemptFailureKind, type AttemptFailure} from './attempt_failure.js';
 import type {CallJob} from './call_job.js';
 
@@ -31,6 +34,7 @@
   constructor(
     private readonly health: ServerHealth,
     private readonly crashes: CrashCounts,
+    private readonly guard: PromptGuard,
     private readonly metrics: RouterMetrics,
     private readonly onUnreachable: (serverId: string) => void,
   ) {}
@@ -54,8 +58,36 @@
     }
   }
 
-  /** Records and logs an attempt that gave no complete reply. */
+  /** Records an event of a stream; only the first of an attempt counts. */
+  recordEvent(job: CallJob, progress: AttemptProgress): void {
+    if (progress.hasEvent) return;
+    progress.hasEvent = true;
+    this.guard.recordAnswer(job.call.prompt);
+  }
+
+  /**
+   * Records and logs an attempt that gave no complete reply. If its server may
+   * have crashed under it, waits briefly for the answer to that.
+   */
   recordFailure(
+    job: CallJob,
+    server: BackendServer,
+    failure: AttemptFailure,
+    progress: AttemptProgress,
+  ): Effect.Effect<void> {
+    return Effect.suspend(() => {
+      this.logFailure(job, failure, progress);
+      const isCut = failure.kind === AttemptFailureKind.DISCONNECTED;
+      if (!isCut || progress.hasEvent) return Effect.void;
+      return this.guard.recordCut(
+        job.call.prompt,
+        server,
+        progress.startedAtMs,
+      );
+    });
+  }
+
+  private logFailure(
     job: CallJob,
     failure: AttemptFailure,
     {startedAtMs, hasEvent}: AttemptProgress,
@@ -70,6 +102,7 @@
     }
     if (kind === AttemptFailureKind.NOT_SENT) {
       this.onUnreachable(serverId);
+      this.guard.recordDown(serverId);
       for (const count of this.crashes.recordDown(serverId, nowMs)) {
         logger.log('A server crash was attributed to a request.', {
           fingerprint: count.fingerprint,
--- a/packages/router/src/calls/backend_attempts.ts
+++ b/packages/router/src/calls/backend_attempts.ts
@@ -75,9 +75,7 @@
     return Effect.suspend(() => {
       const startedAtMs = readSteadyMs();
       const progress = {startedAtMs, hasHead: false, hasEvent: false};
-      const onEvent = (): void => {
-        progress.hasEvent = true;
-      };
+      const onEvent = (): void => this.recorder.recordEvent(job, progress);
       this.inFlight.add(server.id);
       this.recorder.recordSend(server.id, startedAtMs);
       job.trace.attempts.push(server.id);
@@ -90,9 +88,7 @@
         ),
         Effect.flatMap(opened => handleReply({...opened, onEvent})),
         Effect.tapError(failure =>
-          Effect.sync(() =>
-            this.recorder.recordFailure(job, failure, progress),
-          ),
+          this.recorder.recordFailure(job, server, failure, progress),
         ),
         Effect.onInterrupt(() =>
           Effect.sync(() => {
--- a/packages/router/src/calls/call_answer.ts
+++ b/packages/router/src/calls/call_answer.ts
@@ -25,6 +25,11 @@
    * package decisions.
    */
   CONDEMNED = 'condemned',
+  /**
+   * Servers crashed while requests with a part of this prompt waited; see
+   * `CrashSuspects` of package decisions.
+   */
+  CONDEMNED_PART = 'condemned-part',
   /** The request may have been run, but no valid reply was received. */
   UNKNOWN = 'unknown',
   /** The deadline expired after the first attempt began. */
--- a/packages/router/src/calls/call_handler.ts
+++ b/packages/router/src/calls/call_handler.ts
@@ -8,6 +8,7 @@
 import type {CallCodec} from '../ports/call_codec.js';
 import type {FleetState} from '../state/fleet_state.js';
 import type {ConfigurationView} from '../state/current_configuration.js';
+import {PromptVerdict, type PromptGuard} from '../suspects/prompt_guard.js';
 import type {StreamDispatcher} from '../streams/stream_dispatcher.js';
 import {CallOutcome, type CallAnswer} from './call_answer.js';
 import type {CallJob} from './call_job.js';
@@ -49,6 +50,7 @@
     private readonly services: ServiceDispatcher,
     private readonly streams: StreamDispatcher,
     private readonly crashes: CrashCounts,
+    private readonly guard: PromptGuard,
     private readonly eventLoopDelay: EventLoopDelay,
     private readonly answers: LocalAnswers,
     private readonly metrics: RouterMetrics,
@@ -139,6 +141,12 @@
       const answer = this.answers.make(CallOutcome.CONDEMNED, job.call);
       return Effect.succeed(answer);
     }
+    const {verdict, partId, retryAfterMs} = this.guard.check(job.call.prompt);
+    if (verdict === PromptVerdict.REFUSED) {
+      job.trace.placement = `condemned part ${partId}`;
+      const outcome = CallOutcome.CONDEMNED_PART;
+      return Effect.succeed(this.answers.make(outcome, job.call, retryAfterMs));
+    }
     return job.route.kind === CallKind.STREAM
       ? this.streams.dispatch(job)
       : this.services.dispatch(job);
--- a/packages/router/src/calls/local_answers.ts
+++ b/packages/router/src/calls/local_answers.ts
@@ -15,6 +15,7 @@
   [CallOutcome.NO_SERVER]: 503,
   [CallOutcome.NOT_RUN]: 503,
   [CallOutcome.CONDEMNED]: 503,
+  [CallOutcome.CONDEMNED_PART]: 503,
   [CallOutcome.OVERLOADED]: 503,
   [CallOutcome.STOPPING]: 503,
   [CallOutcome.UNKNOWN]: 502,
--- a/packages/router/src/calls/service_dispatcher.ts
+++ b/packages/router/src/calls/service_dispatcher.ts
@@ -1,6 +1,7 @@
 import {Effect, Result} from 'effect';
 import {readBody} from '@greengagecross/http';
 import {CallKind} from '../model/call_kind.js';
+import type {PromptGuard} from '../suspects/prompt_guard.js';
 import {AttemptFailure, AttemptFailureKind} from './attempt_failure.js';
 import type {AttemptReply, BackendAttempts} from './backend_attempts.js';
 import {CallOutcome, type CallAnswer} from './call_answer.js';
@@ -29,6 +30,7 @@
     private readonly attempts: BackendAttempts,
     private readonly retries: FleetRetries,
     private readonly answers: LocalAnswers,
+    private readonly guard: PromptGuard,
   ) {}
 
   /**
@@ -52,6 +54,7 @@
         const choice = this.chooser.choose(job, tried);
         if (choice === undefined) break;
         const {server} = choice;
+        if (tried.size > 0 && this.guard.isRefused(job.call.prompt)) break;
         if (tried.size > 0 && !this.retries.take(job.service)) break;
         tried.add(server.id);
         const mayRetry =
--- a/packages/router/src/members/heartbeat.ts
+++ b/packages/router/src/members/heartbeat.ts
@@ -1,5 +1,6 @@
 import {Schema} from 'effect';
 import {AddressSchema} from '@greengagecross/common';
+import {CrashReportSchema} from '../suspects/suspect_message.js';
 
 /**
  * Availability of a daemon for clients. Unlike `MemberState` of package
@@ -49,6 +50,8 @@
   watchers: Schema.optionalKey(Schema.Array(Schema.String)),
   /** Incarnations of silent daemons, by id, that the sender watches. */
   silent: Schema.optionalKey(Schema.Record(Schema.String, Schema.Number)),
+  /** Prompt parts under which servers crashed; see `CrashSuspects`. */
+  suspects: Schema.optionalKey(Schema.Array(CrashReportSchema)),
   /** Number of server crashes attributed to a request, by fingerprint. */
   crashes: Schema.Record(Schema.String, Schema.Number),
 });
--- a/packages/router/src/members/heartbeat_socket.ts
+++ b/packages/router/src/members/heartbeat_socket.ts
@@ -9,15 +9,25 @@
 } from '@greengagecross/common';
 import {HeartbeatSchema, type Heartbeat} from './heartbeat.js';
 import {LoadMessageSchema, type LoadMessage} from './load_message.js';
+import {
+  SUSPECT_MESSAGE_KIND,
+  SuspectMessageSchema,
+  type SuspectMessage,
+} from '../suspects/suspect_message.js';
 
 const logger = new Logger('members');
 
-/** The beginning of a load message in JSON; heartbeats have no kind. */
+/** The beginning of the other messages in JSON; heartbeats have no kind. */
+const SUSPECT_MESSAGE_START = `{"kind":"${SUSPECT_MESSAGE_KIND}"`;
 const LOAD_MESSAGE_START = '{"kind":';
 
+/** A message that is sent as one datagram. */
+export type DatagramMessage = Heartbeat | LoadMessage | SuspectMessage;
+
 /**
- * Exchanges heartbeats and load messages over UDP: unlike a connection, a datagram to a host that
- * does not respond never blocks the sender.
+ * Exchanges heartbeats, load messages and suspect messages over UDP: unlike a
+ * connection, a datagram to a host that does not respond never blocks the
+ * sender.
  */
 export class HeartbeatSocket {
   private socket: Socket | undefined;
@@ -26,6 +36,7 @@
     private readonly address: Address,
     private readonly onHeartbeat: (heartbeat: Heartbeat) => void,
     private readonly onLoad: (message: LoadMessage) => void,
+    private readonly onSuspects: (message: SuspectMessage) => void,
   ) {}
 
   /** Opens the socket; closes it with the scope. */
@@ -37,7 +48,7 @@
   }
 
   /** Sends a message to each address; lost datagrams are not resent. */
-  send(message: Heartbeat | LoadMessage, addresses: readonly Address[]): void {
+  send(message: DatagramMessage, addresses: readonly Address[]): void {
     if (addresses.length === 0) return;
     const bytes = Buffer.from(JSON.stringify(message));
     for (const {host, port} of addresses) {
@@ -65,6 +76,12 @@
   private receive(bytes: Buffer): void {
     const text = bytes.toString();
     try {
+      if (text.startsWith(SUSPECT_MESSAGE_START)) {
+        this.onSuspects(
+          decodeJson(SuspectMessageSchema, text, 'suspect message'),
+        );
+        return;
+      }
       if (text.startsWith(LOAD_MESSAGE_START)) {
         this.onLoad(decodeJson(LoadMessageSchema, text, 'load message'));
         return;
--- a/packages/router/src/members/heartbeat_socket_steps.ts
+++ b/packages/router/src/members/heartbeat_socket_steps.ts
@@ -88,6 +88,7 @@
       {host: HOST, port},
       heartbeat => this.received.push(heartbeat),
       message => this.received.push(message),
+      () => undefined,
     );
     this.receiver = Effect.runFork(
       Effect.scoped(Effect.andThen(socket.open(), Effect.never)),
--- a/packages/router/src/members/member_service.ts
+++ b/packages/router/src/members/member_service.ts
@@ -6,6 +6,8 @@
   MIN_FLEET_HEARTBEAT_MS,
   WATCH_HEARTBEAT_MS,
   type CrashCounts,
+  type CrashReport,
+  type CrashSuspects,
   type FleetWatch,
   type LoadSums,
 } from '@greengagecross/decisions';
@@ -14,6 +16,8 @@
 import type {FleetStateSource} from '../ports/fleet_state_source.js';
 import type {MemberRegistry} from '../ports/member_registry.js';
 import type {FleetState} from '../state/fleet_state.js';
+import type {PromptGuard} from '../suspects/prompt_guard.js';
+import {SUSPECT_MESSAGE_KIND} from '../suspects/suspect_message.js';
 import {DaemonState, type Heartbeat} from './heartbeat.js';
 import {HeartbeatSocket} from './heartbeat_socket.js';
 import {LoadExchange} from './load_exchange.js';
@@ -24,6 +28,8 @@
 
 /** Maximum number of crash counts in a heartbeat: keeps it below 8 KB. */
 const MAX_CRASHES = 20;
+/** Maximum number of reports of prompt parts in a heartbeat. */
+const MAX_SUSPECTS = 8;
 const logger = new Logger('members');
 
 /** Discovers the other daemons and exchanges heartbeats with them. */
@@ -46,6 +52,8 @@
     private readonly view: MemberView,
     private readonly inFlight: InFlightCounter,
     private readonly crashes: CrashCounts,
+    private readonly suspects: CrashSuspects,
+    private readonly guard: PromptGuard,
     registry: MemberRegistry,
     private readonly source: FleetStateSource,
     private readonly catchUp: StateCatchUp,
@@ -59,6 +67,7 @@
       self.heartbeats,
       heartbeat => this.receive(heartbeat),
       message => this.loads.receive(message, readSteadyMs()),
+      ({reports}) => this.guard.merge(reports, readSteadyMs()),
     );
     this.loads = new LoadExchange(self, view, sums, (message, addresses) =>
       this.socket.send(message, addresses),
@@ -77,6 +86,14 @@
     });
   }
 
+  /** Sends reports of prompt parts to all running daemons. */
+  sendSuspects(reports: readonly CrashReport[]): void {
+    this.socket.send(
+      {kind: SUSPECT_MESSAGE_KIND, reports},
+      this.view.listRunning(readSteadyMs()).map(({heartbeats}) => heartbeats),
+    );
+  }
+
   /** Marks this daemon as leaving and advertises the state immediately. */
   setLeaving(): void {
     this.isLeaving = true;
@@ -212,6 +229,7 @@
       inFlight: this.inFlight.toRecord(),
       watchers: this.watch.getWatchers(),
       silent: this.watch.getSilent(),
+      suspects: this.suspects.listReports(MAX_SUSPECTS, readSteadyMs()),
       crashes: Object.fromEntries(
         crashes.map(count => [count.fingerprint, count.crashes]),
       ),
@@ -238,6 +256,7 @@
     for (const [fingerprint, count] of Object.entries(heartbeat.crashes)) {
       this.crashes.merge(fingerprint, count, nowMs);
     }
+    this.guard.merge(heartbeat.suspects ?? [], nowMs);
     if (this.catchUp.isBehind(heartbeat)) {
       this.runFiber?.(this.catchUp.run(heartbeat));
     } else if (heartbeat.isStoreReached) {
--- a/packages/router/src/router_parts.ts
+++ b/packages/router/src/router_parts.ts
@@ -1,12 +1,13 @@
 import {
   CrashCounts,
+  CrashSuspects,
   FleetRetryBudget,
   EventLoopDelay,
   FleetWatch,
   LoadSums,
   ServerHealth,
 } from '@greengagecross/decisions';
-import {readNowMs} from '@greengagecross/common';
+import {readNowMs, readSteadyMs} from '@greengagecross/common';
 import {HttpClient} from '@greengagecross/http';
 import {PeerClient, PeerMethod, PeerServer} from '@greengagecross/peers';
 import {Effect} from 'effect';
@@ -31,6 +32,7 @@
 import type {MemberRegistry} from './ports/member_registry.js';
 import {EndedEnginesPersister} from './state/ended_engines_persister.js';
 import {FleetState} from './state/fleet_state.js';
+import {PromptGuard} from './suspects/prompt_guard.js';
 import {StreamDispatcher} from './streams/stream_dispatcher.js';
 
 /** Default timeout of an RPC to another daemon. */
@@ -61,6 +63,7 @@
   readonly endedEngines: EndedEnginesPersister;
   private readonly inFlight = new InFlightCounter();
   private readonly crashes = new CrashCounts();
+  private readonly suspects = new CrashSuspects();
   private readonly metrics = new RouterMetrics();
   private readonly backendClient = new HttpClient();
   private readonly peerClient = new HttpClient();
@@ -85,9 +88,16 @@
       this.inFlight,
       view,
     );
+    const guard = new PromptGuard(
+      this.suspects,
+      self.id,
+      () => view.listRunning(readSteadyMs()).map(({id}) => id),
+      reports => this.members.sendSuspects(reports),
+    );
     const recorder = new AttemptRecorder(
       this.health,
       this.crashes,
+      guard,
       this.metrics,
       serverId => chooser.recordUnreachable(serverId),
     );
@@ -98,13 +108,20 @@
       recorder,
     );
     const retries = new FleetRetries(budget, view);
-    const dispatcherArguments = [chooser, attempts, retries, answers] as const;
+    const dispatcherArguments = [
+      chooser,
+      attempts,
+      retries,
+      answers,
+      guard,
+    ] as const;
     this.calls = new CallHandler(
       ports.codec,
       this.state,
       new ServiceDispatcher(...dispatcherArguments),
       new StreamDispatcher(...dispatcherArguments),
       this.crashes,
+      guard,
       this.eventLoopDelay,
       answers,
       this.metrics,
@@ -118,6 +135,8 @@
       view,
       this.inFlight,
       this.crashes,
+      this.suspects,
+      guard,
       ports.registry,
       ports.source,
       catchUp,
@@ -146,10 +165,10 @@
       peerServer,
       this.metrics,
     );
-    this.addGauges(view);
+    this.addGauges(view, guard);
   }
 
-  private addGauges(view: MemberView): void {
+  private addGauges(view: MemberView, guard: PromptGuard): void {
     const {configuration, backends} = this.state;
     this.metrics.addGauge({
       name: 'greengagecross_configuration_version',
@@ -171,6 +190,21 @@
       help: 'Daemons left out of the directory by reports of their watchers.',
       read: () => view.listSuspected(performance.now()).length,
     });
+    this.metrics.addGauge({
+      name: 'greengagecross_prompt_parts_suspected',
+      help: 'Prompt parts under which a server crashed and none answered since.',
+      read: () => this.suspects.countSuspects(),
+    });
+    this.metrics.addGauge({
+      name: 'greengagecross_prompt_parts_refused',
+      help: 'Prompt parts that are refused since servers crash under them.',
+      read: () => this.suspects.listCondemned().length,
+    });
+    this.metrics.addGauge({
+      name: 'greengagecross_server_crashes_found',
+      help: 'Crashes of servers under waiting prompts that this daemon found.',
+      read: () => guard.countCrashes(),
+    });
     this.metrics.addGauge({
       name: 'greengagecross_store_reached',
       help: '1 if the last call to the store succeeded, otherwise 0.',
--- a/packages/router/src/streams/stream_dispatcher.ts
+++ b/packages/router/src/streams/stream_dispatcher.ts
@@ -17,6 +17,7 @@
 import type {ServerChooser} from '../calls/server_chooser.js';
 import {readReply} from '../calls/service_dispatcher.js';
 import type {Route} from '../model/route.js';
+import type {PromptGuard} from '../suspects/prompt_guard.js';
 import {EventRelay} from './event_relay.js';
 
 /**
@@ -38,6 +39,7 @@
     private readonly attempts: BackendAttempts,
     private readonly retries: FleetRetries,
     private readonly answers: LocalAnswers,
+    private readonly guard: PromptGuard,
   ) {}
 
   /**
@@ -59,6 +61,7 @@
         const choice = this.chooser.choose(job, tried);
         if (choice === undefined) break;
         const {server} = choice;
+        if (tried.size > 0 && this.guard.isRefused(job.call.prompt)) break;
         if (tried.size > 0 && !this.retries.take(job.service)) break;
         tried.add(server.id);
         const mayResume = isResumable && possibleRuns + 1 < maxAttempts;
