Respect a server's word that it leaves, or wants a pause

A worker may say in its replies that it is leaving (DRAIN), and may add a time to a 503 for which it wants nothing (BUDGET). Both went unread: a leaving worker got requests until the store's entry changed, and a paused one was chosen again whenever it looked idle or all others were avoided.

The adapter decodes both once. ServerNotices (packages/decisions) holds them until the server starts anew, and the router sends such a server nothing. If all servers of a service are paused, the client is refused at once with the time until the first takes requests, spread by a fifth. Log lines and greengagecross_server_notices_total, greengagecross_servers_paused.

server_notices.feature: with the hold taken out of the chooser 7 of 11 scenarios fail, among them all four routes of the leaving worker; with it all pass. The pause of plain services passed without it too, since their health rating avoids a worker that refuses.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -7,7 +7,7 @@
  *   `SuspectRegistry`, `CostPlacement`, `BudgetedRetryPolicy`, limits and
  *   orders. Its times are milliseconds since the epoch.
  * - Package `router`: heartbeats from every daemon to every other,
- *   `CrashCounts`, `CrashSuspects`, `PromptPlacement`, `FleetRetryBudget`, `EventLoopDelay` and
+ *   `CrashCounts`, `CrashSuspects`, `ServerNotices`, `PromptPlacement`, `FleetRetryBudget`, `EventLoopDelay` and
  *   the choice of workers. Its times are milliseconds of the monotonic clock,
  *   but for `PromptPlacement`: milliseconds since the epoch.
  *
@@ -72,6 +72,7 @@
 export * from './workers/worker_result.js';
 export * from './workers/worker_health.js';
 export * from './workers/worker_load.js';
+export * from './workers/server_notices.js';
 export * from './workers/choose_worker.js';
 export * from './retries/fleet_retry_budget.js';
 export * from './suspects/crash_counts.js';
--- a/packages/router/src/calls/attempt_recorder.ts
+++ b/packages/router/src/calls/attempt_recorder.ts
@@ -2,9 +2,11 @@
 import {Logger, readSteadyMs} from '@greengagecross/common';
 import {
   listSharedParts,
+  ServerNotice,
   ServerResult,
   type CrashCounts,
   type ServerHealth,
+  type ServerNotices,
 } from '@greengagecross/decisions';
 import type {RouterMetrics} from '../metrics/router_metrics.js';
 import type {BackendReplyHead} from '../model/backend_reply_head.js';
@@ -35,6 +37,7 @@
     private readonly health: ServerHealth,
     private readonly crashes: CrashCounts,
     private readonly guard: PromptGuard,
+    private readonly notices: ServerNotices,
     private readonly metrics: RouterMetrics,
     private readonly onUnreachable: (serverId: string) => void,
   ) {}
@@ -58,6 +61,31 @@
     }
   }
 
+  /** Records what a server says of itself in the head of a reply. */
+  recordNotices(
+    server: BackendServer,
+    {isServerLeaving, pauseMs}: BackendReplyHead,
+  ): void {
+    if (isServerLeaving && this.notices.recordLeaving(server)) {
+      this.metrics.recordNotice(ServerNotice.LEAVING);
+      logger.log(
+        'A server says that it is leaving; it gets no more requests.',
+        {
+          server: server.id,
+          service: server.service,
+        },
+      );
+    }
+    if (pauseMs === undefined) return;
+    this.notices.recordPause(server, pauseMs, readSteadyMs());
+    this.metrics.recordNotice(ServerNotice.PAUSE);
+    logger.log('A server wants no requests for some time.', {
+      server: server.id,
+      service: server.service,
+      pauseMs,
+    });
+  }
+
   /** Records an event of a stream; only the first of an attempt counts. */
   recordEvent(job: CallJob, progress: AttemptProgress): void {
     if (progress.hasEvent) return;
--- a/packages/router/src/calls/backend_attempts.ts
+++ b/packages/router/src/calls/backend_attempts.ts
@@ -133,6 +133,10 @@
     const {stream} = reply;
     stream.on('error', () => undefined);
     const head = this.codec.decodeReply(job.call, reply);
+    // A server with another id refuses with this status; the notice is its own.
+    if (head.isReplyToRequest && head.status !== MISDIRECTED_STATUS) {
+      this.recorder.recordNotices(server, head);
+    }
     const isRefusal = head.isNotRun || head.status === MISDIRECTED_STATUS;
     if (head.isReplyToRequest && isRefusal) {
       // A refusal without an id may be sent once more for the next request on
--- a/packages/router/src/calls/server_chooser.ts
+++ b/packages/router/src/calls/server_chooser.ts
@@ -1,18 +1,24 @@
-import {readNowMs, readSteadyMs} from '@greengagecross/common';
+import {hash32, readNowMs, readSteadyMs} from '@greengagecross/common';
 import {
   chooseWorker,
   findSubject,
   PromptPlacement,
   type ServerHealth,
+  type ServerNotices,
 } from '@greengagecross/decisions';
 import type {MemberView} from '../members/member_view.js';
 import type {BackendServer} from '../model/backend_server.js';
 import type {BackendRegistry} from '../state/backend_registry.js';
 import type {EndedEnginesByService} from '../ports/ended_engines_store.js';
 import type {CallJob} from './call_job.js';
+import {RETRY_AFTER_MS} from './dispatch_limits.js';
 import type {InFlightCounter} from './in_flight_counter.js';
 import type {ServerChoice} from './server_choice.js';
 
+const MAX_HASH = 0xffff_ffff;
+/** Share of a pause over which the clients that it turned away return. */
+const RETURN_SPREAD = 0.2;
+
 /**
  * Chooses backend servers from local measurements and peer heartbeats: an engine
  * for a prompt, otherwise a worker. `nowMs` is a time on the monotonic clock,
@@ -32,15 +38,19 @@
     private readonly health: ServerHealth,
     private readonly inFlight: InFlightCounter,
     private readonly members: MemberView,
+    private readonly notices: ServerNotices,
   ) {}
 
   /** Chooses a ready server that was not tried; undefined when none is left. */
   choose(job: CallJob, tried: ReadonlySet<string>): ServerChoice | undefined {
+    const nowMs = readSteadyMs();
     const servers = this.backends
       .listReady(job.service)
-      .filter(server => !tried.has(server.id));
+      .filter(
+        server =>
+          !tried.has(server.id) && this.notices.isAvailable(server, nowMs),
+      );
     if (servers.length === 0) return undefined;
-    const nowMs = readSteadyMs();
     const ids = servers.map(server => server.id);
     const avoided = this.health.listAvoided(ids, nowMs);
     if (job.call.prompt.length > 0) {
@@ -51,6 +61,18 @@
     return server === undefined ? undefined : {server};
   }
 
+  /**
+   * Computes the retry delay of a request that no server ran, in milliseconds.
+   * While all servers want a pause it is at least the time until the first takes
+   * requests, longer by up to a fifth, so that clients do not return at once.
+   */
+  computeRetryAfterMs({service, call}: CallJob): number {
+    const servers = this.backends.listReady(service);
+    const waitMs = this.notices.computeWaitMs(servers, readSteadyMs()) ?? 0;
+    const spread = (hash32(call.id ?? '') / MAX_HASH) * RETURN_SPREAD;
+    return Math.max(RETRY_AFTER_MS, Math.ceil(waitMs * (1 + spread)));
+  }
+
   /**
    * Lists the engines that recently stopped accepting requests; services without
    * such engines are omitted.
--- a/packages/router/src/calls/service_dispatcher.ts
+++ b/packages/router/src/calls/service_dispatcher.ts
@@ -6,11 +6,7 @@
 import type {AttemptReply, BackendAttempts} from './backend_attempts.js';
 import {CallOutcome, type CallAnswer} from './call_answer.js';
 import type {CallJob} from './call_job.js';
-import {
-  MAX_TRIED_SERVERS,
-  MAX_SILENCE_TIMEOUT_MS,
-  RETRY_AFTER_MS,
-} from './dispatch_limits.js';
+import {MAX_TRIED_SERVERS, MAX_SILENCE_TIMEOUT_MS} from './dispatch_limits.js';
 import type {FleetRetries} from './fleet_retries.js';
 import type {LocalAnswers} from './local_answers.js';
 import type {ServerChooser} from './server_chooser.js';
@@ -86,7 +82,8 @@
       }
       const outcome =
         tried.size === 0 ? CallOutcome.NO_SERVER : CallOutcome.NOT_RUN;
-      return this.answers.make(outcome, job.call, RETRY_AFTER_MS);
+      const retryAfterMs = this.chooser.computeRetryAfterMs(job);
+      return this.answers.make(outcome, job.call, retryAfterMs);
     });
   }
 }
--- a/packages/router/src/metrics/router_metrics.ts
+++ b/packages/router/src/metrics/router_metrics.ts
@@ -1,4 +1,5 @@
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
+import type {ServerNotice} from '@greengagecross/decisions';
 import type {AttemptFailureKind} from '../calls/attempt_failure.js';
 import type {CallOutcome} from '../calls/call_answer.js';
 import type {CallKind} from '../model/call_kind.js';
@@ -37,6 +38,12 @@
     labelNames: ['failure', 'had_event'],
     registers: [this.registry],
   });
+  private readonly notices = new Counter({
+    name: 'greengagecross_server_notices_total',
+    help: 'Replies in which a server says that it is leaving, or wants no requests for some time.',
+    labelNames: ['notice'],
+    registers: [this.registry],
+  });
   private readonly seconds = new Histogram({
     name: 'greengagecross_call_seconds',
     help: 'Time from a request to the end of its answer, in seconds.',
@@ -81,6 +88,11 @@
     this.attemptFailures.inc({failure, had_event: String(hadEvent)});
   }
 
+  /** Records what a server said of itself in a reply. */
+  recordNotice(notice: ServerNotice): void {
+    this.notices.inc({notice});
+  }
+
   /** Formats all metrics in the Prometheus text format. */
   format(): Promise<string> {
     return this.registry.metrics();
--- a/packages/router/src/model/backend_reply_head.ts
+++ b/packages/router/src/model/backend_reply_head.ts
@@ -27,6 +27,13 @@
    * which only an intermediary would add.
    */
   readonly isSigned: boolean;
+  /** Whether the server says that it is about to leave the fleet. */
+  readonly isServerLeaving: boolean;
+  /**
+   * Time for which the server wants no request from this daemon, in
+   * milliseconds; undefined if it does not say so.
+   */
+  readonly pauseMs?: number;
   /** Undefined when the reply reports no load. */
   readonly load?: BackendLoad;
   /** Headers to forward to the client. */
--- a/packages/router/src/router_parts.ts
+++ b/packages/router/src/router_parts.ts
@@ -6,6 +6,7 @@
   FleetWatch,
   LoadSums,
   ServerHealth,
+  ServerNotices,
 } from '@greengagecross/decisions';
 import {readNowMs, readSteadyMs} from '@greengagecross/common';
 import {HttpClient} from '@greengagecross/http';
@@ -64,6 +65,7 @@
   private readonly inFlight = new InFlightCounter();
   private readonly crashes = new CrashCounts();
   private readonly suspects = new CrashSuspects();
+  private readonly notices = new ServerNotices();
   private readonly metrics = new RouterMetrics();
   private readonly backendClient = new HttpClient();
   private readonly peerClient = new HttpClient();
@@ -87,6 +89,7 @@
       this.health,
       this.inFlight,
       view,
+      this.notices,
     );
     const guard = new PromptGuard(
       this.suspects,
@@ -98,6 +101,7 @@
       this.health,
       this.crashes,
       guard,
+      this.notices,
       this.metrics,
       serverId => chooser.recordUnreachable(serverId),
     );
@@ -190,6 +194,11 @@
       help: 'Daemons left out of the directory by reports of their watchers.',
       read: () => view.listSuspected(performance.now()).length,
     });
+    this.metrics.addGauge({
+      name: 'greengagecross_servers_paused',
+      help: 'Servers that want no requests from this daemon now.',
+      read: () => this.notices.countPaused(readSteadyMs()),
+    });
     this.metrics.addGauge({
       name: 'greengagecross_prompt_parts_suspected',
       help: 'Prompt parts under which a server crashed and none answered since.',
--- a/packages/router/src/streams/event_relay_steps.ts
+++ b/packages/router/src/streams/event_relay_steps.ts
@@ -11,6 +11,7 @@
   isReplyToRequest: true,
   hasRequestId: true,
   isNotRun: false,
+  isServerLeaving: false,
   isSigned: true,
   headers: {},
 };
--- a/packages/router/src/streams/stream_dispatcher.ts
+++ b/packages/router/src/streams/stream_dispatcher.ts
@@ -10,7 +10,6 @@
 import {
   MAX_TRIED_SERVERS,
   MAX_SILENCE_TIMEOUT_MS,
-  RETRY_AFTER_MS,
 } from '../calls/dispatch_limits.js';
 import type {FleetRetries} from '../calls/fleet_retries.js';
 import type {LocalAnswers} from '../calls/local_answers.js';
@@ -100,7 +99,8 @@
       }
       const outcome =
         tried.size === 0 ? CallOutcome.NO_SERVER : CallOutcome.NOT_RUN;
-      return this.answers.make(outcome, job.call, RETRY_AFTER_MS);
+      const retryAfterMs = this.chooser.computeRetryAfterMs(job);
+      return this.answers.make(outcome, job.call, retryAfterMs);
     });
   }
 
