Take odd entries of other writers out of the lists of workers and hosts

Report of other operators: one odd entry among those of the workers, deeply nested, with a number too large or with a port out of range, ended the machines that read the list, or kept them from following it.

Here: a port over 65535 was accepted, and each request that chose the worker got 500 (RangeError from the connection); a start time of 1e400 was read as Infinity and passed on to peers as null, so that daemons which do not read the store themselves could not follow the list any more; deep nesting was decoded by recursion until the stack was full, which was caught. On the own interface one odd item made the whole host list unreadable.

--- a/packages/common/src/schema/decode.ts
+++ b/packages/common/src/schema/decode.ts
@@ -3,6 +3,12 @@
 import type {Problem} from './problem.js';
 
 const MAX_FOUND_CHARACTERS = 60;
+/**
+ * Values nested deeper are rejected before they are decoded: decoding and
+ * describing them recurses, which can exceed the stack.
+ */
+const MAX_DEPTH = 100;
+const STRINGS_AND_BRACKETS = /"(?:[^"\\]|\\.)*"|[[\]{}]/g;
 const SECRET_PATH = /key|secret|salt|hash/i;
 const formatIssues = SchemaIssue.makeFormatterStandardSchemaV1();
 
@@ -59,8 +65,17 @@
   );
 }
 
-/** Parses JSON text; throws ValidationError if it is malformed. */
+/**
+ * Parses JSON text.
+ *
+ * @throws ValidationError if it is malformed or nested deeper than MAX_DEPTH
+ */
 export function parseJson(text: string, documentName: string): unknown {
+  if (isNestedDeeper(text, MAX_DEPTH)) {
+    const expected = `at most ${MAX_DEPTH} nested values`;
+    const problem = {path: '(document)', expected, found: 'more'};
+    throw new ValidationError(documentName, [problem]);
+  }
   try {
     return JSON.parse(text) as unknown;
   } catch (thrown) {
@@ -70,6 +85,17 @@
   }
 }
 
+/** Returns whether arrays and objects are nested deeper than a limit. */
+function isNestedDeeper(text: string, limit: number): boolean {
+  let depth = 0;
+  for (const [token] of text.matchAll(STRINGS_AND_BRACKETS)) {
+    if (token === '{' || token === '[') depth += 1;
+    else if (token === '}' || token === ']') depth -= 1;
+    if (depth > limit) return true;
+  }
+  return false;
+}
+
 function toProblem(document: unknown, path: Path, message: string): Problem {
   const keys = path.map(part => (typeof part === 'object' ? part.key : part));
   const name = formatPath(keys);
--- a/packages/common/src/settings/address.ts
+++ b/packages/common/src/settings/address.ts
@@ -1,9 +1,14 @@
 import {Schema} from 'effect';
 
+const MIN_PORT = 1;
+const MAX_PORT = 65_535;
+
 /** IP address and port to connect to or to listen on. */
 export const AddressSchema = Schema.Struct({
   host: Schema.NonEmptyString,
-  port: Schema.Int.check(Schema.isBetween({minimum: 1, maximum: 65535})),
+  port: Schema.Int.check(
+    Schema.isBetween({minimum: MIN_PORT, maximum: MAX_PORT}),
+  ),
 });
 
 /** Decoded form of {@link AddressSchema}. */
@@ -15,11 +20,13 @@
 }
 
 /**
- * Parses `host:port`; undefined if the text has another form. The range of the
- * port is not checked.
+ * Parses `host:port`; undefined if the text has another form or the port is not
+ * between 1 and 65535.
  */
 export function parseAddress(text: string): Address | undefined {
   const match = /^(.+):(\d{1,5})$/.exec(text);
   if (match === null) return undefined;
-  return {host: match[1] ?? '', port: Number(match[2])};
+  const port = Number(match[2]);
+  if (port < MIN_PORT || port > MAX_PORT) return undefined;
+  return {host: match[1] ?? '', port};
 }
--- a/packages/platform/src/host.ts
+++ b/packages/platform/src/host.ts
@@ -1,5 +1,7 @@
 import {Schema} from 'effect';
 
+const MAX_PORT = 65_535;
+
 /** Kind of the process of the fleet that runs on a host. */
 export enum HostRole {
   /** A router daemon, which accepts the requests of callers. */
@@ -29,9 +31,11 @@
   /** IP address. */
   host: Schema.NonEmptyString,
   /** The daemon's port for callers, or the backend server's port. */
-  port: Schema.Int,
+  port: Schema.Int.check(Schema.isBetween({minimum: 1, maximum: MAX_PORT})),
   /** The daemon's port for peers and operators; 0 for a backend server. */
-  controlPort: Schema.Int,
+  controlPort: Schema.Int.check(
+    Schema.isBetween({minimum: 0, maximum: MAX_PORT}),
+  ),
 });
 
 /** Decoded form of {@link HostSchema}. */
--- a/packages/platform/src/http_host_directory.ts
+++ b/packages/platform/src/http_host_directory.ts
@@ -1,7 +1,8 @@
 import {Effect} from 'effect';
-import {decodeJson, toError} from '@greengagecross/common';
+import {toError} from '@greengagecross/common';
 import type {HttpReply} from '@greengagecross/http';
-import {HostListSchema, type HostList} from './host.js';
+import {decodeHostList} from './decode_host_list.js';
+import type {HostList} from './host.js';
 import {HostListSource} from './host_directory.js';
 import type {PlatformClient} from './platform_client.js';
 import {PlatformError} from './platform_error.js';
@@ -51,7 +52,7 @@
     return Effect.try({
       try: () => {
         const text = reply.body.toString();
-        const list = decodeJson(HostListSchema, text, HOSTS_PATH);
+        const list = decodeHostList(text, HOSTS_PATH);
         this.cached = {list, etag: reply.headers.etag};
         return list;
       },
--- a/packages/standins/src/contracts/platform_contracts.feature
+++ b/packages/standins/src/contracts/platform_contracts.feature
@@ -58,6 +58,19 @@
     When the list is changed and read at once and after the lag
     Then the first reading shows the old list and the second the new one
 
+  # Guards against losing the whole list for one odd item.
+  Scenario Outline: The host list is read though an item has <what>
+    Given the platform contract's host list over HTTP with a lag of 0 ms
+    When a list of 3 hosts, one of them with <what>, is read
+    Then the list read has the other 2 hosts
+
+    Examples:
+      | what                         |
+      | a port out of range          |
+      | a number too large           |
+      | a zone nested 90 levels deep |
+      | no id                        |
+
   Scenario: An unchanged host list is not sent again
     Given the platform contract's host list over HTTP with a lag of 0 ms
     When a list of 100 hosts is read twice and once more after a change
