Give up a stream into which a worker writes what is no event

Report of other operators: a stream had begun and broke off, the next worker answered with an error, and clients found the error's text, or its whole head, in the middle of their stream, or a stream that ended as if complete.

Each line of an event must now be a field or a comment, or else the reply is invalid.

--- a/packages/router/src/streams/event_splitter.ts
+++ b/packages/router/src/streams/event_splitter.ts
@@ -10,6 +10,9 @@
 
 /** Engines send no larger event; a larger one makes the reply invalid. */
 const MAX_EVENT_BYTES = 1024 * 1024;
+const LINE_END = /\r?\n/;
+/** A field with a value, a field without one, a comment, or an empty line. */
+const EVENT_LINE = /^(?:[a-z][a-z0-9-]*:.*|data|id|event|retry|:.*|)$/;
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
 const EMPTY = Buffer.alloc(0);
@@ -30,7 +33,8 @@
   /**
    * Adds received bytes and returns the events that they complete.
    *
-   * @throws Error when an incomplete event exceeds MAX_EVENT_BYTES
+   * @throws Error when an incomplete event exceeds MAX_EVENT_BYTES, or when the
+   *     bytes are no events, such as the head of another reply
    */
   accept(chunk: Buffer): CompleteEvents {
     const bytes =
@@ -44,6 +48,7 @@
     }
     const complete = bytes.subarray(0, end);
     if (end === 0) return {bytes: EMPTY, hasData: false};
+    checkLines(complete);
     return this.lastReceivedId === undefined
       ? makeCompleteEvents(complete)
       : this.removeReceived(complete);
@@ -69,6 +74,17 @@
   }
 }
 
+/**
+ * Checks that each line is a field or a comment. A faulty server may write an
+ * error, or the head of its next reply, into a stream.
+ */
+function checkLines(complete: Buffer): void {
+  for (const line of complete.toString('latin1').split(LINE_END)) {
+    if (EVENT_LINE.test(line)) continue;
+    throw new Error('a line is no field of an event');
+  }
+}
+
 function makeCompleteEvents(bytes: Buffer): CompleteEvents {
   const text = bytes.toString('latin1');
   const lastId = findLastId(text);
--- a/packages/standins/src/contracts/platform_contracts_steps.ts
+++ b/packages/standins/src/contracts/platform_contracts_steps.ts
@@ -25,7 +25,8 @@
 import {MemoryWeights} from './memory_backends.js';
 import {MemoryObjects, MemoryTable} from './memory_platform.js';
 
-const LIMIT_MS = 400;
+/** Time limit of the calls in the contract scenarios. */
+export const LIMIT_MS = 400;
 const SLOW_MS = 1200;
 const ROW = 'contract/row';
 const FAULTS: Readonly<Record<string, Partial<StandinFaults>>> = {
@@ -37,7 +38,7 @@
 };
 
 /** State of one scenario about the platform's contract. */
-interface ContractWorld extends World {
+export interface ContractWorld extends World {
   contractTable?: TableService;
   contractObjects?: ObjectStore;
   contractWeights?: WeightStore;
@@ -211,41 +212,6 @@
   },
 );
 
-When(
-  /^a list of 3 hosts, one of them with (.+), is read$/,
-  async function (this: ContractWorld, what: string) {
-    const client = new HttpClient();
-    const caller = new PlatformClient(client, this.address, LIMIT_MS);
-    const odd: Record<string, object> = {
-      'a port out of range': {port: 70_000},
-      'a number too large': {controlPort: 1e300},
-      'a zone nested 90 levels deep': {
-        availabilityZone: JSON.parse('['.repeat(90) + ']'.repeat(90)) as object,
-      },
-      'no id': {id: ''},
-    };
-    const hosts = ['entry-1', 'entry-2', 'entry-3'].map(id => makeHost(id));
-    const changed = {...hosts[1], ...odd[what]} as (typeof hosts)[number];
-    this.platformServer?.setHosts([
-      ...hosts.slice(0, 1),
-      changed,
-      ...hosts.slice(2),
-    ]);
-    const source = new HttpHostListSource(caller);
-    this.lists = [await Effect.runPromise(source.fetch())];
-    client.close();
-  },
-);
-
-Then(
-  'the list read has the other {int} hosts',
-  function (this: ContractWorld, count: number) {
-    const ids = this.lists[0]?.hosts.map(({id}) => id);
-    assert.deepEqual(ids, ['entry-1', 'entry-3']);
-    assert.equal(ids?.length, count);
-  },
-);
-
 Then(
   'the second reading costs a tenth of the first at most',
   function (this: ContractWorld) {
@@ -260,7 +226,8 @@
   assert.equal(third?.hosts.length, (first?.hosts.length ?? 0) - 1);
 });
 
-function makeHost(id: string): Host {
+/** Makes a host list item of a daemon. */
+export function makeHost(id: string): Host {
   return {
     id,
     role: HostRole.ENTRY,
--- a/packages/standins/src/promises/engine_scripts.ts
+++ b/packages/standins/src/promises/engine_scripts.ts
@@ -140,8 +140,36 @@
   sent: body.length,
 });
 
+/** Makes a script that closes after two events; `answer` follows on resuming. */
+function makeErrorAfterLoss(
+  answer: (exchange: HttpExchange, attemptId: string) => void,
+): EngineScript {
+  return (exchange, attemptId, tokens) => {
+    if (exchange.method !== 'POST') {
+      answer(exchange, attemptId);
+      return;
+    }
+    const events = makeEvents(attemptId, tokens);
+    sendEvents(exchange, attemptId, events.slice(0, 2), true);
+  };
+}
+
 /** Scripts by their names in whole_answers.feature. */
 export const ENGINE_SCRIPTS: Readonly<Record<string, EngineScript>> = {
+  'a lost connection, then an error': makeErrorAfterLoss((exchange, id) =>
+    exchange.sendJson(500, {error: 'failed'}, {[BackendHeader.REQUEST_ID]: id}),
+  ),
+  'a lost connection, then the head of an error in a stream':
+    makeErrorAfterLoss((exchange, id) => {
+      const {response} = exchange;
+      response.writeHead(200, {
+        ...STREAM_TYPE,
+        [BackendHeader.REQUEST_ID]: id,
+      });
+      response.end(
+        'HTTP/1.1 500 Internal Server Error\r\ncontent-length: 6\r\n\r\nfailed',
+      );
+    }),
   'its own events': makeChangedEvents(events => events),
   'each event twice': makeChangedEvents(events => events.flatMap(e => [e, e])),
   'an event missing': makeChangedEvents(events => events.toSpliced(1, 1)),
--- a/packages/standins/src/promises/whole_answers.feature
+++ b/packages/standins/src/promises/whole_answers.feature
@@ -36,6 +36,8 @@
       | streamed     | a lost connection, then all events again                 | complete |
       | streamed     | a lost connection, then the rest without its first event | failed   |
       | streamed     | a lost connection, then another request's rest           | failed   |
+      | streamed     | a lost connection, then an error                         | failed   |
+      | streamed     | a lost connection, then the head of an error in a stream | failed   |
       | non-streamed | a complete answer                                        | complete |
       | non-streamed | half an answer with the full content-length              | failed   |
       | non-streamed | half an answer without a content-length                  | failed   |
