Take a stream that ends before its first event as broken off

A reply may come with neither a length nor chunks and end with its connection. A worker that closed such a stream after the head, before any event, was relayed as a complete, empty 200; a resumable stream ended as if complete.

A stream without framing and without an event is now a lost connection: the client gets 502, or the events of another worker where the route allows that. faulty_workers.feature: both new scenarios fail with the check taken out and pass with it.

--- a/packages/router/src/streams/event_relay.ts
+++ b/packages/router/src/streams/event_relay.ts
@@ -75,6 +75,7 @@
         this.hasStarted ? this.lastEventId : undefined,
       );
       let isEnded = false;
+      let isBegun = false;
       const end = (failure?: AttemptFailureKind, cause?: Error): void => {
         if (isEnded) return;
         isEnded = true;
@@ -98,6 +99,7 @@
         try {
           const hasEvent = this.write(splitter, chunk, status, headers);
           if (hasEvent) {
+            isBegun = true;
             stallTimer.recordProgress();
             onEvent();
           }
@@ -111,7 +113,11 @@
       };
       stream.on('data', onData);
       stream.once('end', () => {
-        const isComplete = stream.complete && !splitter.hasIncompleteEvent();
+        // Without a length or chunks, a server that stops before its first event
+        // looks like one that has nothing to write.
+        const isEmpty = !isBegun && !isFramed(stream);
+        const isComplete =
+          stream.complete && !isEmpty && !splitter.hasIncompleteEvent();
         end(isComplete ? undefined : AttemptFailureKind.DISCONNECTED);
       });
       stream.once('error', error =>
@@ -166,3 +172,11 @@
     this.response.writeHead(status, headers);
   }
 }
+
+/** Returns whether the end of a reply is marked other than by its connection. */
+function isFramed({headers}: IncomingMessage): boolean {
+  return (
+    headers['content-length'] !== undefined ||
+    headers['transfer-encoding'] !== undefined
+  );
+}
