Refuse chats with a message that crashes engines, on the own interface too

SharedTextGuard stands before the guard of whole requests and attributes its crashes to the messages of the chat by the same CrashSuspects; reports go to all daemons before the caller is told, and with fetched suspects. The schema of a report moved from router to peers, which both use.

--- a/packages/daemon/src/callers/chat_dispatcher.ts
+++ b/packages/daemon/src/callers/chat_dispatcher.ts
@@ -179,6 +179,7 @@
     deadline,
     // The body alone identifies a chat request, so `call` is empty.
     fingerprintParts: {customer, service, call: '', body},
+    hasAnswerBegun: () => job.stream?.isStarted() === true,
   };
 }
 
--- a/packages/daemon/src/metrics/daemon_metrics.ts
+++ b/packages/daemon/src/metrics/daemon_metrics.ts
@@ -148,6 +148,11 @@
       'Messages sent to peers about requests in flight at a server crash.',
       () => describe().sentMessages,
     );
+    this.addGauge(
+      'greengagecross_refused_texts',
+      'Messages of chats that are refused since engines crash under them.',
+      () => describe().refusedTexts,
+    );
     new Gauge({
       name: 'greengagecross_suspects',
       help: 'Remembered requests that were in flight at a backend server crash.',
--- a/packages/daemon/src/suspects/request_guard.ts
+++ b/packages/daemon/src/suspects/request_guard.ts
@@ -9,6 +9,8 @@
   readonly requestId: string;
   readonly fingerprintParts: FingerprintParts;
   readonly deadline: RequestDeadline;
+  /** Returns whether the caller has a part of the answer; absent for never. */
+  readonly hasAnswerBegun?: () => boolean;
 }
 
 /** One attempt of a guarded request on one backend server. */
--- /dev/null
+++ b/packages/daemon/src/suspects/shared_text_guard.ts
@@ -0,0 +1,136 @@
+import {Effect, Result} from 'effect';
+import {BackendFailure, type BackendError} from '@greengagecross/backend';
+import {hash32, Logger, readSteadyMs} from '@greengagecross/common';
+import {
+  findHighestScore,
+  makeHashedIds,
+  type CondemnedPart,
+  type CrashSuspects,
+  type PositionedPart,
+} from '@greengagecross/decisions';
+import {
+  RequestGuard,
+  type GuardedAttempt,
+  type GuardedRequest,
+} from './request_guard.js';
+import {listMessageTexts} from './list_message_texts.js';
+import type {TextReports} from './text_reports.js';
+
+/** Time in which a trial of a condemned text has a verdict. */
+const TRIAL_MS = 60_000;
+const logger = new Logger('suspects');
+
+/**
+ * Refuses chats with a message under which engines crash, whatever else they
+ * hold. Whole requests are left to the guard behind it, which tells crashes from
+ * cut connections.
+ */
+export class SharedTextGuard extends RequestGuard {
+  private readonly texts = new WeakMap<
+    GuardedRequest,
+    readonly PositionedPart[]
+  >();
+  private readonly trialsAtMs = new Map<string, number>();
+
+  /** @param key secret of the hashes, equal on all daemons */
+  constructor(
+    private readonly inner: RequestGuard,
+    private readonly key: string,
+    private readonly suspects: CrashSuspects,
+    private readonly reports: TextReports,
+  ) {
+    super();
+  }
+
+  override isCondemned(request: GuardedRequest): Effect.Effect<boolean> {
+    return Effect.flatMap(this.inner.isCondemned(request), isCondemned =>
+      Effect.sync(() => isCondemned || this.isTextCondemned(request)),
+    );
+  }
+
+  override run<A>(
+    request: GuardedRequest,
+    attempt: GuardedAttempt<A>,
+  ): Effect.Effect<Result.Result<A, BackendError> | undefined> {
+    return Effect.suspend(() => {
+      const sentAtMs = readSteadyMs();
+      return Effect.uninterruptibleMask(restore =>
+        Effect.tap(restore(this.inner.run(request, attempt)), result => {
+          if (result === undefined) return Effect.void;
+          if (Result.isSuccess(result)) return this.recordAnswer(request);
+          const isCrash = result.failure.failure === BackendFailure.CRASHED;
+          if (!isCrash || request.hasAnswerBegun?.() === true) {
+            return Effect.void;
+          }
+          return this.recordCrash(request, attempt.server.id, sentAtMs);
+        }),
+      );
+    });
+  }
+
+  private isTextCondemned(request: GuardedRequest): boolean {
+    if (this.suspects.countSuspects() === 0) return false;
+    const ids = this.listTexts(request).map(({id}) => id);
+    const condemned = this.suspects.findCondemned(ids);
+    return condemned !== undefined && !this.startTrial(condemned);
+  }
+
+  /** Lets one daemon try a text again once that is due, one request at a time. */
+  private startTrial({id, trialAtMs}: CondemnedPart): boolean {
+    const nowMs = readSteadyMs();
+    if (nowMs < trialAtMs) return false;
+    const daemons = makeHashedIds(this.reports.listDaemons());
+    if (findHighestScore(hash32(id), daemons) !== this.reports.selfId) {
+      return false;
+    }
+    if (nowMs - (this.trialsAtMs.get(id) ?? -Infinity) < TRIAL_MS) return false;
+    this.trialsAtMs.set(id, nowMs);
+    logger.log('A chat tries a condemned message again.', {text: id});
+    return true;
+  }
+
+  private recordAnswer(request: GuardedRequest): Effect.Effect<void> {
+    return Effect.suspend(() => {
+      if (this.suspects.countSuspects() === 0) return Effect.void;
+      const ids = this.listTexts(request).map(({id}) => id);
+      const cleared = this.suspects.recordAnswer(ids, readSteadyMs());
+      if (cleared.length === 0) return Effect.void;
+      for (const id of cleared) this.trialsAtMs.delete(id);
+      // The caller need not wait until the others know.
+      return Effect.asVoid(Effect.forkDetach(this.reports.send(cleared)));
+    });
+  }
+
+  private recordCrash(
+    request: GuardedRequest,
+    server: string,
+    sentAtMs: number,
+  ): Effect.Effect<void> {
+    return Effect.suspend(() => {
+      const crash = {server, atMs: readSteadyMs(), sentAtMs};
+      const blamed = this.suspects.recordCrash(this.listTexts(request), crash);
+      const condemned = this.suspects.findCondemned(blamed);
+      if (condemned !== undefined) {
+        logger.log('A message is condemned: engines crash under it.', {
+          text: condemned.id,
+          engines: condemned.crashes.map(known => known.server).join(','),
+          request: request.requestId,
+        });
+      }
+      // Before the caller is told, so that its next request finds the others
+      // informed.
+      return this.reports.send(blamed);
+    });
+  }
+
+  private listTexts(request: GuardedRequest): readonly PositionedPart[] {
+    const known = this.texts.get(request);
+    if (known !== undefined) return known;
+    const {customer, service, call, body} = request.fingerprintParts;
+    // Only chats have messages; see `FingerprintParts`.
+    const texts =
+      call === '' ? listMessageTexts(this.key, {customer, service}, body) : [];
+    this.texts.set(request, texts);
+    return texts;
+  }
+}
--- a/packages/daemon/src/suspects/suspect_answers.ts
+++ b/packages/daemon/src/suspects/suspect_answers.ts
@@ -8,6 +8,7 @@
   type PeerServer,
 } from '@greengagecross/peers';
 import type {SuspectBroadcaster} from './suspect_broadcaster.js';
+import type {TextReports} from './text_reports.js';
 import type {TrialPermits} from './trial_permits.js';
 
 /**
@@ -18,19 +19,25 @@
   constructor(
     private readonly broadcaster: SuspectBroadcaster,
     private readonly permits: TrialPermits,
+    private readonly texts: TextReports,
   ) {}
 
   /** Adds the methods to the server of peer calls. */
   addTo(peers: PeerServer): void {
-    const {broadcaster, permits} = this;
+    const {broadcaster, permits, texts: textReports} = this;
     peers.addMethod(
       PeerMethod.SEND_SUSPECTS,
       SuspectReportsSchema,
-      ({suspects}) =>
-        Effect.as(broadcaster.mergeReports(suspects), {known: true}),
+      ({suspects, texts}) => {
+        textReports.merge(texts);
+        return Effect.as(broadcaster.mergeReports(suspects), {known: true});
+      },
     );
     peers.addMethod(PeerMethod.FETCH_SUSPECTS, FetchSuspectsSchema, () =>
-      broadcaster.answerFetch(),
+      Effect.map(broadcaster.answerFetch(), answer => ({
+        ...answer,
+        texts: textReports.list(),
+      })),
     );
     peers.addMethod(PeerMethod.ACQUIRE_TRIAL, AcquireTrialSchema, request =>
       permits.answerAcquire(request),
--- a/packages/daemon/src/suspects/suspect_catch_up.ts
+++ b/packages/daemon/src/suspects/suspect_catch_up.ts
@@ -6,6 +6,7 @@
   type PeerRpc,
 } from '@greengagecross/peers';
 import type {SuspectBroadcaster} from './suspect_broadcaster.js';
+import type {TextReports} from './text_reports.js';
 
 const TICK_MS = 200;
 /** A daemon that was paused for longer may have missed updates. */
@@ -28,6 +29,7 @@
     private readonly peers: PeerRpc,
     private readonly listPeers: (nowMs: number) => Address[],
     private readonly random: SeededRandom,
+    private readonly texts: TextReports,
   ) {}
 
   /** If this daemon just started or was paused, waits for a fetch. */
@@ -93,7 +95,10 @@
     return this.peers
       .send(address, PeerMethod.FETCH_SUSPECTS, {}, SuspectReportsSchema)
       .pipe(
-        Effect.flatMap(({suspects}) => this.broadcaster.mergeReports(suspects)),
+        Effect.flatMap(({suspects, texts}) => {
+          this.texts.merge(texts);
+          return this.broadcaster.mergeReports(suspects);
+        }),
         Effect.as(true),
         Effect.catch(() => Effect.succeed(false)),
       );
--- a/packages/daemon/src/suspects/suspect_dump.ts
+++ b/packages/daemon/src/suspects/suspect_dump.ts
@@ -11,4 +11,6 @@
   readonly crashes: number;
   /** Update messages tried, retries included, since the start. */
   readonly sentMessages: number;
+  /** Messages of chats that are refused since engines crash under them. */
+  readonly refusedTexts: number;
 }
--- a/packages/daemon/src/wiring/suspect_parts.ts
+++ b/packages/daemon/src/wiring/suspect_parts.ts
@@ -4,7 +4,11 @@
   type FleetKeys,
   type Tuning,
 } from '@greengagecross/common';
-import {SuspectRegistry, TrialTable} from '@greengagecross/decisions';
+import {
+  CrashSuspects,
+  SuspectRegistry,
+  TrialTable,
+} from '@greengagecross/decisions';
 import type {PeerRpc} from '@greengagecross/peers';
 import type {HostFollower} from '../hosts/host_follower.js';
 import type {MemberService} from '../members/member_service.js';
@@ -12,9 +16,12 @@
 import {SuspectCatchUp} from '../suspects/suspect_catch_up.js';
 import {SuspectAnswers} from '../suspects/suspect_answers.js';
 import type {SuspectDump} from '../suspects/suspect_dump.js';
+import type {RequestGuard} from '../suspects/request_guard.js';
+import {SharedTextGuard} from '../suspects/shared_text_guard.js';
 import {SuspectGuard} from '../suspects/suspect_guard.js';
 import {SuspectBroadcaster} from '../suspects/suspect_broadcaster.js';
 import {SuspectRecipients} from '../suspects/suspect_recipients.js';
+import {TextReports} from '../suspects/text_reports.js';
 import {TrialPermits} from '../suspects/trial_permits.js';
 import {listConfigurationPeers} from './list_configuration_peers.js';
 
@@ -24,7 +31,9 @@
   readonly trials = new TrialTable();
   readonly broadcaster: SuspectBroadcaster;
   readonly catchUp: SuspectCatchUp;
-  readonly guard: SuspectGuard;
+  readonly guard: RequestGuard;
+  private readonly textSuspects = new CrashSuspects();
+  private readonly wholeRequests: SuspectGuard;
   readonly answers: SuspectAnswers;
 
   constructor(
@@ -36,11 +45,9 @@
     peers: PeerRpc,
   ) {
     this.registry = new SuspectRegistry(tuning.suspectKeepMs);
-    this.broadcaster = new SuspectBroadcaster(
-      this.registry,
-      new SuspectRecipients(selfId, members, hosts),
-      peers,
-    );
+    const recipients = new SuspectRecipients(selfId, members, hosts);
+    const texts = new TextReports(selfId, this.textSuspects, recipients, peers);
+    this.broadcaster = new SuspectBroadcaster(this.registry, recipients, peers);
     this.catchUp = new SuspectCatchUp(
       this.broadcaster,
       peers,
@@ -49,6 +56,7 @@
           peer => peer.address,
         ),
       new SeededRandom(hash32(`suspects ${selfId}`)),
+      texts,
     );
     const permits = new TrialPermits(
       selfId,
@@ -57,15 +65,22 @@
       this.registry,
       peers,
     );
-    this.guard = new SuspectGuard(
-      keys.ticket[0] ?? '',
+    const key = keys.ticket[0] ?? '';
+    this.wholeRequests = new SuspectGuard(
+      key,
       this.registry,
       this.broadcaster,
       this.catchUp,
       permits,
       new CrashDetector(tuning.backendConnectTimeoutMs),
     );
-    this.answers = new SuspectAnswers(this.broadcaster, permits);
+    this.guard = new SharedTextGuard(
+      this.wholeRequests,
+      key,
+      this.textSuspects,
+      texts,
+    );
+    this.answers = new SuspectAnswers(this.broadcaster, permits, texts);
   }
 
   /** Describes the state of suspects and trials for operators. */
@@ -74,8 +89,9 @@
       entries: this.registry.list(nowMs),
       trials: this.trials.list(),
       untoldPeers: this.broadcaster.countUnconfirmedPeers(),
-      crashes: this.guard.countCrashedRequests(),
+      crashes: this.wholeRequests.countCrashedRequests(),
       sentMessages: this.broadcaster.countMessages(),
+      refusedTexts: this.textSuspects.listCondemned().length,
     };
   }
 }
--- a/packages/peers/src/index.ts
+++ b/packages/peers/src/index.ts
@@ -6,4 +6,5 @@
 export * from './peer_client.js';
 export * from './peer_server.js';
 export * from './configuration_messages.js';
+export * from './crash_report.js';
 export * from './suspect_messages.js';
--- a/packages/peers/src/suspect_messages.ts
+++ b/packages/peers/src/suspect_messages.ts
@@ -1,8 +1,11 @@
 import {Schema} from 'effect';
 import {SuspectState} from '@greengagecross/common';
+import {CrashReportSchema} from './crash_report.js';
 
 /** Limit on the number of reports in one message. */
 export const MAX_SUSPECTS_PER_CALL = 4096;
+/** Limit on the number of reports on messages of chats in one message. */
+export const MAX_TEXTS_PER_CALL = 128;
 
 /**
  * State of one request that was in flight when its backend server crashed. The
@@ -27,6 +30,12 @@
   suspects: Schema.Array(SuspectReportSchema).check(
     Schema.isMaxLength(MAX_SUSPECTS_PER_CALL),
   ),
+  /** Messages of chats under which engines crashed, by keyed hash. */
+  texts: Schema.optionalKey(
+    Schema.Array(CrashReportSchema).check(
+      Schema.isMaxLength(MAX_TEXTS_PER_CALL),
+    ),
+  ),
 });
 
 /** Parameters of {@link PeerMethod.FETCH_SUSPECTS}. */
--- a/packages/router/src/members/heartbeat.ts
+++ b/packages/router/src/members/heartbeat.ts
@@ -1,6 +1,6 @@
 import {Schema} from 'effect';
 import {AddressSchema} from '@greengagecross/common';
-import {CrashReportSchema} from '../suspects/suspect_message.js';
+import {CrashReportSchema} from '@greengagecross/peers';
 
 /**
  * Availability of a daemon for clients. Unlike `MemberState` of package
--- a/packages/standins/src/killing/killing_request_steps.ts
+++ b/packages/standins/src/killing/killing_request_steps.ts
@@ -36,7 +36,7 @@
 };
 
 /** Fixture of a scenario about a request that crashes backend servers. */
-interface CrashingWorld extends FleetWorld {
+export interface CrashingWorld extends FleetWorld {
   unrelatedLoad: UnrelatedLoad;
   unrelatedLoadEnd: Promise<void>;
   replies: CrashingReply[];
@@ -191,7 +191,8 @@
   },
 );
 
-function listBackends(
+/** Lists all backend servers of the fleet. */
+export function listBackends(
   world: CrashingWorld,
 ): {server: BackendServer; kind: StandinKind}[] {
   const {engines, workers} = world.getFleet().plan;
@@ -202,7 +203,9 @@
 }
 
 /** Restarts the backend servers that have crashed. */
-async function startCrashedBackends(world: CrashingWorld): Promise<void> {
+export async function startCrashedBackends(
+  world: CrashingWorld,
+): Promise<void> {
   const fleet = world.getFleet();
   const stopped = listBackends(world).filter(
     ({server}) => !fleet.getChild(server.id).isRunning(),
