Remember an answer also where the crashes before it were not known

A daemon that had missed the reports of crashes ignored the report that the part was cleared, since it had nothing to clear, and took the crashes from a third daemon's older report: it could refuse a sound part for a heartbeat.

The time of the answer is now kept in any case. The new scenario of crash_suspects.feature fails without that and passes with it. The check for a condemned part also comes before the choice of a server, which records the server as warm.

--- a/packages/daemon/src/suspects/text_reports.ts
+++ b/packages/daemon/src/suspects/text_reports.ts
@@ -17,12 +17,12 @@
     private readonly peers: PeerRpc,
   ) {}
 
-  /** Lists the ids of this daemon and of those that are heard. */
+  /** Lists the ids of this daemon and of those with current heartbeats. */
   listDaemons(): string[] {
-    const heard = this.recipients
+    const others = this.recipients
       .list()
       .filter(({isHeartbeatCurrent}) => isHeartbeatCurrent);
-    return [this.selfId, ...heard.map(({id}) => id)];
+    return [this.selfId, ...others.map(({id}) => id)];
   }
 
   /**
--- a/packages/decisions/src/suspects/crash_suspects.feature
+++ b/packages/decisions/src/suspects/crash_suspects.feature
@@ -45,6 +45,14 @@
     And the first daemon's reports from before that arrive once more
     Then the daemons condemn ""
 
+  # The first daemon's later reports show no crash; a daemon that knew none must
+  # remember the answer all the same.
+  Scenario: An answer is remembered where the crashes before it were not known
+    When engines crash in turn under prompts "first,dead | first,dead | first,dead", of which the second daemon learns nothing
+    And the first daemon sees an answer begin with "first,dead"
+    And the first daemon's reports from before that arrive once more
+    Then the daemons condemn ""
+
   Scenario Outline: A condemned part is tried again after <seconds> s if <trials> trials crashed an engine
     When engines crash in turn under prompts "first,dead | first,dead | first,dead"
     And <trials> trials of "dead" crash an engine, each when it is due
--- a/packages/decisions/src/suspects/crash_suspects.ts
+++ b/packages/decisions/src/suspects/crash_suspects.ts
@@ -80,7 +80,9 @@
     if (this.suspects.size === 0) return [];
     const cleared = partIds.filter(id => {
       const suspect = this.suspects.get(id);
-      return suspect !== undefined && this.removeCrashes(suspect, nowMs);
+      if (suspect === undefined || suspect.crashes.length === 0) return false;
+      removeCrashes(suspect, nowMs);
+      return true;
     });
     if (cleared.length > 0) this.updateCondemned(nowMs);
     return cleared;
@@ -91,7 +93,7 @@
     for (const {id, position, crashes, clearedAgeMs} of reports) {
       const suspect = this.getSuspect(id, [{id, position}]);
       if (clearedAgeMs !== undefined) {
-        this.removeCrashes(suspect, nowMs - clearedAgeMs);
+        removeCrashes(suspect, nowMs - clearedAgeMs);
       }
       for (const {server, ageMs, sentAgeMs} of crashes) {
         if (ageMs >= MEMORY_MS) continue;
@@ -194,16 +196,6 @@
     return true;
   }
 
-  /** Removes the crashes up to an answer; returns whether there were any. */
-  private removeCrashes(suspect: Suspect, atMs: number): boolean {
-    if (atMs <= suspect.clearedAtMs) return false;
-    const before = suspect.crashes.length;
-    suspect.crashes = suspect.crashes.filter(crash => crash.atMs > atMs);
-    if (before === suspect.crashes.length) return false;
-    suspect.clearedAtMs = atMs;
-    return true;
-  }
-
   private updateCondemned(nowMs: number): void {
     this.removeExpired(nowMs);
     const all = [...this.suspects.values()];
@@ -224,6 +216,12 @@
   }
 }
 
+/** Removes the crashes up to an answer, and records the answer. */
+function removeCrashes(suspect: Suspect, atMs: number): void {
+  suspect.crashes = suspect.crashes.filter(crash => crash.atMs > atMs);
+  suspect.clearedAtMs = Math.max(suspect.clearedAtMs, atMs);
+}
+
 function makeReport(suspect: SuspectPart, nowMs: number): CrashReport {
   const {id, position, crashes, clearedAtMs} = suspect;
   return {
--- a/packages/decisions/src/suspects/crash_suspects_steps.ts
+++ b/packages/decisions/src/suspects/crash_suspects_steps.ts
@@ -85,10 +85,20 @@
 );
 
 When(
-  'the second daemon sees an answer begin with {string}',
-  function (this: SuspectsWorld, prompt: string) {
+  'engines crash in turn under prompts {string}, of which the second daemon learns nothing',
+  function (this: SuspectsWorld, prompts: string) {
+    const second = this.daemons[1];
+    this.daemons[1] = new CrashSuspects();
+    for (const waiting of prompts.split(' | ')) addCrash(this, waiting);
+    this.daemons[1] = second;
+  },
+);
+
+When(
+  /^the (first|second) daemon sees an answer begin with "([^"]*)"$/,
+  function (this: SuspectsWorld, daemon: string, prompt: string) {
     this.earlierReports = this.daemons[0].listReports(8, this.nowMs);
-    addAnswer(this, prompt, 1);
+    addAnswer(this, prompt, daemon === 'first' ? 0 : 1);
   },
 );
 
--- a/packages/router/src/calls/service_dispatcher.ts
+++ b/packages/router/src/calls/service_dispatcher.ts
@@ -47,10 +47,10 @@
         possibleRuns < job.route.maxAttempts &&
         tried.size < MAX_TRIED_SERVERS
       ) {
+        if (tried.size > 0 && this.guard.isRefused(job.call.prompt)) break;
         const choice = this.chooser.choose(job, tried);
         if (choice === undefined) break;
         const {server} = choice;
-        if (tried.size > 0 && this.guard.isRefused(job.call.prompt)) break;
         if (tried.size > 0 && !this.retries.take(job.service)) break;
         tried.add(server.id);
         const mayRetry =
