Leave a trial without a verdict if another chat crashed its server

Cause: a suspect runs as a trial with no other suspect on its server, but a chat that no daemon knew yet may run there and crash it. Ruled out: a failure of the engine for another reason, and a second suspect on the engine.

Change: TrialVerdicts asks CrashSuspects whether a condemned message that the request on trial lacks explains the crash, and waits up to 1 s for the reports of other daemons while one more crash may condemn a message. The request then stays a suspect. ChatTexts is split off SharedTextGuard.

--- a/packages/daemon/src/suspects/shared_text_guard.ts
+++ b/packages/daemon/src/suspects/shared_text_guard.ts
@@ -6,14 +6,13 @@
   makeHashedIds,
   type CondemnedPart,
   type CrashSuspects,
-  type PositionedPart,
 } from '@greengagecross/decisions';
+import type {ChatTexts} from './chat_texts.js';
 import {
   RequestGuard,
   type GuardedAttempt,
   type GuardedRequest,
 } from './request_guard.js';
-import {listMessageTexts} from './list_message_texts.js';
 import type {TextReports} from './text_reports.js';
 
 /** Time in which a trial of a condemned text has a verdict. */
@@ -26,16 +25,11 @@
  * cut connections.
  */
 export class SharedTextGuard extends RequestGuard {
-  private readonly texts = new WeakMap<
-    GuardedRequest,
-    readonly PositionedPart[]
-  >();
   private readonly trialsAtMs = new Map<string, number>();
 
-  /** @param key secret of the hashes, equal on all daemons */
   constructor(
     private readonly inner: RequestGuard,
-    private readonly key: string,
+    private readonly texts: ChatTexts,
     private readonly suspects: CrashSuspects,
     private readonly reports: TextReports,
   ) {
@@ -70,7 +64,7 @@
 
   private isTextCondemned(request: GuardedRequest): boolean {
     if (this.suspects.countSuspects() === 0) return false;
-    const ids = this.listTexts(request).map(({id}) => id);
+    const ids = this.texts.list(request).map(({id}) => id);
     const condemned = this.suspects.findCondemned(ids);
     return condemned !== undefined && !this.startTrial(condemned);
   }
@@ -92,7 +86,7 @@
   private recordAnswer(request: GuardedRequest): Effect.Effect<void> {
     return Effect.suspend(() => {
       if (this.suspects.countSuspects() === 0) return Effect.void;
-      const ids = this.listTexts(request).map(({id}) => id);
+      const ids = this.texts.list(request).map(({id}) => id);
       const cleared = this.suspects.recordAnswer(ids, readSteadyMs());
       if (cleared.length === 0) return Effect.void;
       for (const id of cleared) this.trialsAtMs.delete(id);
@@ -108,7 +102,7 @@
   ): Effect.Effect<void> {
     return Effect.suspend(() => {
       const crash = {server, atMs: readSteadyMs(), sentAtMs};
-      const blamed = this.suspects.recordCrash(this.listTexts(request), crash);
+      const blamed = this.suspects.recordCrash(this.texts.list(request), crash);
       const condemned = this.suspects.findCondemned(blamed);
       if (condemned !== undefined) {
         logger.log('A message is condemned: engines crash under it.', {
@@ -117,20 +111,9 @@
           request: request.requestId,
         });
       }
-      // Before the caller is told, so that its next request finds the others
-      // informed.
+      // Before the caller has its answer, so that its next request finds the
+      // other daemons informed.
       return this.reports.send(blamed);
     });
   }
-
-  private listTexts(request: GuardedRequest): readonly PositionedPart[] {
-    const known = this.texts.get(request);
-    if (known !== undefined) return known;
-    const {customer, service, call, body} = request.fingerprintParts;
-    // Only chats have messages; see `FingerprintParts`.
-    const texts =
-      call === '' ? listMessageTexts(this.key, {customer, service}, body) : [];
-    this.texts.set(request, texts);
-    return texts;
-  }
 }
--- a/packages/daemon/src/suspects/suspect_guard.ts
+++ b/packages/daemon/src/suspects/suspect_guard.ts
@@ -1,6 +1,6 @@
 import {Clock, Effect, Result} from 'effect';
 import {BackendError, BackendFailure} from '@greengagecross/backend';
-import {Logger, SuspectState} from '@greengagecross/common';
+import {Logger, readSteadyMs, SuspectState} from '@greengagecross/common';
 import type {SuspectRegistry} from '@greengagecross/decisions';
 import type {LivenessConnection} from '@greengagecross/http';
 import type {CrashDetector} from './crash_detector.js';
@@ -13,6 +13,7 @@
 import type {SuspectCatchUp} from './suspect_catch_up.js';
 import type {SuspectBroadcaster} from './suspect_broadcaster.js';
 import type {TrialPermits} from './trial_permits.js';
+import type {TrialVerdicts} from './trial_verdicts.js';
 
 const MIN_PERMIT_WAIT_MS = 25;
 const MAX_PERMIT_WAIT_MS = 400;
@@ -21,7 +22,8 @@
 /**
  * A suspect is a request that was in flight when its backend server crashed. It
  * is run only as a trial: alone among suspects on its server. A crash during
- * the trial condemns the request, which is then refused. Package `router` has
+ * the trial condemns the request, which is then refused, unless another chat
+ * explains it; see `TrialVerdicts`. Package `router` has
  * another rule: `CrashCounts` condemns after three crashes.
  */
 export class SuspectGuard extends RequestGuard {
@@ -37,6 +39,7 @@
     private readonly catchUp: SuspectCatchUp,
     private readonly permits: TrialPermits,
     private readonly detector: CrashDetector,
+    private readonly verdicts: TrialVerdicts,
   ) {
     super();
   }
@@ -148,6 +151,7 @@
   ): Effect.Effect<Result.Result<A, BackendError> | undefined> {
     return Effect.uninterruptibleMask(restore =>
       Effect.gen({self: this}, function* () {
+        const sentAtMs = readSteadyMs();
         const result = yield* restore(attempt.run);
         if (result === undefined) return undefined;
         if (Result.isSuccess(result)) {
@@ -162,7 +166,10 @@
         ) {
           return result;
         }
-        yield* this.recordCrash(request, attempt, trial !== undefined);
+        const isCondemned =
+          trial !== undefined &&
+          (yield* this.verdicts.isToBlame(request, server.id, sentAtMs));
+        yield* this.recordCrash(request, attempt, isCondemned);
         return Result.fail(
           new BackendError(BackendFailure.CRASHED, server.id, error),
         );
@@ -173,12 +180,12 @@
   private recordCrash<A>(
     request: GuardedRequest,
     attempt: GuardedAttempt<A>,
-    isTrial: boolean,
+    isCondemned: boolean,
   ): Effect.Effect<void> {
     return Effect.gen({self: this}, function* () {
       const nowMs = yield* Clock.currentTimeMillis;
       const fingerprint = this.getFingerprint(request);
-      const entry = this.registry.recordCrash(fingerprint, isTrial, nowMs);
+      const entry = this.registry.recordCrash(fingerprint, isCondemned, nowMs);
       this.crashes += 1;
       const fields = {
         backend: attempt.server.id,
--- a/packages/daemon/src/wiring/suspect_parts.ts
+++ b/packages/daemon/src/wiring/suspect_parts.ts
@@ -12,6 +12,7 @@
 import type {PeerRpc} from '@greengagecross/peers';
 import type {HostFollower} from '../hosts/host_follower.js';
 import type {MemberService} from '../members/member_service.js';
+import {ChatTexts} from '../suspects/chat_texts.js';
 import {CrashDetector} from '../suspects/crash_detector.js';
 import {SuspectCatchUp} from '../suspects/suspect_catch_up.js';
 import {SuspectAnswers} from '../suspects/suspect_answers.js';
@@ -23,6 +24,7 @@
 import {SuspectRecipients} from '../suspects/suspect_recipients.js';
 import {TextReports} from '../suspects/text_reports.js';
 import {TrialPermits} from '../suspects/trial_permits.js';
+import {TrialVerdicts} from '../suspects/trial_verdicts.js';
 import {listConfigurationPeers} from './list_configuration_peers.js';
 
 /** The parts that limit how many backend servers a request can crash. */
@@ -66,6 +68,7 @@
       peers,
     );
     const key = keys.ticket[0] ?? '';
+    const chatTexts = new ChatTexts(key);
     this.wholeRequests = new SuspectGuard(
       key,
       this.registry,
@@ -73,10 +76,11 @@
       this.catchUp,
       permits,
       new CrashDetector(tuning.backendConnectTimeoutMs),
+      new TrialVerdicts(this.textSuspects, chatTexts),
     );
     this.guard = new SharedTextGuard(
       this.wholeRequests,
-      key,
+      chatTexts,
       this.textSuspects,
       texts,
     );
--- a/packages/decisions/src/suspects/choose_condemned.ts
+++ b/packages/decisions/src/suspects/choose_condemned.ts
@@ -1,5 +1,5 @@
 /** Crashes one after the other, without an answer between, that condemn a part. */
-const CONDEMNED_CRASHES = 3;
+export const CONDEMNED_CRASHES = 3;
 /** Time until a condemned part is tried again; doubled after each trial. */
 const FIRST_CONDEMNED_MS = 60_000;
 const MAX_CONDEMNED_MS = 600_000;
--- a/packages/decisions/src/suspects/crash_suspects.ts
+++ b/packages/decisions/src/suspects/crash_suspects.ts
@@ -1,5 +1,6 @@
 import {
   chooseCondemned,
+  CONDEMNED_CRASHES,
   isSameCrash,
   type CondemnedPart,
   type PositionedPart,
@@ -114,6 +115,32 @@
     return undefined;
   }
 
+  /**
+   * Finds a condemned part, none of `exceptIds`, under which a server crashed at
+   * or after a time; undefined if there is none.
+   */
+  findExplanation(
+    {server, sinceMs}: {readonly server: string; readonly sinceMs: number},
+    exceptIds: readonly string[],
+  ): CondemnedPart | undefined {
+    return this.listCondemned().find(
+      ({id, crashes}) =>
+        !exceptIds.includes(id) &&
+        crashes.some(crash => crash.server === server && crash.atMs >= sinceMs),
+    );
+  }
+
+  /**
+   * Returns whether one more crash may condemn a part that is none of
+   * `exceptIds`, or is recorded against one that is condemned.
+   */
+  hasNearlyCondemned(exceptIds: readonly string[]): boolean {
+    return [...this.suspects.values()].some(
+      ({id, crashes}) =>
+        crashes.length >= CONDEMNED_CRASHES - 1 && !exceptIds.includes(id),
+    );
+  }
+
   /** Lists the condemned parts. */
   listCondemned(): CondemnedPart[] {
     return [...this.condemned.values()];
--- a/packages/decisions/src/suspects/suspect_registry.ts
+++ b/packages/decisions/src/suspects/suspect_registry.ts
@@ -57,17 +57,17 @@
   /**
    * Records that a backend server crashed while it ran a request.
    *
-   * Condemns the request only if it ran as a trial: as no other suspect ran on
-   * that server, the crash is attributed to this request. Returns the new
-   * entry.
+   * Condemns the request only if it is to blame, which a trial shows: as no
+   * other suspect ran on that server, the crash is attributed to this request.
+   * Returns the new entry.
    */
   recordCrash(
     fingerprint: string,
-    isTrial: boolean,
+    isToBlame: boolean,
     nowMs: number,
   ): SuspectEntry {
     const known = this.find(fingerprint, nowMs);
-    const isCondemned = isTrial || known?.state === SuspectState.CONDEMNED;
+    const isCondemned = isToBlame || known?.state === SuspectState.CONDEMNED;
     const state = isCondemned ? SuspectState.CONDEMNED : SuspectState.SUSPECT;
     return this.put({fingerprint, state, atMs: nowMs});
   }
