Cut replies at every third byte in one step, all bytes in three

Change: three steps cover every byte of the reply together, with the same checks; the cuts are taken from one list by all eight chat paths.

--- a/packages/standins/src/promises/whole_answers.feature
+++ b/packages/standins/src/promises/whole_answers.feature
@@ -2,17 +2,24 @@
   The daemon's chat path in front of an engine that drops connections, repeats
   or omits events, or sends the answer to another request.
 
-  Scenario Outline: A <form> chat loses its connection at every byte of the reply
+  # The three steps of one form and number of losses cover every byte together.
+  Scenario Outline: A <form> chat loses its connection at every third byte of the reply, from byte <first>
     Given the chat path in front of an engine behind a disconnecting proxy
-    When a <form> chat loses its connection at every byte of the reply, <losses> times each
+    When a <form> chat loses its connection at every third byte of the reply from byte <first>, <losses> times each
     Then no interrupted chat was reported complete without its complete own answer
     And <which> of the chats interrupted after the headers was complete
 
     Examples:
-      | form         | losses | which |
-      | streamed     | 1      | each  |
-      | streamed     | 2      | each  |
-      | non-streamed | 1      | none  |
+      | form         | losses | first | which |
+      | streamed     | 1      | 1     | each  |
+      | streamed     | 1      | 2     | each  |
+      | streamed     | 1      | 3     | each  |
+      | streamed     | 2      | 1     | each  |
+      | streamed     | 2      | 2     | each  |
+      | streamed     | 2      | 3     | each  |
+      | non-streamed | 1      | 1     | none  |
+      | non-streamed | 1      | 2     | none  |
+      | non-streamed | 1      | 3     | none  |
 
   Scenario Outline: An engine that sends a wrong answer
     Given the chat path in front of a scripted engine
--- a/packages/standins/src/promises/whole_answers_steps.ts
+++ b/packages/standins/src/promises/whole_answers_steps.ts
@@ -37,6 +37,8 @@
   script: EngineScript;
   /** One for each chat; undefined when the connection gave no reply. */
   replies: (CallerReply | undefined)[];
+  /** After how many bytes of the reply each chat lost its connection. */
+  lostAfterBytes: number[];
 }
 
 function makeBody(form: string, tokens: number) {
@@ -109,8 +111,13 @@
 }
 
 When(
-  /^a (streamed|non-streamed) chat loses its connection at every byte of the reply, (\d) times each$/,
-  async function (this: AnswerWorld, form: string, times: string) {
+  /^a (streamed|non-streamed) chat loses its connection at every third byte of the reply from byte (\d), (\d) times each$/,
+  async function (
+    this: AnswerWorld,
+    form: string,
+    firstByte: string,
+    times: string,
+  ) {
     const {proxiedFixtures = []} = this;
     const [first] = proxiedFixtures;
     assert.ok(first);
@@ -120,17 +127,19 @@
     const reply = first.proxy.getReplyBytes();
     this.headerBytes = reply.indexOf('\r\n\r\n') + 4;
     this.replies = [];
+    this.lostAfterBytes = [];
+    for (let bytes = Number(firstByte); bytes < reply.length; bytes += 3) {
+      this.lostAfterBytes.push(bytes);
+    }
+    const waiting = [...this.lostAfterBytes.entries()];
     await Promise.all(
-      proxiedFixtures.map(async ({fixture, proxy}, index) => {
-        for (
-          let bytes = 1 + index;
-          bytes < reply.length;
-          bytes += PARALLEL_FIXTURES
-        ) {
+      proxiedFixtures.map(async ({fixture, proxy}) => {
+        for (let taken = waiting.pop(); taken; taken = waiting.pop()) {
+          const [index, bytes] = taken;
           const next = 1 + ((bytes * 7) % reply.length);
           fixture.closeIdle();
           proxy.setReplyByteLimits([bytes, next].slice(0, Number(times)));
-          this.replies[bytes - 1] = await fixture.send(body);
+          this.replies[index] = await fixture.send(body);
         }
       }),
     );
@@ -150,14 +159,12 @@
 Then(
   'no interrupted chat was reported complete without its complete own answer',
   function (this: AnswerWorld) {
-    assert.ok(this.replies.length > 100);
-    for (const [index, reply] of this.replies.entries()) {
-      assert.ok(
-        reply?.outcome !== undefined,
-        `no outcome when cut at byte ${index}`,
-      );
+    assert.ok(this.lostAfterBytes.length > 100);
+    for (const [index, bytes] of this.lostAfterBytes.entries()) {
+      const reply = this.replies[index];
+      assert.ok(reply?.outcome !== undefined, `no outcome, ${bytes} bytes`);
       if (reply.outcome !== Outcome.COMPLETE) continue;
-      assert.ok(reply.isCompleteAndOwn, `incomplete when cut at byte ${index}`);
+      assert.ok(reply.isCompleteAndOwn, `incomplete, ${bytes} bytes`);
     }
   },
 );
@@ -165,7 +172,9 @@
 Then(
   /^(each|none) of the chats interrupted after the headers was complete$/,
   function (this: AnswerWorld, which: string) {
-    const after = this.replies.slice(this.headerBytes);
+    const after = this.replies.filter(
+      (reply, index) => (this.lostAfterBytes[index] ?? 0) > this.headerBytes,
+    );
     const complete = after.filter(reply => reply?.outcome === Outcome.COMPLETE);
     assert.equal(complete.length, which === 'each' ? after.length : 0);
   },
