--- a/scripts/run_tests.mjs
+++ b/scripts/run_tests.mjs
@@ -3,6 +3,8 @@
 
 const REPORT = 'out/tests.ndjson';
 const KNOWN_RED = 'KNOWN-RED.txt';
+/** Of the first failed step; the last lines of a run may be all that is kept. */
+const MAX_MESSAGE_LENGTH = 1500;
 const ALL_FEATURES = [
   'packages/*/src/**/*.feature',
   'platform/src/**/*.feature',
@@ -19,12 +21,12 @@
   );
 }
 
-/** Reads each scenario's name and whether all of its steps passed. */
+/** Reads each scenario's name and the messages of its failed steps. */
 function readResults() {
   const pickles = new Map();
   const cases = new Map();
   const attempts = new Map();
-  const failed = new Set();
+  const failures = new Map();
   for (const line of readFileSync(REPORT, 'utf8').split('\n')) {
     if (line === '') continue;
     const message = JSON.parse(line);
@@ -39,15 +41,22 @@
       );
     }
     if (message.testStepFinished) {
-      const {status} = message.testStepFinished.testStepResult;
-      if (status !== 'PASSED') {
-        failed.add(message.testStepFinished.testCaseStartedId);
+      const {testCaseStartedId, testStepResult} = message.testStepFinished;
+      if (testStepResult.status !== 'PASSED') {
+        const messages = failures.get(testCaseStartedId) ?? [];
+        messages.push(testStepResult.message ?? testStepResult.status);
+        failures.set(testCaseStartedId, messages);
       }
     }
   }
   return [...attempts].map(([attempt, pickleId]) => {
     const {name, uri} = pickles.get(pickleId);
-    return {name: `${uri}: ${name}`, isPassed: !failed.has(attempt)};
+    const messages = failures.get(attempt) ?? [];
+    return {
+      name: `${uri}: ${name}`,
+      isPassed: messages.length === 0,
+      firstMessage: (messages[0] ?? '').slice(0, MAX_MESSAGE_LENGTH),
+    };
   });
 }
 
@@ -69,9 +78,9 @@
 const results = readResults();
 const red = results.filter(result => !result.isPassed);
 const surprising = red.filter(result => !knownRed.has(result.name));
-for (const {name} of red) {
+for (const {name, firstMessage} of red) {
   process.stdout.write(
-    `${knownRed.has(name) ? 'known red' : 'FAILED'}: ${name}\n`,
+    `${knownRed.has(name) ? 'known red' : 'FAILED'}: ${name}\n${firstMessage}\n`,
   );
 }
 const passed = results.length - red.length;
