Don't blame prompts for cuts at a server that has crashed already

Cause: the listener of a crashed server may outlive it, as behind a load balancer: connections are accepted and closed at once. Each such cut was counted as a crash of the prompt that was sent there, so that sound parts were blamed while no engine of a route was up, the first part of all prompts among them.

Change: CrashedServers holds the servers that were found to have crashed and have not replied since. A cut of a request that was sent there after that counts for nothing, on both interfaces. Ruled out: ending the 2 s in which the crashes of one server count as one, which keeps such cuts from counting more.

--- a/packages/daemon/src/suspects/shared_text_guard.ts
+++ b/packages/daemon/src/suspects/shared_text_guard.ts
@@ -2,6 +2,7 @@
 import {BackendFailure, type BackendError} from '@greengagecross/backend';
 import {hash32, Logger, readSteadyMs} from '@greengagecross/common';
 import {
+  CrashedServers,
   findHighestScore,
   makeHashedIds,
   type CondemnedPart,
@@ -25,6 +26,7 @@
  * cut connections.
  */
 export class SharedTextGuard extends RequestGuard {
+  private readonly crashed = new CrashedServers();
   private readonly trialsAtMs = new Map<string, number>();
 
   constructor(
@@ -51,12 +53,19 @@
       return Effect.uninterruptibleMask(restore =>
         Effect.tap(restore(this.inner.run(request, attempt)), result => {
           if (result === undefined) return Effect.void;
-          if (Result.isSuccess(result)) return this.recordAnswer(request);
-          const isCrash = result.failure.failure === BackendFailure.CRASHED;
-          if (!isCrash || request.hasAnswerBegun?.() === true) {
+          const {id} = attempt.server;
+          if (Result.isSuccess(result)) {
+            this.crashed.recordReply(id);
+            return this.recordAnswer(request);
+          }
+          if (result.failure.failure !== BackendFailure.CRASHED) {
             return Effect.void;
           }
-          return this.recordCrash(request, attempt.server.id, sentAtMs);
+          // The server may not be back, so that its listener cut the request.
+          if (this.crashed.isDown(id, sentAtMs)) return Effect.void;
+          this.crashed.recordCrash(id, readSteadyMs());
+          if (request.hasAnswerBegun?.() === true) return Effect.void;
+          return this.recordCrash(request, id, sentAtMs);
         }),
       );
     });
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -77,6 +77,7 @@
 export * from './retries/fleet_retry_budget.js';
 export * from './suspects/crash_counts.js';
 export * from './suspects/choose_condemned.js';
+export * from './suspects/crashed_servers.js';
 export * from './suspects/crash_suspects.js';
 export * from './prompts/warm_engines.js';
 export * from './prompts/engine_history.js';
--- a/packages/router/src/calls/attempt_recorder.ts
+++ b/packages/router/src/calls/attempt_recorder.ts
@@ -20,6 +20,11 @@
  * head counts as a failure of its server if it has lasted at least this long.
  */
 const MIN_CANCELLED_FAILURE_MS = 700;
+/** Failures of an attempt to which the server did reply. */
+const REPLY_FAILURES: ReadonlySet<AttemptFailureKind> = new Set([
+  AttemptFailureKind.NOT_RUN,
+  AttemptFailureKind.INVALID_REPLY,
+]);
 const logger = new Logger('attempts');
 
 /** How far one attempt has come. */
@@ -54,6 +59,7 @@
     startedAtMs: number,
   ): void {
     const nowMs = readSteadyMs();
+    this.guard.recordReply(serverId);
     const result = head.status >= 500 ? ServerResult.ERROR : ServerResult.OK;
     this.health.recordResult(serverId, result, nowMs);
     if (result === ServerResult.OK) {
@@ -105,6 +111,7 @@
   ): Effect.Effect<void> {
     return Effect.suspend(() => {
       this.logFailure(job, failure, progress);
+      if (REPLY_FAILURES.has(failure.kind)) this.guard.recordReply(server.id);
       const isCut = failure.kind === AttemptFailureKind.DISCONNECTED;
       if (!isCut || progress.hasEvent) return Effect.void;
       return this.guard.recordCut(
--- a/packages/router/src/suspects/prompt_guard.ts
+++ b/packages/router/src/suspects/prompt_guard.ts
@@ -6,6 +6,7 @@
   type Address,
 } from '@greengagecross/common';
 import {
+  CrashedServers,
   findHighestScore,
   listSharedParts,
   makeHashedIds,
@@ -68,6 +69,7 @@
  */
 export class PromptGuard {
   private readonly cutsByServer = new Map<string, Cut[]>();
+  private readonly crashed = new CrashedServers();
   private readonly probes = new Map<string, Deferred.Deferred<void>>();
   /** When a trial of a part began here, on the monotonic clock. */
   private readonly trialsAtMs = new Map<string, number>();
@@ -120,10 +122,16 @@
     this.onChanged(cleared, nowMs);
   }
 
+  /** Records that a server replied, whatever its reply was. */
+  recordReply(serverId: string): void {
+    this.crashed.recordReply(serverId);
+  }
+
   /**
    * Records an attempt that was cut before its first event, and finds out
    * whether the server crashed. Waits for that briefly, so that the next attempt
-   * follows the verdict.
+   * follows the verdict. A server that crashed before and has not replied since
+   * may not be back, so that a cut there counts for nothing.
    *
    * @param sentAtMs when the attempt began, on the monotonic clock
    */
@@ -134,6 +142,7 @@
   ): Effect.Effect<void> {
     if (prompt.length < 2) return Effect.void;
     return Effect.suspend(() => {
+      if (this.crashed.isDown(id, sentAtMs)) return Effect.void;
       this.addCut(prompt, id, sentAtMs);
       const pending = this.probes.get(id) ?? this.startProbe(id, address);
       return Effect.timeoutOption(Deferred.await(pending), VERDICT_WAIT_MS);
@@ -149,6 +158,7 @@
     const recent = cuts.filter(({atMs}) => nowMs - atMs < CUT_MEMORY_MS);
     if (recent.length === 0) return;
     this.crashes += 1;
+    this.crashed.recordCrash(serverId, nowMs);
     const changed = new Set<string>();
     for (const {parts, atMs, sentAtMs} of recent) {
       const crash = {server: serverId, atMs, sentAtMs};
