--- a/packages/daemon/src/suspects/shared_text_guard_steps.ts
+++ b/packages/daemon/src/suspects/shared_text_guard_steps.ts
@@ -6,10 +6,10 @@
 import type {BackendServer} from '@greengagecross/common';
 import {CrashSuspects} from '@greengagecross/decisions';
 import {ChatTexts} from './chat_texts.js';
-import {makeChat} from './make_chat.js';
 import {PermissiveGuard} from './permissive_guard.js';
 import {SharedTextGuard} from './shared_text_guard.js';
 import type {TextReports} from './text_reports.js';
+import {makeChat} from './trial_verdicts_steps.js';
 
 /** More than the time that a report may be late by. */
 const GAP_MS = 30;
--- a/packages/daemon/src/suspects/trial_verdicts_steps.ts
+++ b/packages/daemon/src/suspects/trial_verdicts_steps.ts
@@ -2,12 +2,12 @@
 import {Given, Then, When, World} from '@cucumber/cucumber';
 import {Effect} from 'effect';
 import {readSteadyMs} from '@greengagecross/common';
-import {CrashSuspects} from '@greengagecross/decisions';
+import {CrashSuspects, RequestDeadline} from '@greengagecross/decisions';
 import {ChatTexts} from './chat_texts.js';
-import {makeChat} from './make_chat.js';
 import type {GuardedRequest} from './request_guard.js';
 import {TrialVerdicts} from './trial_verdicts.js';
 
+const DEADLINE_MS = 60_000;
 /** Time between the crashes of a message, and from its request to a crash. */
 const GAP_MS = 3000;
 
@@ -22,6 +22,20 @@
   afterMs: number;
 }
 
+/** Makes a chat with one message. */
+export function makeChat(message: string): GuardedRequest {
+  return {
+    requestId: `chat-${message}`,
+    fingerprintParts: {
+      customer: 'acme',
+      service: 'assistant',
+      call: '',
+      body: Buffer.from(JSON.stringify({messages: [{content: message}]})),
+    },
+    deadline: RequestDeadline.make(undefined, DEADLINE_MS, Date.now()),
+  };
+}
+
 function addCrash(
   {suspects, texts}: VerdictWorld,
   message: string,
--- a/packages/decisions/src/suspects/crash_suspects.ts
+++ b/packages/decisions/src/suspects/crash_suspects.ts
@@ -131,8 +131,8 @@
   }
 
   /**
-   * Returns whether one more crash may condemn a part that is none of
-   * `exceptIds`, or is recorded against one that is condemned.
+   * Returns whether one more crash may condemn a part, or may be explained by a
+   * condemned one. The parts in `exceptIds` don't count.
    */
   hasNearlyCondemned(exceptIds: readonly string[]): boolean {
     return [...this.suspects.values()].some(
