Count cuts only at servers that have replied to this daemon

Cause: a daemon that had just started could not know that engines had crashed before, so that its first cut at the listener of each blamed the sound prompts that it sent there.

Change: PromptGuard counts a cut only at a server that has replied to this daemon since it started, and since its last known crash.

--- a/packages/router/src/suspects/prompt_guard.ts
+++ b/packages/router/src/suspects/prompt_guard.ts
@@ -31,6 +31,7 @@
 /** Time in which a trial of a condemned part has a verdict. */
 const TRIAL_MS = 15_000;
 const MIN_RETRY_AFTER_MS = 1000;
+const MAX_REPLIED_SERVERS = 5000;
 const logger = new Logger('suspects');
 
 /** Why a request is not sent to a server, or that it may be. */
@@ -70,6 +71,8 @@
 export class PromptGuard {
   private readonly cutsByServer = new Map<string, Cut[]>();
   private readonly crashed = new CrashedServers();
+  /** Servers that have replied to this daemon since it started. */
+  private readonly replied = new Set<string>();
   private readonly probes = new Map<string, Deferred.Deferred<void>>();
   /** When a trial of a part began here, on the monotonic clock. */
   private readonly trialsAtMs = new Map<string, number>();
@@ -125,13 +128,16 @@
   /** Records that a server replied, whatever its reply was. */
   recordReply(serverId: string): void {
     this.crashed.recordReply(serverId);
+    if (this.replied.size >= MAX_REPLIED_SERVERS) this.replied.clear();
+    this.replied.add(serverId);
   }
 
   /**
    * Records an attempt that was cut before its first event, and finds out
    * whether the server crashed. Waits for that briefly, so that the next attempt
-   * follows the verdict. A server that crashed before and has not replied since
-   * may not be back, so that a cut there counts for nothing.
+   * follows the verdict. A server that has not replied to this daemon since it
+   * started, or since its last crash, may have been down before, so that a cut
+   * there counts for nothing.
    *
    * @param sentAtMs when the attempt began, on the monotonic clock
    */
@@ -142,7 +148,8 @@
   ): Effect.Effect<void> {
     if (prompt.length < 2) return Effect.void;
     return Effect.suspend(() => {
-      if (this.crashed.isDown(id, sentAtMs)) return Effect.void;
+      const wasUp = this.replied.has(id) && !this.crashed.isDown(id, sentAtMs);
+      if (!wasUp) return Effect.void;
       this.addCut(prompt, id, sentAtMs);
       const pending = this.probes.get(id) ?? this.startProbe(id, address);
       return Effect.timeoutOption(Deferred.await(pending), VERDICT_WAIT_MS);
