Reserve a port before it is bound, so that no search takes it for a moment

Cause: findFreePorts bound each port, and learned only then whether another test process had reserved it. A daemon of that process which began to listen in that moment found its port taken.

Change: the reservation comes first; a port that another process has reserved is never bound.

Result: "A search binds no port that another process has reserved" fails before and passes after.

--- a/packages/http/src/free_ports.ts
+++ b/packages/http/src/free_ports.ts
@@ -6,6 +6,8 @@
 /** The range lies below the ephemeral ports of outgoing connections. */
 const FIRST_PORT = 10_000;
 const LAST_PORT = 31_999;
+/** Folder of the reservations, shared by all processes of tests. */
+export const RESERVATIONS_FOLDER = join(tmpdir(), 'greengagecross-ports');
 /**
  * Distance between the first ports of consecutive process ids, so that test
  * processes started together search different ports.
@@ -27,12 +29,11 @@
   while (ports.length < count) {
     const port = nextPort;
     nextPort = FIRST_PORT + computeOffset(0, nextPort - FIRST_PORT + 1);
+    // Reserved before it is bound: a port that another process has reserved is
+    // not bound even for a moment, as its daemon may start to listen just then.
+    if (!getReservations().acquire(port)) continue;
     const server = await openServer(port);
     if (server === undefined) continue;
-    if (!getReservations().acquire(port)) {
-      await closeServer(server);
-      continue;
-    }
     servers.push(server);
     ports.push(port);
   }
@@ -42,7 +43,7 @@
 
 function getReservations(): PortReservations {
   if (reservations !== undefined) return reservations;
-  const created = new PortReservations(join(tmpdir(), 'greengagecross-ports'));
+  const created = new PortReservations(RESERVATIONS_FOLDER);
   process.once('exit', () => created.releaseAll());
   reservations = created;
   return created;
--- a/packages/http/src/port_reservations.feature
+++ b/packages/http/src/port_reservations.feature
@@ -16,3 +16,10 @@
     Given a running process that has found 3 ports and listens on none
     When it releases its ports
     Then another process reserves each of these ports
+
+  # Guards against a daemon that finds its port taken for a moment, as another
+  # process binds the port before it learns that it is reserved.
+  Scenario: A search binds no port that another process has reserved
+    Given a running process has reserved the next 3 ports of this process's search
+    When this process finds a port
+    Then it has bound no port but that
--- a/packages/http/src/port_reservations_steps.ts
+++ b/packages/http/src/port_reservations_steps.ts
@@ -1,9 +1,11 @@
 import assert from 'node:assert/strict';
 import {spawnSync} from 'node:child_process';
 import {mkdtempSync, rmSync} from 'node:fs';
+import {Server} from 'node:net';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import {After, Given, Then, When, World} from '@cucumber/cucumber';
+import {findFreePorts, RESERVATIONS_FOLDER} from './free_ports.js';
 import {PortReservations} from './port_reservations.js';
 
 const FIRST_PORT = 11_000;
@@ -13,6 +15,8 @@
   portFolder: string | undefined;
   owner: PortReservations;
   ports: readonly number[];
+  /** Ports on which a server of this process began to listen. */
+  boundPorts: number[];
 }
 
 function acquirePorts(
@@ -46,6 +50,35 @@
   },
 );
 
+Given(
+  "a running process has reserved the next {int} ports of this process's search",
+  async function (this: PortWorld, count: number) {
+    const [last = 0] = await findFreePorts(1);
+    this.owner = new PortReservations(RESERVATIONS_FOLDER, process.ppid);
+    for (let at = 1; at <= count; at += 1) this.owner.acquire(last + at);
+  },
+);
+
+When('this process finds a port', async function (this: PortWorld) {
+  const listen = Server.prototype.listen;
+  this.boundPorts = [];
+  const record = (port: number): void => void this.boundPorts.push(port);
+  Server.prototype.listen = function (this: Server, ...args: unknown[]) {
+    record(Number(args[0]));
+    return Reflect.apply(listen, this, args) as Server;
+  };
+  try {
+    this.ports = await findFreePorts(1);
+  } finally {
+    Server.prototype.listen = listen;
+    this.owner.releaseAll();
+  }
+});
+
+Then('it has bound no port but that', function (this: PortWorld) {
+  assert.deepEqual(this.boundPorts, this.ports);
+});
+
 When('it releases its ports', function (this: PortWorld) {
   this.owner.releaseAll();
 });
