--- a/review/2/run.mjs
+++ b/review/2/run.mjs
@@ -1,35 +1,27 @@
-// Engines send short streams with a length. Half of the engines break off one
-// answer in twenty; the route may be resumed, and the new run words its pieces
-// in its own way, as another run of a model does.
-import {Agent} from 'node:http';
+// One of four engines is faulty: the body of its answers has no end. Each
+// answer is a slow trickle of bytes, none of which completes an event.
+import {spawn} from 'node:child_process';
+import {createInterface} from 'node:readline';
 import {
   Fleet,
   HAS_TROUBLE,
+  HOST,
   makeConfig,
   makeRoute,
   runScript,
+  send,
   sleep,
 } from '../standins/fleet.mjs';
 
 const DAEMONS = 2;
-const ENGINES = 4;
-const REQUESTS = 400;
-const EVENTS = 4;
-const EVENT_MS = 15;
-/** Of the answers of a faulty engine, one in so many is broken off. */
-const BROKEN_EVERY = 20;
-/** Number of whole events before an answer is broken off. */
-const EVENTS_BEFORE_BREAK = 2;
+const TIMEOUT_MS = 800;
+/** CONFIG: half a second after the route's `timeout_ms`. */
+const LATE_MS = 500;
+/** A requester abandons a stream after this gap: eight times `gap_aim_ms`. */
 const ABANDON_MS = 2000;
-
-function makeEvents(run, first) {
-  const events = [];
-  for (let event = first; event <= EVENTS; event += 1) {
-    const words = 'word '.repeat(3 + ((7 * run + 3 * event) % 9));
-    events.push(`id: ${event}\ndata: ${words}(run ${run})\n\n`);
-  }
-  return events;
-}
+const SOUND_INTERVAL_MS = 50;
+const STREAM_INTERVAL_MS = 100;
+const TROUBLE_MS = 20_000;
 
 await runScript(async () => {
   const fleet = new Fleet(import.meta.dirname);
@@ -41,91 +33,108 @@
       7,
       [
         makeRoute('asistente', 'streaming', {
-          timeout_ms: 2500,
+          timeout_ms: 10_000,
           target_latency_ms: 250,
           gap_aim_ms: 250,
-          max_attempts: 2,
           sticky: true,
-          resumable: true,
+          resumable: false,
         }),
+        makeRoute('reservas', 'unsafe', {timeout_ms: TIMEOUT_MS, priority: 2}),
       ],
-      ['asistente'],
+      ['asistente', 'reservas'],
     ),
   );
-  let runs = 0;
-  const answersByEngine = new Map();
-  const writeStream = async ({headers, id, engine}, response, own) => {
-    runs += 1;
-    const run = runs;
-    const resumedAfter = Number(headers['last-event-id'] ?? 0);
-    const events = makeEvents(run, resumedAfter + 1);
-    const answers = (answersByEngine.get(engine) ?? 0) + 1;
-    answersByEngine.set(engine, answers);
-    const isFaulty = fleet.workers.findIndex(({id: at}) => at === engine) % 2;
-    const isBroken =
-      HAS_TROUBLE &&
-      isFaulty &&
-      resumedAfter === 0 &&
-      answers % BROKEN_EVERY === 0;
-    fleet.record('written', {id, engine, run, resumedAfter, isBroken});
-    response.writeHead(200, {
-      ...own,
-      'content-type': 'text/event-stream',
-      'content-length': events.join('').length,
-    });
-    for (const [at, text] of events.entries()) {
-      if (isBroken && at === EVENTS_BEFORE_BREAK) {
-        response.destroy();
-        return;
-      }
-      response.write(text);
-      await sleep(EVENT_MS);
-    }
-    response.end();
-  };
-  await fleet.startWorkers(ENGINES, {
+  await fleet.startWorkers(4, {
+    service: 'reservas',
+    slots: 6,
+    backAfterMs: 4000,
+  });
+  await fleet.startWorkers(3, {
     service: 'asistente',
     slots: 32,
     backAfterMs: 4000,
-    writeStream,
+  });
+  const id = 'i-0badc0ffee';
+  const engine = spawn(
+    process.execPath,
+    [`${import.meta.dirname}/engine.mjs`, id, HAS_TROUBLE ? 'faulty' : 'sound'],
+    {stdio: ['ignore', 'pipe', 'inherit', 'ipc']},
+  );
+  process.once('exit', () => engine.kill('SIGKILL'));
+  createInterface({input: engine.stdout}).on('line', line => {
+    const {kind, ...fields} = JSON.parse(line);
+    fleet.record(kind, fields);
+    if (kind !== 'engine-port') return;
+    fleet.store.put('servers', id, {
+      service: 'asistente',
+      address: `127.0.0.1:${fields.port}`,
+      zone: 'centro-a',
+      version: 'v1',
+      slots: 32,
+      state: 'ready',
+      cold_left_ms: 0,
+      call_seq: 0,
+      born: Date.now(),
+    });
   });
   await fleet.startDaemons(DAEMONS);
-  const sendAll = async (daemon, offset) => {
-    const agent = new Agent({keepAlive: true, maxSockets: 1});
-    for (let at = offset; at < REQUESTS; at += DAEMONS) {
-      const shared = `77aa0001:512,${(0x91bd0000 + (at % 40)).toString(16)}:700`;
-      const own = `${(0xe4000000 + at).toString(16)}:130`;
-      const {id, status, isComplete, body} = await fleet.call(daemon, {
-        label: 'prompt',
-        agent,
-        method: 'POST',
-        path: '/asistente/2f',
-        deadlineMs: 2500,
-        abandonMs: ABANDON_MS,
-        body: `{"question":${at}}`,
-        headers: {
-          'x-greengagecross-model': 'm',
-          'x-greengagecross-token-counts': '1342,80',
-          'x-greengagecross-prompt-prefix': `${shared},${own}`,
-        },
+  let sent = 0;
+  const timer = setInterval(() => {
+    sent += 1;
+    const daemon = fleet.daemons[sent % DAEMONS];
+    void fleet.call(daemon, {
+      label: 'reservation',
+      method: 'POST',
+      path: `/reservas/r${sent}`,
+      body: `{"n":${sent}}`,
+    });
+  }, SOUND_INTERVAL_MS);
+  const readyTimer = setInterval(() => {
+    for (const {ready, name} of fleet.daemons) {
+      const askedAtMs = performance.now();
+      void send(ready, {path: '/ready'}).then(({status}) => {
+        const afterMs = Math.round(performance.now() - askedAtMs);
+        fleet.record('ready', {daemon: name, status, afterMs});
       });
-      const events = body.split('\n\n');
-      const rest = events.pop();
-      const isWhole = events.length === EVENTS && rest === '';
-      if (status === 200 && isComplete && !isWhole) {
-        fleet.record('looks-complete', {id, body});
-      } else if (status === 200 && !isComplete) {
-        fleet.record('not-complete', {id, isWhole, body});
-      }
     }
-  };
-  await Promise.all(fleet.daemons.map(sendAll));
-  const early = fleet.list('looks-complete').length;
-  const broken = fleet.list('written').filter(e => e.isBroken).length;
+  }, 1000);
+  await sleep(4000);
+  let prompts = 0;
+  const streams = setInterval(() => {
+    prompts += 1;
+    const shared = `77aa0001:512,${(0x91bd0000 + prompts).toString(16)}:700`;
+    const own = `${(0xe4000000 + prompts).toString(16)}:130`;
+    void fleet.call(fleet.daemons[prompts % DAEMONS], {
+      label: 'prompt',
+      method: 'POST',
+      path: '/asistente/2f',
+      deadlineMs: 10_000,
+      abandonMs: ABANDON_MS,
+      body: `{"question":${prompts}}`,
+      headers: {
+        host: HOST,
+        'x-greengagecross-model': 'm',
+        'x-greengagecross-token-counts': '1342,80',
+        'x-greengagecross-prompt-prefix': `${shared},${own}`,
+      },
+    });
+  }, STREAM_INTERVAL_MS);
+  await sleep(TROUBLE_MS);
+  clearInterval(streams);
+  clearInterval(timer);
+  clearInterval(readyTimer);
+  await sleep(3000);
+  const endMs = fleet.record('end').atMs;
+  const answers = new Map(fleet.list('answered').map(e => [e.id, e]));
+  const all = fleet.list('sent').filter(e => e.label === 'reservation');
+  const waits = all.map(e => (answers.get(e.id)?.atMs ?? endMs) - e.atMs);
+  const due = waits.filter(ms => ms > TIMEOUT_MS).length;
+  const late = waits.filter(ms => ms > TIMEOUT_MS + LATE_MS).length;
+  const longestMs = Math.round(Math.max(...waits));
   await fleet.finish(
-    early > 0,
-    `${REQUESTS} streams, ${broken} broken off by their engine; ${early} ` +
-      `ended early and looked complete, ${fleet.list('not-complete').length} ` +
-      'did not look complete',
+    due >= 8 && late > 0.5 * due,
+    `${all.length} reservations to sound workers; unanswered at ` +
+      `${TIMEOUT_MS} ms: ${due}; half a second later: ${late}; ` +
+      `longest wait ${longestMs} ms`,
   );
 });
--- a/review/5/run.mjs
+++ b/review/5/run.mjs
@@ -1,5 +1,5 @@
-// A prompt part crashes each engine that begins to answer it, while there is
-// little other traffic.
+// One request crashes each worker that runs it and is sent again every two
+// seconds. Sound requests keep arriving at the rates of the sheet.
 import {
   BOUNDS,
   Fleet,
@@ -11,80 +11,83 @@
 } from '../standins/fleet.mjs';
 
 const DAEMONS = 3;
-const ENGINES = 8;
-const FIRST = '77aa0001:512';
-const DEADLY = '5c1e07a2:700';
-const SOUND = '91bd3f06:700';
-const SOUND_INTERVAL_MS = 500;
+const WORKERS = 4;
+const SOUND_PER_SECOND = 40;
 const RESEND_MS = 2000;
-const RESENDS = 20;
-/** BUDGET: requests that may reach workers after the fifth crash. */
-const ALLOWED_REQUESTS = 3;
+const RESENDS = 14;
+/** BUDGET: retries that may reach workers after the third crash. */
+const ALLOWED_RETRIES = 3;
+const DEADLY_PATH = '/reservas/lo20';
+const DEADLY_BODY = '{"cloth":"pall-7","date":"2026-12-08"}';
 
 await runScript(async () => {
   const fleet = new Fleet(import.meta.dirname);
   await fleet.store.start();
-  const config = makeConfig(
-    7,
-    [
-      makeRoute('asistente', 'streaming', {
-        timeout_ms: 10_000,
-        target_latency_ms: 250,
-        gap_aim_ms: 250,
-        sticky: true,
-        resumable: false,
-      }),
-    ],
-    ['asistente'],
+  const timing = {timeout_ms: 800, target_latency_ms: 100};
+  fleet.store.put(
+    'op',
+    'config',
+    makeConfig(
+      7,
+      [
+        makeRoute('reservas', 'unsafe', {...timing, priority: 2}),
+        makeRoute('stock', 'safe', {
+          ...timing,
+          service: 'reservas',
+          max_attempts: 2,
+          priority: 2,
+        }),
+      ],
+      ['reservas'],
+    ),
   );
-  fleet.store.put('op', 'config', config);
-  await fleet.startWorkers(ENGINES, {
-    service: 'asistente',
-    slots: 32,
+  await fleet.startWorkers(WORKERS, {
+    service: 'reservas',
+    slots: 6,
     backAfterMs: 4000,
-    runMs: 60,
-    isDeadly: ({headers}) =>
-      HAS_TROUBLE && headers['x-greengagecross-prompt-prefix'].includes(DEADLY),
+    isDeadly: ({url, body}) =>
+      HAS_TROUBLE && url === DEADLY_PATH && body === DEADLY_BODY,
   });
   await fleet.startDaemons(DAEMONS);
-  let prompts = 0;
-  const callEngine = (label, shared) => {
-    prompts += 1;
-    const own = `${(0xe4000000 + prompts).toString(16)}:130`;
-    return fleet.call(fleet.daemons[prompts % DAEMONS], {
-      label,
-      method: 'POST',
-      path: '/asistente/2f',
-      deadlineMs: 10_000,
-      body: JSON.stringify({question: prompts}),
-      headers: {
-        'x-greengagecross-model': 'm',
-        'x-greengagecross-token-counts': '1342,80',
-        'x-greengagecross-prompt-prefix': [FIRST, shared, own].join(','),
-      },
+  const choose = at => fleet.daemons[at % DAEMONS];
+  let sent = 0;
+  const timer = setInterval(() => {
+    sent += 1;
+    const isSafe = sent % 4 === 0;
+    void fleet.call(choose(sent), {
+      label: 'sound',
+      method: isSafe ? 'GET' : 'POST',
+      path: isSafe ? `/stock/p${sent % 30}` : `/reservas/r${sent}`,
+      body: isSafe ? '' : `{"n":${sent}}`,
     });
-  };
-  const timer = setInterval(
-    () => void callEngine('sound', SOUND),
-    SOUND_INTERVAL_MS,
-  );
-  await sleep(6000);
+  }, 1000 / SOUND_PER_SECOND);
+  await sleep(4000);
   const deadlyIds = new Set();
   for (let at = 0; at < RESENDS; at += 1) {
-    const answered = callEngine('deadly', DEADLY);
+    const answered = fleet.call(choose(at), {
+      label: 'deadly',
+      method: 'POST',
+      path: DEADLY_PATH,
+      body: DEADLY_BODY,
+    });
     await sleep(RESEND_MS);
     deadlyIds.add((await answered).id);
   }
   clearInterval(timer);
   await sleep(1000);
   const crashes = fleet.list('crash');
-  const sinceMs = (crashes[4]?.atMs ?? Infinity) + BOUNDS.stable_window_ms;
+  const thirdAtMs = crashes[2]?.atMs ?? Infinity;
+  const sinceMs = thirdAtMs + BOUNDS.stable_window_ms;
   const late = fleet
     .list('arrival')
     .filter(({id, atMs}) => deadlyIds.has(id) && atMs > sinceMs);
+  const lost = fleet
+    .list('run-end')
+    .filter(({id, isWhole}) => !deadlyIds.has(id) && !isWhole);
   await fleet.finish(
-    late.length > ALLOWED_REQUESTS,
-    `${crashes.length} crashes; ${late.length} requests with the part reached ` +
-      `workers later than ${BOUNDS.stable_window_ms} ms after the fifth crash`,
+    late.length > ALLOWED_RETRIES,
+    `${crashes.length} crashes; ${late.length} retries reached workers later ` +
+      `than ${BOUNDS.stable_window_ms} ms after the third crash; ` +
+      `${lost.length} sound runs were cut by crashes`,
   );
 });
--- a/review/standins/store.mjs
+++ b/review/standins/store.mjs
@@ -24,12 +24,12 @@
 
   /** Writes a row as the operator or a worker does; returns its revision. */
   put(table, key, value) {
-    return this.#write(
-      table,
-      '',
-      key,
-      Buffer.from(JSON.stringify(value)).toString('base64'),
-    );
+    return this.putBytes(table, key, Buffer.from(JSON.stringify(value)));
+  }
+
+  /** Writes a row with any bytes, as another writer may do. */
+  putBytes(table, key, bytes) {
+    return this.#write(table, '', key, bytes.toString('base64'));
   }
 
   /** Removes a row; the feed reports the removal. */
