--- a/review/3/run.mjs
+++ b/review/3/run.mjs
@@ -1,8 +1,8 @@
-// Engines send short streams with a length. Half of the engines break off one
-// answer in twenty; the route may be resumed, and the new run words its pieces
-// in its own way, as another run of a model does.
+// A daemon is stopped as planned while streams run. The only engine that is not
+// leaving preempts some of them for 1.5 s in the middle and then goes on.
 import {Agent} from 'node:http';
 import {
+  BOUNDS,
   Fleet,
   HAS_TROUBLE,
   makeConfig,
@@ -11,26 +11,15 @@
   sleep,
 } from '../standins/fleet.mjs';
 
-const DAEMONS = 2;
-const ENGINES = 4;
-const REQUESTS = 400;
-const EVENTS = 4;
-const EVENT_MS = 15;
-/** Of the answers of a faulty engine, one in so many is broken off. */
-const BROKEN_EVERY = 20;
-/** Number of whole events before an answer is broken off. */
-const EVENTS_BEFORE_BREAK = 2;
+const STREAMS = 20;
+const EVENTS = 20;
+const EVENT_MS = 60;
+/** A stream is preempted once, before this event. */
+const PREEMPTED_EVENT = 6;
+const PREEMPTION_MS = 1500;
+/** A requester abandons a stream after this gap: eight times `gap_aim_ms`. */
 const ABANDON_MS = 2000;
 
-function makeEvents(run, first) {
-  const events = [];
-  for (let event = first; event <= EVENTS; event += 1) {
-    const words = 'word '.repeat(3 + ((7 * run + 3 * event) % 9));
-    events.push(`id: ${event}\ndata: ${words}(run ${run})\n\n`);
-  }
-  return events;
-}
-
 await runScript(async () => {
   const fleet = new Fleet(import.meta.dirname);
   await fleet.store.start();
@@ -41,8 +30,8 @@
       7,
       [
         makeRoute('asistente', 'streaming', {
-          timeout_ms: 2500,
-          target_latency_ms: 250,
+          timeout_ms: 12_000,
+          target_latency_ms: 400,
           gap_aim_ms: 250,
           max_attempts: 2,
           sticky: true,
@@ -52,55 +41,43 @@
       ['asistente'],
     ),
   );
-  let runs = 0;
-  const answersByEngine = new Map();
   const writeStream = async ({headers, id, engine}, response, own) => {
-    runs += 1;
-    const run = runs;
-    const resumedAfter = Number(headers['last-event-id'] ?? 0);
-    const events = makeEvents(run, resumedAfter + 1);
-    const answers = (answersByEngine.get(engine) ?? 0) + 1;
-    answersByEngine.set(engine, answers);
-    const isFaulty = fleet.workers.findIndex(({id: at}) => at === engine) % 2;
-    const isBroken =
-      HAS_TROUBLE &&
-      isFaulty &&
-      resumedAfter === 0 &&
-      answers % BROKEN_EVERY === 0;
-    fleet.record('written', {id, engine, run, resumedAfter, isBroken});
-    response.writeHead(200, {
-      ...own,
-      'content-type': 'text/event-stream',
-      'content-length': events.join('').length,
-    });
-    for (const [at, text] of events.entries()) {
-      if (isBroken && at === EVENTS_BEFORE_BREAK) {
-        response.destroy();
+    response.writeHead(200, {...own, 'content-type': 'text/event-stream'});
+    const first = Number(headers['last-event-id'] ?? 0) + 1;
+    for (let event = first; event <= EVENTS; event += 1) {
+      if (HAS_TROUBLE && event === PREEMPTED_EVENT) {
+        fleet.record('preempted', {id, engine, forMs: PREEMPTION_MS});
+        await sleep(PREEMPTION_MS);
+      }
+      if (response.destroyed) {
+        fleet.record('cut-at-engine', {id, engine, event});
         return;
       }
-      response.write(text);
+      response.write(`id: ${event}\ndata: piece ${event} of ${EVENTS}\n\n`);
       await sleep(EVENT_MS);
     }
     response.end();
   };
-  await fleet.startWorkers(ENGINES, {
+  await fleet.startWorkers(1, {
     service: 'asistente',
     slots: 32,
     backAfterMs: 4000,
     writeStream,
   });
-  await fleet.startDaemons(DAEMONS);
-  const sendAll = async (daemon, offset) => {
-    const agent = new Agent({keepAlive: true, maxSockets: 1});
-    for (let at = offset; at < REQUESTS; at += DAEMONS) {
-      const shared = `77aa0001:512,${(0x91bd0000 + (at % 40)).toString(16)}:700`;
-      const own = `${(0xe4000000 + at).toString(16)}:130`;
-      const {id, status, isComplete, body} = await fleet.call(daemon, {
-        label: 'prompt',
+  await fleet.startDaemons(1);
+  const [daemon] = fleet.daemons;
+  const agent = new Agent({keepAlive: true, maxSockets: STREAMS});
+  const calls = [];
+  for (let at = 0; at < STREAMS; at += 1) {
+    const shared = `77aa0001:512,${(0x91bd0000 + (at % 5)).toString(16)}:700`;
+    const own = `${(0xe4000000 + at).toString(16)}:130`;
+    calls.push(
+      fleet.call(daemon, {
+        label: 'stream',
         agent,
         method: 'POST',
         path: '/asistente/2f',
-        deadlineMs: 2500,
+        deadlineMs: 12_000,
         abandonMs: ABANDON_MS,
         body: `{"question":${at}}`,
         headers: {
@@ -108,24 +85,25 @@
           'x-greengagecross-token-counts': '1342,80',
           'x-greengagecross-prompt-prefix': `${shared},${own}`,
         },
-      });
-      const events = body.split('\n\n');
-      const rest = events.pop();
-      const isWhole = events.length === EVENTS && rest === '';
-      if (status === 200 && isComplete && !isWhole) {
-        fleet.record('looks-complete', {id, body});
-      } else if (status === 200 && !isComplete) {
-        fleet.record('not-complete', {id, isWhole, body});
-      }
-    }
-  };
-  await Promise.all(fleet.daemons.map(sendAll));
-  const early = fleet.list('looks-complete').length;
-  const broken = fleet.list('written').filter(e => e.isBroken).length;
+      }),
+    );
+    await sleep(10);
+  }
+  fleet.signal(daemon, 'SIGTERM');
+  const answers = await Promise.all(calls);
+  const lost = answers.filter(({isComplete}) => !isComplete);
+  const signalMs = fleet.list('signal')[0].atMs;
+  const cuts = fleet
+    .list('answered')
+    .filter(({isComplete}) => !isComplete)
+    .map(({atMs}) => Math.round(atMs - signalMs));
   await fleet.finish(
-    early > 0,
-    `${REQUESTS} streams, ${broken} broken off by their engine; ${early} ` +
-      `ended early and looked complete, ${fleet.list('not-complete').length} ` +
-      'did not look complete',
+    lost.length > 0,
+    `${STREAMS} streams sent before SIGTERM; ${lost.length} ended without a ` +
+      'complete answer' +
+      (cuts.length > 0
+        ? `, ${Math.min(...cuts)} to ${Math.max(...cuts)} ms after SIGTERM`
+        : '') +
+      `; grace ${BOUNDS.grace_s} s`,
   );
 });
