--- a/review/standins/worker.mjs
+++ b/review/standins/worker.mjs
@@ -21,7 +21,9 @@
    * @param options store; service; zone; slots; backAfterMs: time from a crash
    *     to the next incarnation; runMs: time of one run; events: number of events
    *     of a stream; eventMs: time between events; isDeadly: whether a request
-   *     crashes the worker that begins to run it
+   *     crashes the worker that begins to run it; crashesAfterEvent: whether that
+   *     comes after the first event of its answer; writeStream: writes an answer
+   *     in place of the usual one
    * @param record called with each arrival, run, end of a run, crash and start
    */
   constructor(options, record) {
@@ -98,7 +100,7 @@
     let body = '';
     for await (const chunk of request) body += chunk;
     const call = {id, method, url, body, headers, engine: this.id};
-    const {runMs, slots, isDeadly} = this.options;
+    const {runMs, slots, isDeadly, crashesAfterEvent} = this.options;
     this.record('arrival', {worker: this.id, id, url});
     const echo = {'x-greengagecross-attempt-id': id};
     if (this.#running >= 2 * slots) {
@@ -115,7 +117,8 @@
     });
     await sleep(runMs);
     if (response.destroyed) return;
-    if (isDeadly?.(call)) {
+    const isCrashing = isDeadly?.(call) === true;
+    if (isCrashing && !crashesAfterEvent) {
       this.crash(id);
       return;
     }
@@ -126,6 +129,13 @@
       response.end(text);
       return;
     }
+    if (isCrashing) {
+      response.writeHead(200, {...own, 'content-type': 'text/event-stream'});
+      response.write('id: 1\ndata: piece 1\n\n');
+      await sleep(this.options.eventMs);
+      this.crash(id);
+      return;
+    }
     const {writeStream} = this.options;
     if (writeStream === undefined) await this.#writeEvents(call, response, own);
     else await writeStream(call, response, own);
