--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -3,6 +3,7 @@
 import {
   Fleet,
   HAS_TROUBLE,
+  PLATFORM,
   makeConfig,
   makeRoute,
   runScript,
@@ -19,8 +20,8 @@
 const TROUBLE_MS = 12_000;
 const HEARTBEAT_MS = 1200;
 const ENTRIES = 4;
-/** `row_bytes` of the settings. */
-const ROW_BYTES = 65_536;
+/** So many bytes are `row_bytes` as base64, the stricter reading of the limit. */
+const ROW_BYTES = (PLATFORM.row_bytes / 4) * 3;
 
 /** A list of empty names, encoded as JSON twice and cut off at the limit. */
 function makeUnreadableBytes(count) {
@@ -30,7 +31,7 @@
 }
 
 await runScript(async () => {
-  const fleet = new Fleet(import.meta.dirname);
+  const fleet = new Fleet(`${import.meta.dirname}/record.txt`);
   await fleet.store.start();
   fleet.store.put(
     'op',
--- a/review/2/engine.mjs
+++ b/review/2/engine.mjs
@@ -9,7 +9,8 @@
 const server = createServer((request, response) => {
   request.resume();
   const {headers} = request;
-  if (headers['x-greengagecross-expect-instance'] !== id) {
+  const expected = headers['x-greengagecross-expect-instance'];
+  if (expected !== undefined && expected !== id) {
     response.writeHead(421, {'x-greengagecross-instance-id': id}).end();
     return;
   }
--- a/review/2/run.mjs
+++ b/review/2/run.mjs
@@ -24,7 +24,7 @@
 const TROUBLE_MS = 20_000;
 
 await runScript(async () => {
-  const fleet = new Fleet(import.meta.dirname);
+  const fleet = new Fleet(`${import.meta.dirname}/record.txt`);
   await fleet.store.start();
   fleet.store.put(
     'op',
@@ -60,7 +60,7 @@
     [`${import.meta.dirname}/engine.mjs`, id, HAS_TROUBLE ? 'faulty' : 'sound'],
     {stdio: ['ignore', 'pipe', 'inherit', 'ipc']},
   );
-  process.once('exit', () => engine.kill('SIGKILL'));
+  fleet.watch(engine);
   createInterface({input: engine.stdout}).on('line', line => {
     const {kind, ...fields} = JSON.parse(line);
     fleet.record(kind, fields);
--- a/review/5/run.mjs
+++ b/review/5/run.mjs
@@ -21,7 +21,7 @@
 const DEADLY_BODY = '{"cloth":"pall-7","date":"2026-12-08"}';
 
 await runScript(async () => {
-  const fleet = new Fleet(import.meta.dirname);
+  const fleet = new Fleet(`${import.meta.dirname}/record.txt`);
   await fleet.store.start();
   const timing = {timeout_ms: 800, target_latency_ms: 100};
   fleet.store.put(
--- a/review/standins/fleet.mjs
+++ b/review/standins/fleet.mjs
@@ -4,9 +4,11 @@
 import {
   createWriteStream,
   mkdtempSync,
+  openSync,
   readFileSync,
   rmSync,
   writeFileSync,
+  writeSync,
 } from 'node:fs';
 import {createServer} from 'node:net';
 import {request} from 'node:http';
@@ -16,8 +18,13 @@
 import {Store} from './store.mjs';
 import {Worker} from './worker.mjs';
 
-const ROOT = join(dirname(fileURLToPath(import.meta.url)), '..', '..');
+const STANDINS = dirname(fileURLToPath(import.meta.url));
+const ROOT = join(STANDINS, '..', '..');
 const START_TIMEOUT_MS = 15_000;
+/** A script that has not ended by then could not run. */
+const MAX_RUN_MS = 112_000;
+/** The script could not run. */
+const EXIT_NOT_RUN = 2;
 /** Bounds of site velo-mx. */
 export const BOUNDS = {
   seed_lag_s: 3,
@@ -42,6 +49,17 @@
   cap_factor: 2,
   ttl_max_s: 5,
 };
+/** What the settings of site velo-mx say of the store. */
+export const PLATFORM = {
+  form: 'table',
+  writes_per_s: 400,
+  reads_per_s: 2000,
+  tx_ms: 5,
+  part_writes_per_s: 200,
+  row_bytes: 65_536,
+  across: false,
+  history_s: 20,
+};
 /** Whether the script plays its disruption. */
 export const HAS_TROUBLE = process.env.TROUBLE !== '0';
 export const HOST = 'ficu95.example';
@@ -55,22 +73,34 @@
   #folder = mkdtempSync(join(tmpdir(), 'review-'));
   #startedAtMs = performance.now();
   #requests = 0;
+  #children = new Set();
+
+  #recordFile;
+  #guard = spawn(process.execPath, [join(STANDINS, 'guard.mjs')], {
+    stdio: ['ignore', 'ignore', 'inherit', 'ipc'],
+  });
 
-  constructor(folder) {
-    this.#record = createWriteStream(join(folder, 'record.txt'));
+  /** @param recordPath the file that takes what was sent, answered and run */
+  constructor(recordPath) {
+    this.#recordFile = openSync(recordPath, 'w');
+    this.#guard.unref();
+    this.#guard.channel.unref();
     process.once('exit', () => this.#killAll());
-    for (const name of ['SIGINT', 'SIGTERM']) {
-      process.once(name, () => process.exit(2));
+    for (const name of ['SIGINT', 'SIGTERM', 'SIGHUP']) {
+      process.once(name, () => process.exit(EXIT_NOT_RUN));
     }
+    setTimeout(() => {
+      console.error('the script did not end in time');
+      process.exit(EXIT_NOT_RUN);
+    }, MAX_RUN_MS).unref();
   }
-  #record;
 
   /** Records one event with its time in milliseconds since the start. */
   record = (kind, fields = {}) => {
     const atMs = Math.round((performance.now() - this.#startedAtMs) * 10) / 10;
     const event = {atMs, kind, ...fields};
     this.events.push(event);
-    this.#record.write(`${JSON.stringify(event)}\n`);
+    writeSync(this.#recordFile, `${JSON.stringify(event)}\n`);
     return event;
   };
 
@@ -122,7 +152,7 @@
         heartbeat_ms: 1200,
         limits: {memory_mb: 350, max_fds: 4200},
         bounds: BOUNDS,
-        platform: {address: this.store.address, form: 'table'},
+        platform: {...PLATFORM, address: this.store.address},
       };
       writeFileSync(path, JSON.stringify(settings));
       this.daemons.push({name, path, ...listen});
@@ -141,6 +171,7 @@
       env: {PATH, HOME, LANG, GREENGAGECROSS_NODE_FILE: daemon.path},
       stdio: ['ignore', 'pipe', 'pipe'],
     });
+    this.watch(child);
     daemon.child = child;
     const log = createWriteStream(`${daemon.path}.log`, {flags: 'a'});
     child.stdout.pipe(log);
@@ -152,6 +183,18 @@
     this.record('daemon-start', {daemon: daemon.name});
   }
 
+  /** Has a process ended with the script, also if the script is killed. */
+  watch(child) {
+    this.#children.add(child);
+    this.#guard.send({started: child.pid});
+    child.once('exit', () => {
+      this.#children.delete(child);
+      if (this.#guard.connected) {
+        this.#guard.send({ended: child.pid}, () => undefined);
+      }
+    });
+  }
+
   async waitReady() {
     const endMs = performance.now() + START_TIMEOUT_MS;
     for (const {ready, name} of this.daemons) {
@@ -187,9 +230,16 @@
         ...options.headers,
       },
     });
-    const {status, isComplete, headers} = answer;
+    const {status, isComplete, isAbandoned, headers} = answer;
     const retryAfter = headers['retry-after'];
-    const fields = {id, label, daemon: daemon.name, status, isComplete};
+    const fields = {
+      id,
+      label,
+      daemon: daemon.name,
+      status,
+      isComplete,
+      isAbandoned,
+    };
     this.record('answered', {...fields, retryAfter});
     return {...answer, id};
   }
@@ -210,24 +260,36 @@
     }
     for (const worker of this.workers) worker.stop();
     this.store.stop();
+    const children = [...this.#children, this.#guard];
+    const ends = children.map(
+      child => new Promise(done => child.once('exit', done)),
+    );
+    this.#guard.ref();
     this.#killAll();
-    await new Promise(done => this.#record.end(done));
+    this.#guard.kill('SIGKILL');
+    await Promise.all(ends);
     process.exit(isBroken ? 1 : 0);
   }
 
   #killAll() {
-    for (const {child} of this.daemons) child?.kill('SIGKILL');
+    for (const child of this.#children) child.kill('SIGKILL');
     rmSync(this.#folder, {recursive: true, force: true});
   }
 }
 
 /** Runs a script; exits with 2 if it could not run. */
 export async function runScript(script) {
+  for (const name of ['uncaughtException', 'unhandledRejection']) {
+    process.on(name, error => {
+      console.error(error);
+      process.exit(EXIT_NOT_RUN);
+    });
+  }
   try {
     await script();
   } catch (error) {
     console.error(error);
-    process.exit(2);
+    process.exit(EXIT_NOT_RUN);
   }
 }
 
@@ -286,7 +348,13 @@
   } = options;
   const {abandonMs} = options;
   return new Promise(resolve => {
-    const answer = {status: 0, headers: {}, body: '', isComplete: false};
+    const answer = {
+      status: 0,
+      headers: {},
+      body: '',
+      isComplete: false,
+      isAbandoned: false,
+    };
     const outgoing = request(
       {host, port, method, path, headers, agent},
       incoming => {
@@ -306,7 +374,10 @@
     const wait = () => {
       clearTimeout(timer);
       if (abandonMs === undefined) return;
-      timer = setTimeout(() => outgoing.destroy(), abandonMs);
+      timer = setTimeout(() => {
+        answer.isAbandoned = true;
+        outgoing.destroy();
+      }, abandonMs);
     };
     wait();
     outgoing.on('response', incoming => incoming.on('data', wait));
--- a/review/standins/worker.mjs
+++ b/review/standins/worker.mjs
@@ -92,7 +92,8 @@
   async #answer(request, response) {
     const {headers, method, url} = request;
     const id = headers['x-greengagecross-attempt-id'];
-    if (headers['x-greengagecross-expect-instance'] !== this.id) {
+    const expected = headers['x-greengagecross-expect-instance'];
+    if (expected !== undefined && expected !== this.id) {
       request.resume();
       response.writeHead(421, {'x-greengagecross-instance-id': this.id}).end();
       return;
--- a/review/trials/light_traffic/run.mjs
+++ b/review/trials/light_traffic/run.mjs
@@ -22,7 +22,7 @@
 const ALLOWED_REQUESTS = 3;
 
 await runScript(async () => {
-  const fleet = new Fleet(import.meta.dirname);
+  const fleet = new Fleet(`${import.meta.dirname}/record.txt`);
   await fleet.store.start();
   const config = makeConfig(
     7,
--- a/review/trials/stop_window/run.mjs
+++ b/review/trials/stop_window/run.mjs
@@ -20,7 +20,7 @@
 const SEND_INTERVAL_MS = 2;
 
 await runScript(async () => {
-  const fleet = new Fleet(import.meta.dirname);
+  const fleet = new Fleet(`${import.meta.dirname}/record.txt`);
   await fleet.store.start();
   fleet.store.put(
     'op',
--- a/review/trials/wrong_part/run.mjs
+++ b/review/trials/wrong_part/run.mjs
@@ -25,7 +25,7 @@
 const COUNTED_REQUESTS = 22;
 
 await runScript(async () => {
-  const fleet = new Fleet(import.meta.dirname);
+  const fleet = new Fleet(`${import.meta.dirname}/record.txt`);
   await fleet.store.start();
   const config = makeConfig(
     7,
