Log which connection a rejected reply came on, and what that had carried

The log had no status of a refusal, nor the connection, so that a copy of an earlier refusal and a send that was wrongly counted as not sent looked alike. Each failed attempt that had a reply now logs its status, the number of its connection, the requests before it there, and whether the same request was among them. The client learns from its request how replies name it (replyId). No decision changes.

--- a/packages/http/src/connection_pool.ts
+++ b/packages/http/src/connection_pool.ts
@@ -1,6 +1,8 @@
 import {Agent, type ClientRequest, type ClientRequestArgs} from 'node:http';
 import type {Duplex} from 'node:stream';
 import {Socket} from 'node:net';
+import type {ReplyId} from './outgoing_request.js';
+import {PooledConnection, type ConnectionUse} from './pooled_connection.js';
 import {SocketByteCounter} from './socket_byte_counter.js';
 
 const MAX_IDLE_SOCKETS_PER_ORIGIN = 64;
@@ -19,6 +21,7 @@
  */
 export class ConnectionPool extends Agent {
   readonly bytes = new SocketByteCounter();
+  private readonly connections = new WeakMap<Duplex, PooledConnection>();
 
   constructor() {
     super({
@@ -39,6 +42,13 @@
     return stream;
   }
 
+  /** Records that a request is about to be sent on a connection. */
+  startRequest(stream: Duplex, replyId: ReplyId | undefined): ConnectionUse {
+    const connection = this.connections.get(stream) ?? new PooledConnection();
+    this.connections.set(stream, connection);
+    return connection.startRequest(replyId);
+  }
+
   /** Node calls this when a connection becomes idle. */
   override keepSocketAlive(stream: Duplex): boolean {
     stream.once('data', closeOnData);
--- a/packages/http/src/http_client.ts
+++ b/packages/http/src/http_client.ts
@@ -8,6 +8,7 @@
 import {HttpFailure} from './http_failure.js';
 import type {HttpReply, OpenReply} from './http_reply.js';
 import type {OutgoingHeaders, OutgoingRequest} from './outgoing_request.js';
+import type {ConnectionUse} from './pooled_connection.js';
 import {readBody} from './read_body.js';
 import {RequestPhase} from './request_phase.js';
 import {SilenceDetector} from './silence_detector.js';
@@ -19,6 +20,12 @@
  * well.
  */
 const LONG_WAIT_SHARE = 0.5;
+/** Use of a request that no connection was assigned to yet. */
+const UNUSED_CONNECTION: ConnectionUse = {
+  connection: 0,
+  requestsBefore: 0,
+  wasSentBefore: false,
+};
 
 /**
  * Sends requests over keep-alive connections. An error reports whether the
@@ -58,6 +65,7 @@
             status: stream.statusCode ?? 0,
             headers: stream.headers,
             stream,
+            connectionUse: tracker.getConnectionUse(),
           }),
         );
       });
@@ -137,19 +145,28 @@
   private connectTimer: NodeJS.Timeout | undefined;
   private sentAtMs = Number.POSITIVE_INFINITY;
   private hasReply = false;
+  private connectionUse = UNUSED_CONNECTION;
 
   constructor(
     private readonly clientRequest: ClientRequest,
     private readonly outgoing: OutgoingRequest,
     private readonly pool: ConnectionPool,
   ) {
-    clientRequest.once('socket', socket => this.onSocket(socket));
+    clientRequest.once('socket', socket => {
+      this.connectionUse = pool.startRequest(socket, outgoing.replyId);
+      this.onSocket(socket);
+    });
     clientRequest.once('close', () => clearTimeout(this.connectTimer));
     clientRequest.once('response', () => {
       this.hasReply = true;
     });
   }
 
+  /** Returns the use of a connection by this request. */
+  getConnectionUse(): ConnectionUse {
+    return this.connectionUse;
+  }
+
   makeError(cause?: Error): HttpError {
     const target = formatAddress(this.outgoing.address);
     return new HttpError(this.failure, this.phase, target, cause);
--- a/packages/http/src/http_reply.ts
+++ b/packages/http/src/http_reply.ts
@@ -1,4 +1,5 @@
 import type {IncomingHttpHeaders, IncomingMessage} from 'node:http';
+import type {ConnectionUse} from './pooled_connection.js';
 
 /** A reply with its complete body. */
 export interface HttpReply {
@@ -12,4 +13,6 @@
   readonly status: number;
   readonly headers: IncomingHttpHeaders;
   readonly stream: IncomingMessage;
+  /** The connection that the reply came on. */
+  readonly connectionUse: ConnectionUse;
 }
--- a/packages/http/src/index.ts
+++ b/packages/http/src/index.ts
@@ -16,6 +16,7 @@
 export * from './http_reply.js';
 export * from './http_server.js';
 export * from './outgoing_request.js';
+export * from './pooled_connection.js';
 export * from './read_body.js';
 export * from './request_phase.js';
 export * from './socket_byte_counter.js';
--- a/packages/http/src/outgoing_request.ts
+++ b/packages/http/src/outgoing_request.ts
@@ -3,6 +3,14 @@
 /** Header names and values to send. */
 export type OutgoingHeaders = Readonly<Record<string, string>>;
 
+/** How a reply names the request that it answers. */
+export interface ReplyId {
+  /** Name of the header, in lower case. */
+  readonly header: string;
+  /** Its value in replies to the request. */
+  readonly value: string;
+}
+
 /** Request to another process. */
 export interface OutgoingRequest {
   readonly address: Address;
@@ -11,6 +19,8 @@
   readonly path: string;
   readonly headers?: OutgoingHeaders;
   readonly body?: string | Buffer;
+  /** Undefined if replies name no request. */
+  readonly replyId?: ReplyId;
   readonly connectTimeoutMs: number;
   /** Silence timeout: longest time without a byte from the other end. */
   readonly silenceMs: number;
--- a/packages/router/src/calls/attempt_failure.ts
+++ b/packages/router/src/calls/attempt_failure.ts
@@ -1,4 +1,5 @@
 import {LayerError} from '@greengagecross/common';
+import type {ConnectionUse} from '@greengagecross/http';
 
 /** Why an attempt at one backend server produced no reply to forward. */
 export enum AttemptFailureKind {
@@ -14,12 +15,18 @@
   INVALID_REPLY = 'broken',
 }
 
+/** A reply that ended an attempt without an answer. */
+export interface RejectedReply extends ConnectionUse {
+  readonly status: number;
+}
+
 /** Failure of an attempt that produced no reply to forward. */
 export class AttemptFailure extends LayerError {
   constructor(
     readonly kind: AttemptFailureKind,
     readonly serverId: string,
     cause?: Error,
+    readonly reply?: RejectedReply,
   ) {
     super('AttemptFailure', `server ${serverId}: ${kind}`, {serverId}, cause);
   }
--- a/packages/router/src/calls/attempt_recorder.ts
+++ b/packages/router/src/calls/attempt_recorder.ts
@@ -139,6 +139,7 @@
       promptParts: listSharedParts(job.call.prompt).join(','),
       failureShare: Number(this.health.getFailureShare(serverId).toFixed(2)),
       cause: failure.cause()?.message,
+      ...failure.reply,
     });
   }
 
--- a/packages/router/src/calls/backend_attempts.ts
+++ b/packages/router/src/calls/backend_attempts.ts
@@ -8,6 +8,7 @@
   type HttpClient,
   type HttpError,
   type OpenReply,
+  type OutgoingRequest,
 } from '@greengagecross/http';
 import type {BackendReplyHead} from '../model/backend_reply_head.js';
 import type {BackendServer} from '../model/backend_server.js';
@@ -118,6 +119,7 @@
         makeDispatchFields(job, plan),
       ),
       body: job.body,
+      ...makeReplyId(this.codec, job),
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
       silenceMs: plan.silenceTimeoutMs,
       ...(plan.mayEndSilent === undefined
@@ -148,7 +150,7 @@
       // the connection, which the server may run; so no request follows it.
       if (head.hasRequestId) discardBody(stream);
       else stream.destroy();
-      return makeFailure(AttemptFailureKind.NOT_RUN, server.id);
+      return makeFailure(AttemptFailureKind.NOT_RUN, server.id, reply);
     }
     const isSuccess = head.status >= 200 && head.status < 300;
     // A client reads these statuses as a guarantee that its request is not run,
@@ -157,7 +159,7 @@
     const isUntrusted = isNotRunStatus || (isSuccess && !head.isSigned);
     if (!head.isReplyToRequest || isUntrusted) {
       stream.destroy();
-      return makeFailure(AttemptFailureKind.INVALID_REPLY, server.id);
+      return makeFailure(AttemptFailureKind.INVALID_REPLY, server.id, reply);
     }
     return Effect.succeed({head, stream});
   }
@@ -179,8 +181,18 @@
 function makeFailure(
   kind: AttemptFailureKind,
   serverId: string,
+  {status, connectionUse}: OpenReply,
 ): Effect.Effect<never, AttemptFailure> {
-  return Effect.fail(new AttemptFailure(kind, serverId));
+  const reply = {status, ...connectionUse};
+  return Effect.fail(new AttemptFailure(kind, serverId, undefined, reply));
+}
+
+function makeReplyId(
+  codec: CallCodec,
+  {call}: CallJob,
+): Pick<OutgoingRequest, 'replyId'> {
+  const replyId = codec.getReplyId(call);
+  return replyId === undefined ? {} : {replyId};
 }
 
 function toAttemptFailure(serverId: string, error: HttpError): AttemptFailure {
--- a/packages/router/src/ports/call_codec.ts
+++ b/packages/router/src/ports/call_codec.ts
@@ -3,6 +3,7 @@
   HttpExchange,
   OpenReply,
   OutgoingHeaders,
+  ReplyId,
 } from '@greengagecross/http';
 import type {BackendReplyHead} from '../model/backend_reply_head.js';
 import type {ClientCall} from '../model/client_call.js';
@@ -19,6 +20,9 @@
     fields: DispatchFields,
   ): OutgoingHeaders;
 
+  /** Returns how replies name a request; undefined if it has no id. */
+  abstract getReplyId(call: ClientCall): ReplyId | undefined;
+
   /** Decodes the head of a backend server's reply. */
   abstract decodeReply(
     call: ClientCall,
--- a/packages/standins/src/contracts/memory_backends.ts
+++ b/packages/standins/src/contracts/memory_backends.ts
@@ -110,7 +110,12 @@
   const stream = new IncomingMessage(new Socket());
   if (text !== undefined) finishReply(stream, text);
   const headers = {[BackendHeader.REQUEST_ID]: attemptId};
-  return {status: 200, headers, stream};
+  const connectionUse = {
+    connection: 1,
+    requestsBefore: 0,
+    wasSentBefore: false,
+  };
+  return {status: 200, headers, stream, connectionUse};
 }
 
 function finishReply(stream: IncomingMessage, text: string): void {
