Discard late copies of replies, and send no id twice on one connection

Cause: a reply is matched to a send by its place on the connection and by the request's id. That id is the client's and the same for all sends of a request; connections are pooled by address, servers told apart by id. A copy of an earlier refusal that is read while the same request is under way again on the same connection counted for the later send. A copy with another request's id made a sound request fail. The class: a correlation id that is not unique for each send.

Change: a connection keeps the ids of its requests and carries each once; a request whose id an idle connection has carried goes out on another one, and a connection ends after 1000. As no id comes twice, a reply that names an earlier request of its connection can only be a copy: it is discarded, in flight and while idle, before Node reads it, and the connection goes on. What cannot be skipped (no length, no chunks) still fails the request as unknown. Both interfaces and all kinds of request use this client.

--- a/packages/http/src/connection_pool.ts
+++ b/packages/http/src/connection_pool.ts
@@ -1,6 +1,7 @@
 import {Agent, type ClientRequest, type ClientRequestArgs} from 'node:http';
-import type {Duplex} from 'node:stream';
 import {Socket} from 'node:net';
+import type {Duplex} from 'node:stream';
+import {Logger, type Address} from '@greengagecross/common';
 import type {ReplyId} from './outgoing_request.js';
 import {PooledConnection, type ConnectionUse} from './pooled_connection.js';
 import {SocketByteCounter} from './socket_byte_counter.js';
@@ -9,19 +10,22 @@
 const KEEP_ALIVE_PROBE_MS = 1000;
 /** A shorter time in a reply's `keep-alive` header takes precedence. */
 const MAX_IDLE_MS = 10_000;
+const logger = new Logger('http');
 
 type ConnectionCallback = (error: Error | null, stream: Duplex) => void;
 
 /**
  * Keep-alive connections to other processes, with a count of their bytes.
  *
- * Bytes that arrive on an idle connection belong to no request: a faulty server
- * may send a reply twice. The connection is closed, because Node would drop
- * them, or pass the part that arrives later to the next request.
+ * A faulty server may send a reply once more. A copy that names its request is
+ * discarded. Any other bytes that arrive on an idle connection belong to no
+ * request: the connection is closed, because Node would drop them, or pass the
+ * part that arrives later to the next request.
  */
 export class ConnectionPool extends Agent {
   readonly bytes = new SocketByteCounter();
   private readonly connections = new WeakMap<Duplex, PooledConnection>();
+  private lateReplies = 0;
 
   constructor() {
     super({
@@ -44,13 +48,20 @@
 
   /** Records that a request is about to be sent on a connection. */
   startRequest(stream: Duplex, replyId: ReplyId | undefined): ConnectionUse {
-    const connection = this.connections.get(stream) ?? new PooledConnection();
-    this.connections.set(stream, connection);
+    let connection = this.connections.get(stream);
+    if (connection === undefined) {
+      connection = new PooledConnection(stream, (id, status) =>
+        this.recordLateReply(id, status),
+      );
+      this.connections.set(stream, connection);
+    }
     return connection.startRequest(replyId);
   }
 
   /** Node calls this when a connection becomes idle. */
   override keepSocketAlive(stream: Duplex): boolean {
+    const connection = this.connections.get(stream);
+    if (connection?.finishRequest() === false) return false;
     stream.once('data', closeOnData);
     // Node returns whether the connection may be kept; its types say void.
     return super.keepSocketAlive(stream) as unknown as boolean;
@@ -62,6 +73,21 @@
     super.reuseSocket(stream, request);
   }
 
+  /**
+   * Closes the idle connections to an address on which a request was sent
+   * before. A late copy of the reply to it could not be told from the reply to
+   * the same request, sent once more.
+   */
+  closeUsedFor({value}: ReplyId, {host, port}: Address): void {
+    const idle = this.freeSockets[this.getName({host, port})] ?? [];
+    for (const socket of [...idle]) {
+      if (this.connections.get(socket)?.hasSent(value) !== true) continue;
+      // Removes it from the pool at once; a close is noticed later.
+      socket.emit('agentRemove');
+      socket.destroy();
+    }
+  }
+
   /** Closes the idle connections to one address. */
   closeIdle(host: string, port: number): void {
     const prefix = `${host}:${port}:`;
@@ -70,6 +96,16 @@
       for (const socket of sockets ?? []) socket.destroy();
     }
   }
+
+  /** Counts the late replies that were discarded. */
+  countLateReplies(): number {
+    return this.lateReplies;
+  }
+
+  private recordLateReply(request: string, status: number): void {
+    this.lateReplies += 1;
+    logger.log('A late copy of a reply was discarded.', {request, status});
+  }
 }
 
 function closeOnData(this: Duplex): void {
--- a/packages/http/src/http_client.ts
+++ b/packages/http/src/http_client.ts
@@ -87,10 +87,12 @@
   }
 
   private startRequest(outgoing: OutgoingRequest): ClientRequest {
+    const {address, replyId} = outgoing;
+    if (replyId !== undefined) this.pool.closeUsedFor(replyId, address);
     const clientRequest = request({
       agent: this.pool,
-      host: outgoing.address.host,
-      port: outgoing.address.port,
+      host: address.host,
+      port: address.port,
       method: outgoing.method,
       path: outgoing.path,
       headers: {...outgoing.headers, ...buildContentLength(outgoing.body)},
--- /dev/null
+++ b/packages/http/src/late_replies.feature
@@ -0,0 +1,57 @@
+Feature: A reply that a server sends once more is not taken for the reply to another request
+
+  # Guards against a late copy that is read as the reply to the next request, and
+  # against a sound request that fails because of it.
+  Scenario Outline: A request gets its own reply after a late copy <framing> that arrives <when>
+    Given a server that answers on kept connections, with replies <framing>
+    When 4 requests are sent in turn, and a copy of each reply arrives <when>
+    Then each request got its own reply
+    And the server accepted 1 connection
+
+    Examples:
+      | framing                              | when                                    |
+      | without a body                       | before the next reply                   |
+      | of some length                       | before the next reply                   |
+      | in chunks with trailers              | before the next reply                   |
+      | of status 204                        | before the next reply                   |
+      | without a body                       | before the next reply, byte by byte     |
+      | of some length                       | before the next reply, byte by byte     |
+      | in chunks with trailers              | before the next reply, byte by byte     |
+      | after an informational head          | before the next reply                   |
+      | after an informational head          | before the next reply, byte by byte     |
+      | with its names in upper case         | before the next reply                   |
+      | of some length                       | three times before the next reply       |
+      | without a body                       | while the connection is idle            |
+      | in chunks with trailers              | while the connection is idle            |
+      | of some length                       | half while idle, half before the next   |
+
+  # Guards against a copy that cannot be told from the reply to a later send.
+  Scenario: A request with an id that a connection has carried goes out on another connection
+    Given a server that answers on kept connections, with replies of some length
+    When 4 requests with the same id are sent in turn, and a copy of each reply arrives before the next reply
+    Then each request got the reply that was made for its send
+    And the server accepted 4 connections
+
+  # Guards against a copy that cannot be skipped and is read as another reply.
+  Scenario Outline: A late copy <framing> is not read as the reply to the next request
+    Given a server that answers on kept connections, with replies <framing>
+    When 2 requests are sent in turn, and a copy of each reply arrives before the next reply
+    Then no request got a reply that names another request without notice
+
+    Examples:
+      | framing                        |
+      | with a length that is no number |
+      | with chunks that are malformed |
+
+  # Guards against bytes without an end that are discarded for ever.
+  Scenario: A connection that sends more late bytes than 64 KiB is closed
+    Given a server that answers on kept connections, with replies of some length
+    When a request is sent, and copies of its reply arrive without end
+    Then within 2000 ms the server has no open connection
+
+  # Guards against ids that are kept without a limit.
+  Scenario: A connection carries 1000 requests with an id at most
+    Given a server that answers on kept connections, with replies without a body
+    When 1001 requests are sent in turn, and a copy of each reply arrives never
+    Then each request got its own reply
+    And the server accepted 2 connections
--- /dev/null
+++ b/packages/http/src/late_reply_filter.ts
@@ -0,0 +1,165 @@
+import type {Socket} from 'node:net';
+import {makeBodySkipper, type BodySkipper} from './body_skipper.js';
+import {ByteCollector} from './byte_collector.js';
+import type {ReplyId} from './outgoing_request.js';
+import {ReplyHeadText} from './reply_head_text.js';
+
+const HEAD_END = '\r\n\r\n';
+/** Node accepts no longer head. */
+const MAX_HEAD_BYTES = 16 * 1024;
+/** Discarded bytes of one connection; a server that sends more is cut off. */
+const MAX_DISCARDED_BYTES = 64 * 1024;
+
+/** What the next received byte belongs to. */
+enum FilterState {
+  /** A reply that is passed on. */
+  PASSED_REPLY,
+  /** The head of a reply. */
+  HEAD,
+  /** The body of a late reply. */
+  LATE_BODY,
+}
+
+/** Called for each late reply with the id that it names and its status. */
+export type OnLateReply = (id: string, status: number) => void;
+
+/**
+ * Discards late replies on a keep-alive connection: replies that name a request
+ * which was sent on it earlier and is answered already. Node would take such a
+ * reply for the answer to the current request.
+ *
+ * It relies on each id being sent at most once on a connection.
+ */
+export class LateReplyFilter {
+  private readonly sentIds = new Set<string>();
+  private readonly held = new ByteCollector();
+  private readonly pushToReader: Socket['push'];
+  private state = FilterState.PASSED_REPLY;
+  private header = '';
+  private current: ReplyId | undefined;
+  private isIdle = true;
+  private body: BodySkipper | undefined;
+  private discardedBytes = 0;
+
+  constructor(
+    private readonly socket: Socket,
+    private readonly onLateReply: OnLateReply,
+  ) {
+    // Node's parser reads what the socket pushes.
+    this.pushToReader = socket.push.bind(socket);
+    socket.push = (chunk: unknown) => this.receive(chunk);
+  }
+
+  /** Counts the requests with an id that were sent on the connection. */
+  countSent(): number {
+    return this.sentIds.size;
+  }
+
+  /** Returns whether a request with this id was sent on the connection. */
+  hasSent(id: string): boolean {
+    return this.sentIds.has(id);
+  }
+
+  /** Records that a request is about to be sent. */
+  startRequest(replyId: ReplyId | undefined): void {
+    this.isIdle = false;
+    this.current = replyId;
+    if (replyId === undefined) return;
+    this.header = replyId.header;
+    this.sentIds.add(replyId.value);
+  }
+
+  /** Records that the reply is complete and that no request is waiting. */
+  finishRequest(): void {
+    this.isIdle = true;
+    this.current = undefined;
+    if (this.sentIds.size === 0) return;
+    if (this.state === FilterState.PASSED_REPLY) this.state = FilterState.HEAD;
+  }
+
+  private receive(chunk: unknown): boolean {
+    if (!Buffer.isBuffer(chunk)) {
+      this.flushHeld();
+      return this.pushToReader(chunk);
+    }
+    let rest: Buffer = chunk;
+    while (rest.length > 0) {
+      switch (this.state) {
+        case FilterState.PASSED_REPLY:
+          return this.pushToReader(rest);
+        case FilterState.HEAD:
+          rest = this.readHead(rest);
+          break;
+        case FilterState.LATE_BODY:
+          rest = this.discardBodyBytes(rest);
+      }
+    }
+    return true;
+  }
+
+  /** Reads a head, or a part of it; returns the bytes after it. */
+  private readHead(bytes: Buffer): Buffer {
+    const heldBytes = this.held.getLength();
+    if (heldBytes > 0) this.held.add(bytes);
+    const received = heldBytes > 0 ? this.held.getBytes() : bytes;
+    const searchedFrom = Math.max(0, heldBytes - HEAD_END.length + 1);
+    const end = received.indexOf(HEAD_END, searchedFrom);
+    if (end >= 0) {
+      if (heldBytes > 0) this.held.take();
+      return this.applyHead(received, end + HEAD_END.length);
+    }
+    if (heldBytes === 0) this.held.add(bytes);
+    if (this.held.getLength() > MAX_HEAD_BYTES) this.flushHeld();
+    return bytes.subarray(bytes.length);
+  }
+
+  /** Decides on a reply by its head; returns the bytes still to be handled. */
+  private applyHead(received: Buffer, headLength: number): Buffer {
+    const head = new ReplyHeadText(received.toString('latin1', 0, headLength));
+    const rest = received.subarray(headLength);
+    if (head.isInformational()) {
+      this.pushToReader(received.subarray(0, headLength));
+      return rest;
+    }
+    const id = this.findLateId(head);
+    const body = id === undefined ? undefined : makeBodySkipper(head);
+    if (id === undefined || body === undefined) {
+      this.state = FilterState.PASSED_REPLY;
+      return received;
+    }
+    this.onLateReply(id, head.status);
+    this.body = body;
+    this.state = FilterState.LATE_BODY;
+    this.countDiscarded(headLength);
+    // Ends a body without bytes, after which nothing may follow.
+    return this.discardBodyBytes(rest);
+  }
+
+  /** Finds the id of an earlier request that a reply names, if it is late. */
+  private findLateId(head: ReplyHeadText): string | undefined {
+    const isUnnamed = !this.isIdle && this.current === undefined;
+    if (isUnnamed) return undefined;
+    const id = head.findHeader(this.header);
+    if (id === undefined || id === this.current?.value) return undefined;
+    return this.sentIds.has(id) ? id : undefined;
+  }
+
+  private discardBodyBytes(bytes: Buffer): Buffer {
+    const skipped = this.body?.discard(bytes) ?? 0;
+    this.countDiscarded(skipped);
+    if (this.body?.isDone() === true) this.state = FilterState.HEAD;
+    return bytes.subarray(skipped);
+  }
+
+  private countDiscarded(bytes: number): void {
+    this.discardedBytes += bytes;
+    if (this.discardedBytes > MAX_DISCARDED_BYTES) this.socket.destroy();
+  }
+
+  /** Passes on bytes that were held in case they belong to a late reply. */
+  private flushHeld(): void {
+    if (this.held.getLength() === 0) return;
+    this.state = FilterState.PASSED_REPLY;
+    this.pushToReader(this.held.take());
+  }
+}
--- a/packages/router/src/router_parts.ts
+++ b/packages/router/src/router_parts.ts
@@ -219,6 +219,11 @@
       help: 'Bodies and streams given up since all of them took too much memory.',
       read: () => processBuffers.countEvictions(),
     });
+    this.metrics.addGauge({
+      name: 'greengagecross_late_replies',
+      help: 'Late copies of replies of backend servers that were discarded.',
+      read: () => this.backendClient.pool.countLateReplies(),
+    });
     this.metrics.addGauge({
       name: 'greengagecross_store_reached',
       help: '1 if the last call to the store succeeded, otherwise 0.',
