Do not send requests to an id again after its address refused it

Cause: a 421 counted like a refusal for want of room. A server that starts anew under its id is asked at once.

--- a/packages/decisions/src/workers/server_notices.ts
+++ b/packages/decisions/src/workers/server_notices.ts
@@ -1,13 +1,21 @@
-/** What a server says of itself in its replies. */
+/** What a reply says of the server that a request was meant for. */
 export enum ServerNotice {
   /** It is about to leave the fleet and wants no new requests. */
   LEAVING = 'leaving',
   /** It wants no requests from this daemon for some time. */
   PAUSE = 'pause',
+  /** The server at its address has another id. */
+  REPLACED = 'replaced',
 }
 
 /** Longest pause that is respected; a longer one is most likely an error. */
 const MAX_PAUSE_MS = 3_600_000;
+/**
+ * Time for which a server that was replaced is not asked again. Its entry
+ * expires sooner, three registration intervals after its end; it stays longer
+ * only while the store is down.
+ */
+const REPLACED_MS = 5000;
 /** Servers that left are forgotten, the longest ago first. */
 const MAX_SERVERS = 1000;
 
@@ -22,6 +30,7 @@
   readonly startedAtMs: number;
   isLeaving: boolean;
   pausedUntilMs: number;
+  replacedUntilMs: number;
 }
 
 /**
@@ -54,16 +63,29 @@
     record.pausedUntilMs = Math.max(record.pausedUntilMs, untilMs);
   }
 
+  /**
+   * Records that the server at this server's address has another id.
+   *
+   * @return false if that was known
+   */
+  recordReplaced(server: ServerStart, nowMs: number): boolean {
+    const record = this.getRecord(server);
+    const isNew = record.replacedUntilMs <= nowMs;
+    record.replacedUntilMs = nowMs + REPLACED_MS;
+    return isNew;
+  }
+
   /** Returns whether a server takes requests, as far as it said. */
   isAvailable(server: ServerStart, nowMs: number): boolean {
     const record = this.findRecord(server);
     if (record === undefined) return true;
-    return !record.isLeaving && record.pausedUntilMs <= nowMs;
+    if (record.isLeaving || record.replacedUntilMs > nowMs) return false;
+    return record.pausedUntilMs <= nowMs;
   }
 
   /**
    * Computes the time until the first of some servers takes requests, in
-   * milliseconds; undefined if all of them are leaving.
+   * milliseconds; undefined if all of them are leaving or were replaced.
    */
   computeWaitMs(
     servers: readonly ServerStart[],
@@ -72,8 +94,13 @@
     let waitMs: number | undefined;
     for (const server of servers) {
       const record = this.findRecord(server);
-      if (record?.isLeaving === true) continue;
-      const ownMs = Math.max(0, (record?.pausedUntilMs ?? nowMs) - nowMs);
+      const {
+        isLeaving = false,
+        replacedUntilMs = nowMs,
+        pausedUntilMs = nowMs,
+      } = record ?? {};
+      if (isLeaving || replacedUntilMs > nowMs) continue;
+      const ownMs = Math.max(0, pausedUntilMs - nowMs);
       waitMs = Math.min(waitMs ?? ownMs, ownMs);
     }
     return waitMs;
@@ -97,7 +124,12 @@
     const known = this.findRecord(server);
     if (known !== undefined) return known;
     const {id, startedAtMs} = server;
-    const record = {startedAtMs, isLeaving: false, pausedUntilMs: -Infinity};
+    const record = {
+      startedAtMs,
+      isLeaving: false,
+      pausedUntilMs: -Infinity,
+      replacedUntilMs: -Infinity,
+    };
     // Insertion at the end keeps the map in order of the first notice.
     this.records.delete(id);
     this.records.set(id, record);
--- a/packages/decisions/src/workers/server_notices_steps.ts
+++ b/packages/decisions/src/workers/server_notices_steps.ts
@@ -17,13 +17,15 @@
 }
 
 Given(
-  /^a server that ((?:is leaving|wants a pause).*)$/,
+  /^a server that ((?:is leaving|wants a pause|was replaced).*)$/,
   function (this: NoticesWorld, text: string) {
     makeWorld(this);
     for (const event of text.split(', then ')) {
       const seconds = /\d+/.exec(event)?.[0];
       if (event === 'starts anew') this.server = {id: 's', startedAtMs: 2};
-      else if (seconds === undefined) this.notices.recordLeaving(this.server);
+      else if (event === 'was replaced') {
+        this.notices.recordReplaced(this.server, this.nowMs);
+      } else if (seconds === undefined) this.notices.recordLeaving(this.server);
       else {
         const pauseMs = Number(seconds) * 1000;
         this.notices.recordPause(this.server, pauseMs, this.nowMs);
@@ -59,6 +61,12 @@
   },
 );
 
+When('the first of them was replaced', function (this: NoticesWorld) {
+  const server = this.servers.find(({id}) => id === 's1');
+  assert.ok(server);
+  this.notices.recordReplaced(server, this.nowMs);
+});
+
 Then(
   'the first takes requests after {int} s',
   function (this: NoticesWorld, seconds: number) {
--- a/packages/router/src/calls/attempt_recorder.ts
+++ b/packages/router/src/calls/attempt_recorder.ts
@@ -90,6 +90,17 @@
     });
   }
 
+  /** Records that the server at a server's address has another id. */
+  recordReplaced(server: BackendServer): void {
+    this.onUnreachable(server.id);
+    if (!this.notices.recordReplaced(server, readSteadyMs())) return;
+    this.metrics.recordNotice(ServerNotice.REPLACED);
+    logger.log('A server was replaced at its address; it is not asked again.', {
+      server: server.id,
+      service: server.service,
+    });
+  }
+
   /** Records an event of a stream; only the first of an attempt counts. */
   recordEvent(job: CallJob, progress: AttemptProgress): void {
     if (progress.hasEvent) return;
--- a/packages/router/src/calls/backend_attempts.ts
+++ b/packages/router/src/calls/backend_attempts.ts
@@ -150,6 +150,9 @@
       // the connection, which the server may run; so no request follows it.
       if (head.hasRequestId) discardBody(stream);
       else stream.destroy();
+      if (head.status === MISDIRECTED_STATUS) {
+        this.recorder.recordReplaced(server);
+      }
       return makeFailure(AttemptFailureKind.NOT_RUN, server.id, reply);
     }
     const isSuccess = head.status >= 200 && head.status < 300;
--- a/packages/router/src/metrics/router_metrics.ts
+++ b/packages/router/src/metrics/router_metrics.ts
@@ -40,7 +40,7 @@
   });
   private readonly notices = new Counter({
     name: 'greengagecross_server_notices_total',
-    help: 'Replies in which a server says that it is leaving, or wants no requests for some time.',
+    help: 'Replies that say that a server is leaving, wants no requests for some time, or was replaced at its address.',
     labelNames: ['notice'],
     registers: [this.registry],
   });
