Wait for the complete log of a process of a test

Cause: Child reported the end of a process at 'exit', with its log still being written; the check read the file before the last write. Change: the end is reported once the pipes are closed and the log is written. No check changes.

--- a/packages/standins/src/fleet/child.ts
+++ b/packages/standins/src/fleet/child.ts
@@ -26,12 +26,10 @@
     const log = createWriteStream(logFile, {flags: 'a'});
     this.process.stdout?.pipe(log, {end: false});
     this.process.stderr?.pipe(log, {end: false});
+    this.process.once('exit', () => running.delete(this.process));
     this.ended = new Promise(resolve => {
-      this.process.once('exit', code => {
-        running.delete(this.process);
-        log.end();
-        resolve(code);
-      });
+      // At 'exit' the last lines may still be in the pipes.
+      this.process.once('close', code => log.end(() => resolve(code)));
     });
   }
 
@@ -50,7 +48,10 @@
     return this.process.exitCode === null && this.process.signalCode === null;
   }
 
-  /** Waits for the end; returns the exit code, null after a signal. */
+  /**
+   * Waits for the end and for the complete log; returns the exit code, null
+   * after a signal.
+   */
   waitEnd(): Promise<number | null> {
     return this.ended;
   }
