Join no part of a late copy to the reply after it

Cause: the part has no end of its own, so that the next reply is read as its rest: its status and 'not executed' with the id of the request under way. While idle, the filter held the part, where before it the connection was closed. The class is the same: bytes are matched to a send by their place.

Change: an idle connection that has received a part of a reply carries no request, nor does one after 64 KiB of copies; a head in which another status line begins closes its connection, and the request counts as possibly run. A copy with malformed chunks closes it at once, a longer body than 64 KiB is not skipped. A copy of a reply to HEAD has no body. A 421 without an id marks no server as replaced.

With it: a connection that is closed while idle leaves the pool at once.

--- a/packages/decisions/src/workers/server_notices.ts
+++ b/packages/decisions/src/workers/server_notices.ts
@@ -12,8 +12,7 @@
 const MAX_PAUSE_MS = 3_600_000;
 /**
  * Time for which a server that was replaced is not asked again. Its entry
- * expires sooner, three registration intervals after its end; it stays longer
- * only while the store is down.
+ * usually expires sooner; limited because a server may say so in error.
  */
 const REPLACED_MS = 5000;
 /** Servers that left are forgotten, the longest ago first. */
--- a/packages/http/src/body_skipper.ts
+++ b/packages/http/src/body_skipper.ts
@@ -15,6 +15,11 @@
 
   /** Returns whether the body has ended. */
   abstract isDone(): boolean;
+
+  /** Returns whether the end of the body cannot be found. */
+  isMalformed(): boolean {
+    return false;
+  }
 }
 
 class LengthSkipper extends BodySkipper {
@@ -70,6 +75,10 @@
     return this.part === ChunkPart.END;
   }
 
+  override isMalformed(): boolean {
+    return this.part === ChunkPart.MALFORMED;
+  }
+
   private addToLine(byte: number): void {
     if (byte === NEWLINE) {
       this.applyLine(this.line);
@@ -96,16 +105,27 @@
   }
 }
 
-/** Makes the skipper for a reply; undefined if its body has no known end. */
-export function makeBodySkipper(head: ReplyHeadText): BodySkipper | undefined {
-  if (BODILESS_STATUSES.has(head.status)) return new LengthSkipper(0);
+/**
+ * Makes the skipper for a reply; undefined if its body has no known end, or has
+ * more bytes than the limit.
+ *
+ * @param isBodiless whether the reply has no body whatever its head says
+ */
+export function makeBodySkipper(
+  head: ReplyHeadText,
+  isBodiless: boolean,
+  limitBytes: number,
+): BodySkipper | undefined {
+  if (isBodiless || BODILESS_STATUSES.has(head.status)) {
+    return new LengthSkipper(0);
+  }
   const encoding = head.findHeader('transfer-encoding');
   if (encoding !== undefined) {
     return encoding.toLowerCase() === 'chunked'
       ? new ChunkSkipper()
       : undefined;
   }
-  const length = head.findHeader('content-length');
-  if (length === undefined || !LENGTH_PATTERN.test(length)) return undefined;
-  return new LengthSkipper(Number(length));
+  const length = head.findHeader('content-length') ?? '';
+  const isKnown = LENGTH_PATTERN.test(length) && Number(length) <= limitBytes;
+  return isKnown ? new LengthSkipper(Number(length)) : undefined;
 }
--- a/packages/http/src/connection_pool.ts
+++ b/packages/http/src/connection_pool.ts
@@ -2,6 +2,7 @@
 import {Socket} from 'node:net';
 import type {Duplex} from 'node:stream';
 import {Logger, type Address} from '@greengagecross/common';
+import type {FilteredRequest} from './late_reply_filter.js';
 import type {ReplyId} from './outgoing_request.js';
 import {PooledConnection, type ConnectionUse} from './pooled_connection.js';
 import {SocketByteCounter} from './socket_byte_counter.js';
@@ -47,7 +48,7 @@
   }
 
   /** Records that a request is about to be sent on a connection. */
-  startRequest(stream: Duplex, replyId: ReplyId | undefined): ConnectionUse {
+  startRequest(stream: Duplex, request: FilteredRequest): ConnectionUse {
     let connection = this.connections.get(stream);
     if (connection === undefined) {
       connection = new PooledConnection(stream, (id, status) =>
@@ -55,13 +56,12 @@
       );
       this.connections.set(stream, connection);
     }
-    return connection.startRequest(replyId);
+    return connection.startRequest(request);
   }
 
   /** Node calls this when a connection becomes idle. */
   override keepSocketAlive(stream: Duplex): boolean {
-    const connection = this.connections.get(stream);
-    if (connection?.finishRequest() === false) return false;
+    this.connections.get(stream)?.finishRequest();
     stream.once('data', closeOnData);
     // Node returns whether the connection may be kept; its types say void.
     return super.keepSocketAlive(stream) as unknown as boolean;
@@ -73,18 +73,13 @@
     super.reuseSocket(stream, request);
   }
 
-  /**
-   * Closes the idle connections to an address on which a request was sent
-   * before. A late copy of the reply to it could not be told from the reply to
-   * the same request, sent once more.
-   */
-  closeUsedFor({value}: ReplyId, {host, port}: Address): void {
+  /** Closes the idle connections to an address that may not carry a request. */
+  closeUnusable({host, port}: Address, replyId: ReplyId | undefined): void {
     const idle = this.freeSockets[this.getName({host, port})] ?? [];
     for (const socket of [...idle]) {
-      if (this.connections.get(socket)?.hasSent(value) !== true) continue;
-      // Removes it from the pool at once; a close is noticed later.
-      socket.emit('agentRemove');
-      socket.destroy();
+      const isUsable =
+        this.connections.get(socket)?.isUsableFor(replyId) ?? true;
+      if (socket.destroyed || !isUsable) closeAtOnce(socket);
     }
   }
 
@@ -93,7 +88,7 @@
     const prefix = `${host}:${port}:`;
     for (const [name, sockets] of Object.entries(this.freeSockets)) {
       if (!name.startsWith(prefix)) continue;
-      for (const socket of sockets ?? []) socket.destroy();
+      for (const socket of [...(sockets ?? [])]) closeAtOnce(socket);
     }
   }
 
@@ -109,5 +104,14 @@
 }
 
 function closeOnData(this: Duplex): void {
-  this.destroy();
+  closeAtOnce(this);
+}
+
+/**
+ * Closes an idle connection and removes it from its pool, which otherwise could
+ * still give it to a request before the close is noticed.
+ */
+function closeAtOnce(stream: Duplex): void {
+  stream.destroy();
+  stream.emit('agentRemove');
 }
--- a/packages/http/src/http_client.ts
+++ b/packages/http/src/http_client.ts
@@ -88,7 +88,7 @@
 
   private startRequest(outgoing: OutgoingRequest): ClientRequest {
     const {address, replyId} = outgoing;
-    if (replyId !== undefined) this.pool.closeUsedFor(replyId, address);
+    this.pool.closeUnusable(address, replyId);
     const clientRequest = request({
       agent: this.pool,
       host: address.host,
@@ -155,7 +155,7 @@
     private readonly pool: ConnectionPool,
   ) {
     clientRequest.once('socket', socket => {
-      this.connectionUse = pool.startRequest(socket, outgoing.replyId);
+      this.connectionUse = pool.startRequest(socket, outgoing);
       this.onSocket(socket);
     });
     clientRequest.once('close', () => clearTimeout(this.connectTimer));
--- a/packages/http/src/late_reply_filter.ts
+++ b/packages/http/src/late_reply_filter.ts
@@ -1,13 +1,15 @@
 import type {Socket} from 'node:net';
 import {makeBodySkipper, type BodySkipper} from './body_skipper.js';
 import {ByteCollector} from './byte_collector.js';
-import type {ReplyId} from './outgoing_request.js';
+import type {OutgoingRequest, ReplyId} from './outgoing_request.js';
 import {ReplyHeadText} from './reply_head_text.js';
 
 const HEAD_END = '\r\n\r\n';
 /** Node accepts no longer head. */
 const MAX_HEAD_BYTES = 16 * 1024;
-/** Discarded bytes of one connection; a server that sends more is cut off. */
+/** Longest body of a late reply that is skipped. */
+const MAX_LATE_BODY_BYTES = 64 * 1024;
+/** Bytes of late replies after which a connection carries no other request. */
 const MAX_DISCARDED_BYTES = 64 * 1024;
 
 /** What the next received byte belongs to. */
@@ -23,15 +25,21 @@
 /** Called for each late reply with the id that it names and its status. */
 export type OnLateReply = (id: string, status: number) => void;
 
+/** A request as far as it decides how its reply is read. */
+export type FilteredRequest = Pick<OutgoingRequest, 'method' | 'replyId'>;
+
 /**
  * Discards late replies on a keep-alive connection: replies that name a request
  * which was sent on it earlier and is answered already. Node would take such a
  * reply for the answer to the current request.
  *
- * It relies on each id being sent at most once on a connection.
+ * It relies on each id being sent at most once on a connection. A copy may be cut
+ * short; what follows then must not be read as a part of it, nor it as a part of
+ * what follows.
  */
 export class LateReplyFilter {
-  private readonly sentIds = new Set<string>();
+  /** By id, whether the reply has no body whatever its head says. */
+  private readonly sentIds = new Map<string, boolean>();
   private readonly held = new ByteCollector();
   private readonly pushToReader: Socket['push'];
   private state = FilterState.PASSED_REPLY;
@@ -39,6 +47,7 @@
   private current: ReplyId | undefined;
   private isIdle = true;
   private body: BodySkipper | undefined;
+  private lateBodyBytes = 0;
   private discardedBytes = 0;
 
   constructor(
@@ -55,18 +64,25 @@
     return this.sentIds.size;
   }
 
+  /** Returns whether the next byte received begins a reply. */
+  isBetweenReplies(): boolean {
+    if (this.discardedBytes > MAX_DISCARDED_BYTES) return false;
+    const isInBody = this.state === FilterState.LATE_BODY;
+    return !isInBody && this.held.getLength() === 0;
+  }
+
   /** Returns whether a request with this id was sent on the connection. */
   hasSent(id: string): boolean {
     return this.sentIds.has(id);
   }
 
   /** Records that a request is about to be sent. */
-  startRequest(replyId: ReplyId | undefined): void {
+  startRequest({method, replyId}: FilteredRequest): void {
     this.isIdle = false;
     this.current = replyId;
     if (replyId === undefined) return;
     this.header = replyId.header;
-    this.sentIds.add(replyId.value);
+    this.sentIds.set(replyId.value, method === 'HEAD');
   }
 
   /** Records that the reply is complete and that no request is waiting. */
@@ -121,8 +137,12 @@
       this.pushToReader(received.subarray(0, headLength));
       return rest;
     }
+    if (head.hasOtherStatusLine()) {
+      this.socket.destroy();
+      return received.subarray(received.length);
+    }
     const id = this.findLateId(head);
-    const body = id === undefined ? undefined : makeBodySkipper(head);
+    const body = this.makeLateBody(id, head);
     if (id === undefined || body === undefined) {
       this.state = FilterState.PASSED_REPLY;
       return received;
@@ -130,30 +150,44 @@
     this.onLateReply(id, head.status);
     this.body = body;
     this.state = FilterState.LATE_BODY;
+    this.lateBodyBytes = 0;
     this.countDiscarded(headLength);
-    // Ends a body without bytes, after which nothing may follow.
+    // A body without bytes ends here, even if no other byte arrives.
     return this.discardBodyBytes(rest);
   }
 
   /** Finds the id of an earlier request that a reply names, if it is late. */
   private findLateId(head: ReplyHeadText): string | undefined {
     const isUnnamed = !this.isIdle && this.current === undefined;
-    if (isUnnamed) return undefined;
+    if (isUnnamed || head.status === 0) return undefined;
     const id = head.findHeader(this.header);
     if (id === undefined || id === this.current?.value) return undefined;
     return this.sentIds.has(id) ? id : undefined;
   }
 
+  private makeLateBody(
+    id: string | undefined,
+    head: ReplyHeadText,
+  ): BodySkipper | undefined {
+    if (id === undefined) return undefined;
+    const isBodiless = this.sentIds.get(id) === true;
+    return makeBodySkipper(head, isBodiless, MAX_LATE_BODY_BYTES);
+  }
+
   private discardBodyBytes(bytes: Buffer): Buffer {
-    const skipped = this.body?.discard(bytes) ?? 0;
-    this.countDiscarded(skipped);
+    const count = this.body?.discard(bytes) ?? 0;
+    this.lateBodyBytes += count;
+    this.countDiscarded(count);
+    const isTooLong = this.lateBodyBytes > MAX_LATE_BODY_BYTES;
+    if (isTooLong || this.body?.isMalformed() === true) this.socket.destroy();
     if (this.body?.isDone() === true) this.state = FilterState.HEAD;
-    return bytes.subarray(skipped);
+    return bytes.subarray(count);
   }
 
   private countDiscarded(bytes: number): void {
     this.discardedBytes += bytes;
-    if (this.discardedBytes > MAX_DISCARDED_BYTES) this.socket.destroy();
+    const isTooMuch = this.discardedBytes > MAX_DISCARDED_BYTES;
+    if (isTooMuch && this.isIdle) this.socket.destroy();
   }
 
   /** Passes on bytes that were held in case they belong to a late reply. */
--- a/packages/http/src/pooled_connection.ts
+++ b/packages/http/src/pooled_connection.ts
@@ -1,6 +1,10 @@
 import {Socket} from 'node:net';
 import type {Duplex} from 'node:stream';
-import {LateReplyFilter, type OnLateReply} from './late_reply_filter.js';
+import {
+  LateReplyFilter,
+  type FilteredRequest,
+  type OnLateReply,
+} from './late_reply_filter.js';
 import type {ReplyId} from './outgoing_request.js';
 
 /** Which connection carried a request, and what it had carried before. */
@@ -32,29 +36,38 @@
   }
 
   /** Records that a request is about to be sent. */
-  startRequest(replyId: ReplyId | undefined): ConnectionUse {
+  startRequest(request: FilteredRequest): ConnectionUse {
+    const {replyId} = request;
     const use = {
       connection: this.number,
       requestsBefore: this.requests,
-      wasSentBefore: replyId !== undefined && this.hasSent(replyId.value),
+      wasSentBefore: this.hasSent(replyId),
     };
     this.requests += 1;
-    this.filter?.startRequest(replyId);
+    this.filter?.startRequest(request);
     return use;
   }
 
+  /** Records that the reply is complete and that no request is waiting. */
+  finishRequest(): void {
+    this.filter?.finishRequest();
+  }
+
   /**
-   * Records that the reply is complete.
-   *
-   * @return whether the connection may carry another request
+   * Returns whether the idle connection may carry a request. It may not if it
+   * carried one with the same id: a late copy of the reply to that one could not
+   * be told from the reply to this one.
    */
-  finishRequest(): boolean {
-    this.filter?.finishRequest();
-    return (this.filter?.countSent() ?? 0) < MAX_REQUESTS;
+  isUsableFor(replyId: ReplyId | undefined): boolean {
+    const {filter} = this;
+    if (filter === undefined) return true;
+    const isFull = filter.countSent() >= MAX_REQUESTS;
+    return !isFull && filter.isBetweenReplies() && !this.hasSent(replyId);
   }
 
-  /** Returns whether a request with this id was sent on the connection. */
-  hasSent(id: string): boolean {
-    return this.filter?.hasSent(id) === true;
+  private hasSent(replyId: ReplyId | undefined): boolean {
+    return (
+      replyId !== undefined && this.filter?.hasSent(replyId.value) === true
+    );
   }
 }
--- a/packages/http/src/reply_head_text.ts
+++ b/packages/http/src/reply_head_text.ts
@@ -1,4 +1,5 @@
 const STATUS_LINE = /^HTTP\/1\.[01] (\d{3})/;
+const LATER_STATUS_LINE = /.HTTP\/1\.[01] \d{3}/s;
 
 /** Status line and headers of a reply, as they were received. */
 export class ReplyHeadText {
@@ -10,6 +11,14 @@
     this.status = Number(STATUS_LINE.exec(text)?.[1] ?? 0);
   }
 
+  /**
+   * Returns whether another head begins inside of this one, which was cut short
+   * then.
+   */
+  hasOtherStatusLine(): boolean {
+    return LATER_STATUS_LINE.test(this.text);
+  }
+
   /** Returns whether the final head of the reply is still to come. */
   isInformational(): boolean {
     return this.status >= 100 && this.status < 200;
--- a/packages/router/src/calls/attempt_recorder.ts
+++ b/packages/router/src/calls/attempt_recorder.ts
@@ -95,10 +95,13 @@
     this.onUnreachable(server.id);
     if (!this.notices.recordReplaced(server, readSteadyMs())) return;
     this.metrics.recordNotice(ServerNotice.REPLACED);
-    logger.log('A server was replaced at its address; it is not asked again.', {
-      server: server.id,
-      service: server.service,
-    });
+    logger.log(
+      'A server was replaced at its address; it gets no requests for a while.',
+      {
+        server: server.id,
+        service: server.service,
+      },
+    );
   }
 
   /** Records an event of a stream; only the first of an attempt counts. */
--- a/packages/router/src/calls/backend_attempts.ts
+++ b/packages/router/src/calls/backend_attempts.ts
@@ -150,7 +150,7 @@
       // the connection, which the server may run; so no request follows it.
       if (head.hasRequestId) discardBody(stream);
       else stream.destroy();
-      if (head.status === MISDIRECTED_STATUS) {
+      if (head.status === MISDIRECTED_STATUS && head.hasRequestId) {
         this.recorder.recordReplaced(server);
       }
       return makeFailure(AttemptFailureKind.NOT_RUN, server.id, reply);
