Tell the HTTP client how replies to attempts are named

Chats, resumes, cancels and calls of plain services now set replyId to the attempt's x-request-id. No decision changes; the client only records the id so far.

--- a/packages/backend/src/http_engine_client.ts
+++ b/packages/backend/src/http_engine_client.ts
@@ -11,6 +11,7 @@
   type OpenReply,
   type OutgoingHeaders,
   type OutgoingRequest,
+  type ReplyId,
 } from '@greengagecross/http';
 import type {BackendCall} from './backend_call.js';
 import {BackendError} from './backend_error.js';
@@ -52,6 +53,14 @@
   };
 }
 
+/**
+ * Builds the id that replies to a call carry. It belongs to one attempt, also in
+ * replies to the requests that resume or cancel the attempt's stream.
+ */
+export function buildReplyId(call: BackendCall): ReplyId {
+  return {header: BackendHeader.REQUEST_ID, value: call.attemptId};
+}
+
 /** Client of a model engine over HTTP. */
 export class HttpEngineClient extends EngineClient {
   constructor(
@@ -95,6 +104,7 @@
         address: {host, port},
         method: 'DELETE',
         path: `/v1/streams/${call.attemptId}`,
+        replyId: buildReplyId(call),
         ...this.timeouts,
       })
       .pipe(
@@ -127,7 +137,12 @@
   ): Effect.Effect<OpenReply, BackendError> {
     const {id, host, port} = call.server;
     return this.client
-      .open({address: {host, port}, ...request, ...this.timeouts})
+      .open({
+        address: {host, port},
+        ...request,
+        replyId: buildReplyId(call),
+        ...this.timeouts,
+      })
       .pipe(
         Effect.mapError(error => toBackendError(id, error)),
         Effect.flatMap(reply => {
--- a/packages/backend/src/http_service_client.ts
+++ b/packages/backend/src/http_service_client.ts
@@ -5,6 +5,7 @@
 import {BackendFailure} from './backend_failure.js';
 import {
   buildCallHeaders,
+  buildReplyId,
   type BackendTimeouts,
   type OnLeaving,
 } from './http_engine_client.js';
@@ -38,6 +39,7 @@
         path: request.path,
         headers: {...request.headers, ...buildCallHeaders(call)},
         body: request.body,
+        replyId: buildReplyId(call),
         ...this.timeouts,
       })
       .pipe(
