--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -17,6 +17,7 @@
 export * from './callers/answer_refusal.js';
 export * from './callers/repeatable_dispatcher.js';
 export * from './callers/service_job.js';
+export * from './callers/at_most_once_dispatcher.js';
 export * from './suspects/permissive_guard.js';
 export * from './relay/chat_stream.js';
 export * from './relay/stream_check.js';
