--- a/packages/router/src/ports/call_codec.ts
+++ b/packages/router/src/ports/call_codec.ts
@@ -23,10 +23,13 @@
   /** Returns how replies name a request; undefined if it has no id. */
   abstract getReplyId(call: ClientCall): ReplyId | undefined;
 
-  /** Decodes the head of a backend server's reply. */
+  /**
+   * Decodes the head of a backend server's reply. Whether a reply without the
+   * request's id belongs to it may depend on what its connection had carried.
+   */
   abstract decodeReply(
     call: ClientCall,
-    reply: Pick<OpenReply, 'status' | 'headers'>,
+    reply: Pick<OpenReply, 'status' | 'headers' | 'connectionUse'>,
   ): BackendReplyHead;
 
   /**
