Show that a caller may get the answer to another call

At a worker whose answers carry no x-request-id, as plain services may, the copy of a refusal is rejected for the attempt that it reaches, but its connection stays in use. That attempt's own answer then comes to the next call on it, and nothing tells whose it is.

--- a/packages/standins/src/promises/repeated_refusals.feature
+++ b/packages/standins/src/promises/repeated_refusals.feature
@@ -60,3 +60,19 @@
       | at-most-once call | before its next answer               |
       | at-most-once call | before its next answer in two pieces |
       | at-most-once call | some milliseconds later              |
+
+  # Guards against an answer that names no attempt and comes on a connection
+  # whose earlier reply belonged to another attempt.
+  Scenario Outline: No <kind> gets another's answer at a backend server that repeats refusals <moment> and whose answers name no attempt
+    Given the path of <kind>s in front of a backend server that repeats refusals <moment>
+    And its answers name no attempt
+    When callers send 300 <kind>s, 10 at a time
+    Then no request was answered with the answer to another one
+    And no request that was told not-run ran
+
+    Examples:
+      | kind              | moment                  |
+      | repeatable call   | before its next answer  |
+      | repeatable call   | some milliseconds later |
+      | at-most-once call | before its next answer  |
+      | at-most-once call | some milliseconds later |
--- a/packages/standins/src/promises/repeated_refusals_steps.ts
+++ b/packages/standins/src/promises/repeated_refusals_steps.ts
@@ -96,6 +96,10 @@
   },
 );
 
+Given('its answers name no attempt', function (this: RepeatedWorld) {
+  this.backend.namesAttempts = false;
+});
+
 When(
   /^callers send (\d+) (?:streamed chat|non-streamed chat|repeatable call|at-most-once call)s, (\d+) at a time$/,
   async function (this: RepeatedWorld, count: string, atOnce: string) {
@@ -167,6 +171,17 @@
   },
 );
 
+Then(
+  'no request was answered with the answer to another one',
+  function (this: RepeatedWorld) {
+    const wrong = this.told.filter(
+      ({outcome, isOwnAnswer}) => outcome === Outcome.COMPLETE && !isOwnAnswer,
+    );
+    const text = `${wrong.length} wrong answers; ${countOutcomes(this)}`;
+    assert.equal(wrong.length, 0, text);
+  },
+);
+
 Then(
   'each request was answered completely or told not-run',
   function (this: RepeatedWorld) {
--- a/packages/standins/src/promises/repeating_backend.ts
+++ b/packages/standins/src/promises/repeating_backend.ts
@@ -53,6 +53,8 @@
   repeats = 0;
   /** Every how many requests one is refused; 0 for none. */
   refuseEvery = 0;
+  /** Whether its answers, other than refusals, carry the attempt's id. */
+  namesAttempts = true;
   connections = 0;
   private readonly server: Server;
   private readonly sockets = new Set<Socket>();
@@ -116,7 +118,8 @@
     }
     this.runs.push(request.attemptId);
     this.writeRepeated(connection);
-    setTimeout(() => socket.write(makeAnswer(request)), WORK_MS);
+    const answer = makeAnswer(request, this.namesAttempts);
+    setTimeout(() => socket.write(answer), WORK_MS);
   }
 
   private refuse(connection: BackendConnection, attemptId: string): void {
@@ -164,8 +167,13 @@
   return {method, path, attemptId, body};
 }
 
-function makeAnswer({path, attemptId, body}: ReceivedRequest): string {
-  if (path !== CHAT_PATH) return makeReply('200 OK', attemptId, body);
+function makeAnswer(
+  {path, attemptId, body}: ReceivedRequest,
+  namesAttempt: boolean,
+): string {
+  if (path !== CHAT_PATH) {
+    return makeReply('200 OK', namesAttempt ? attemptId : '', body);
+  }
   const chat = JSON.parse(body) as StandinChatBody;
   const tokens = computeAnswerTokens(chat);
   if (chat.stream === true) {
@@ -185,6 +193,7 @@
   return makeReply('200 OK', attemptId, JSON.stringify(completion));
 }
 
+/** @param attemptId empty for a reply that names no attempt */
 function makeReply(
   status: string,
   attemptId: string,
@@ -193,7 +202,7 @@
 ): string {
   const lines = [
     `HTTP/1.1 ${status}`,
-    `${BackendHeader.REQUEST_ID}: ${attemptId}`,
+    ...(attemptId === '' ? [] : [`${BackendHeader.REQUEST_ID}: ${attemptId}`]),
     ...headers,
     `content-length: ${body.length}`,
   ];
