--- a/packages/standins/src/promises/repeated_refusals_steps.ts
+++ b/packages/standins/src/promises/repeated_refusals_steps.ts
@@ -25,10 +25,10 @@
 
 /** World of the scenarios with one backend server that repeats refusals. */
 interface RepeatedWorld extends World {
-  backend: RepeatingBackend;
-  fixture: ChatFixture | ServiceFixture;
+  repeatingBackend: RepeatingBackend;
+  repeatedPath: ChatFixture | ServiceFixture;
   sendWork: SendWork;
-  told: ToldRequest[];
+  toldRequests: ToldRequest[];
   isAtMostOnce: boolean;
 }
 
@@ -78,26 +78,29 @@
     const [backendPort = 0, daemonPort = 0] = await findFreePorts(2);
     const address = {host: HOST, port: backendPort};
     const daemon = {host: HOST, port: daemonPort};
-    this.told = [];
+    this.toldRequests = [];
     this.isAtMostOnce = kind === 'at-most-once call';
-    this.backend = new RepeatingBackend(address, moment as RepeatMoment);
-    this.backend.refuseEvery = REFUSE_EVERY;
-    await this.backend.start();
+    this.repeatingBackend = new RepeatingBackend(
+      address,
+      moment as RepeatMoment,
+    );
+    this.repeatingBackend.refuseEvery = REFUSE_EVERY;
+    await this.repeatingBackend.start();
     if (kind.endsWith('chat')) {
       const fixture = new ChatFixture(daemon, address);
       this.sendWork = makeChatSender(fixture, kind === 'streamed chat');
-      this.fixture = fixture;
+      this.repeatedPath = fixture;
     } else {
       const fixture = new ServiceFixture(daemon, address);
       this.sendWork = makeCallSender(fixture, this.isAtMostOnce);
-      this.fixture = fixture;
+      this.repeatedPath = fixture;
     }
-    await this.fixture.start();
+    await this.repeatedPath.start();
   },
 );
 
 Given('its answers name no attempt', function (this: RepeatedWorld) {
-  this.backend.namesAttempts = false;
+  this.repeatingBackend.namesAttempts = false;
 });
 
 When(
@@ -105,7 +108,7 @@
   async function (this: RepeatedWorld, count: string, atOnce: string) {
     await runConcurrently(Number(count), Number(atOnce), async index => {
       const key = makeIdempotencyKey(Date.now());
-      this.told.push(await this.sendWork(`work-${index}`, key));
+      this.toldRequests.push(await this.sendWork(`work-${index}`, key));
     });
   },
 );
@@ -117,7 +120,7 @@
       const key = makeIdempotencyKey(Date.now());
       for (let sends = 0; sends < MAX_SENDS; sends += 1) {
         const told = await this.sendWork(`work-${index}`, key);
-        this.told.push(told);
+        this.toldRequests.push(told);
         if (told.outcome !== Outcome.NOT_RUN) return;
       }
     });
@@ -126,35 +129,39 @@
 
 /** Returns the ids of the requests of which an attempt ran, once per run. */
 function listRunRequests(world: RepeatedWorld): string[] {
-  return world.backend.runs.map(attemptId => attemptId.split('.')[0] ?? '');
+  return world.repeatingBackend.runs.map(
+    attemptId => attemptId.split('.')[0] ?? '',
+  );
 }
 
 function countOutcomes(world: RepeatedWorld): string {
   const counts = new Map<string, number>();
-  for (const {outcome = 'no outcome'} of world.told) {
+  for (const {outcome = 'no outcome'} of world.toldRequests) {
     counts.set(outcome, (counts.get(outcome) ?? 0) + 1);
   }
   const texts = [...counts].map(([outcome, count]) => `${count} ${outcome}`);
-  const {runs, repeats, connections} = world.backend;
+  const {runs, repeats, connections} = world.repeatingBackend;
   return `${texts.join(', ')}; ${runs.length} ran, ${repeats} refusals repeated, ${connections} connections`;
 }
 
 Then('no request that was told not-run ran', function (this: RepeatedWorld) {
   const ran = new Set(listRunRequests(this));
-  const broken = this.told.filter(
+  const broken = this.toldRequests.filter(
     ({outcome, requestId}) => outcome === Outcome.NOT_RUN && ran.has(requestId),
   );
   assert.deepEqual(broken, [], countOutcomes(this));
-  assert.ok(this.told.every(({requestId}) => requestId !== ''));
-  assert.ok(this.backend.repeats > 0, 'no refusal was repeated');
+  assert.ok(this.toldRequests.every(({requestId}) => requestId !== ''));
+  assert.ok(this.repeatingBackend.repeats > 0, 'no refusal was repeated');
 });
 
 Then(
   'at least {int} requests were told not-run and at least {int} ran',
   function (this: RepeatedWorld, refused: number, ran: number) {
-    const notRun = this.told.filter(({outcome}) => outcome === Outcome.NOT_RUN);
+    const notRun = this.toldRequests.filter(
+      ({outcome}) => outcome === Outcome.NOT_RUN,
+    );
     assert.ok(notRun.length >= refused, countOutcomes(this));
-    assert.ok(this.backend.runs.length >= ran, countOutcomes(this));
+    assert.ok(this.repeatingBackend.runs.length >= ran, countOutcomes(this));
   },
 );
 
@@ -163,7 +170,7 @@
   function (this: RepeatedWorld) {
     if (!this.isAtMostOnce) return;
     const workOf = new Map(
-      this.told.map(told => [told.requestId, told.workId]),
+      this.toldRequests.map(told => [told.requestId, told.workId]),
     );
     const works = listRunRequests(this).map(id => workOf.get(id));
     assert.ok(!works.includes(undefined), 'a run of an unknown request');
@@ -174,7 +181,7 @@
 Then(
   'no request was answered with the answer to another one',
   function (this: RepeatedWorld) {
-    const wrong = this.told.filter(
+    const wrong = this.toldRequests.filter(
       ({outcome, isOwnAnswer}) => outcome === Outcome.COMPLETE && !isOwnAnswer,
     );
     const text = `${wrong.length} wrong answers; ${countOutcomes(this)}`;
@@ -185,7 +192,7 @@
 Then(
   'each request was answered completely or told not-run',
   function (this: RepeatedWorld) {
-    const failed = this.told.filter(({outcome, isOwnAnswer}) =>
+    const failed = this.toldRequests.filter(({outcome, isOwnAnswer}) =>
       outcome === Outcome.COMPLETE ? !isOwnAnswer : outcome !== Outcome.NOT_RUN,
     );
     assert.equal(failed.length, 0, countOutcomes(this));
@@ -193,7 +200,7 @@
 );
 
 After(async function (this: RepeatedWorld) {
-  if (this.backend === undefined) return;
-  await this.fixture.stop();
-  this.backend.stop();
+  if (this.repeatingBackend === undefined) return;
+  await this.repeatedPath.stop();
+  this.repeatingBackend.stop();
 });
