Close a connection to a backend server after a reply that is not the attempt's own

Callers of plain services got the complete answer to another call. Cause: after a reply that belonged to another attempt, the connection stayed in use, and the attempt's own reply came to the next request on it; an answer without an id cannot be told apart. Replies with ids made the next request fail in its turn.

Change: such a reply's connection is closed, as the router does; the connection is kept only after a refusal with the attempt's own id.

--- a/packages/backend/src/http_engine_client.ts
+++ b/packages/backend/src/http_engine_client.ts
@@ -5,18 +5,18 @@
   toError,
   type BackendServer,
 } from '@greengagecross/common';
-import {
-  discardBody,
-  type HttpClient,
-  type OpenReply,
-  type OutgoingHeaders,
-  type OutgoingRequest,
-  type ReplyId,
+import type {
+  HttpClient,
+  OpenReply,
+  OutgoingHeaders,
+  OutgoingRequest,
+  ReplyId,
 } from '@greengagecross/http';
 import type {BackendCall} from './backend_call.js';
 import {BackendError} from './backend_error.js';
 import {BackendFailure} from './backend_failure.js';
 import {BackendHeader} from './backend_headers.js';
+import {closeOrDiscard} from './close_or_discard.js';
 import {EngineClient} from './engine_client.js';
 import {EngineLoadSchema, type EngineLoad} from './engine_load.js';
 import {
@@ -149,7 +149,7 @@
           if (isLeavingReply(call, reply)) this.onLeaving(id);
           const replyError = findReplyError(call, reply);
           if (replyError === undefined) return Effect.succeed(reply);
-          discardBody(reply.stream);
+          closeOrDiscard(call, reply);
           return Effect.fail(replyError);
         }),
       );
--- a/packages/backend/src/is_complete_matching_reply.ts
+++ b/packages/backend/src/is_complete_matching_reply.ts
@@ -4,6 +4,15 @@
 
 const BODILESS_STATUSES = new Set([204, 304]);
 
+/** Returns whether a reply carries the id of another attempt. */
+export function isReplyToOther(
+  call: BackendCall,
+  reply: Pick<HttpReply, 'headers'>,
+): boolean {
+  const echoed = reply.headers[BackendHeader.REQUEST_ID];
+  return echoed !== undefined && echoed !== call.attemptId;
+}
+
 /**
  * Returns whether a plain service's reply is complete and belongs to the call.
  *
@@ -17,8 +26,7 @@
   reply: HttpReply,
 ): boolean {
   const {headers, status} = reply;
-  const echoed = headers[BackendHeader.REQUEST_ID];
-  if (echoed !== undefined && echoed !== call.attemptId) return false;
+  if (isReplyToOther(call, reply)) return false;
   if (method === 'HEAD' || BODILESS_STATUSES.has(status)) return true;
   if (headers['content-length'] !== undefined) return true;
   return headers['transfer-encoding'] === 'chunked';
