--- a/packages/http/src/body_skipper.ts
+++ b/packages/http/src/body_skipper.ts
@@ -45,7 +45,7 @@
   DATA,
   TRAILER_LINE,
   END,
-  /** Bytes that are no chunks; all that follow are skipped. */
+  /** Bytes that are no chunks, so that the end cannot be found. */
   MALFORMED,
 }
 
