Blame no prompt for a cut at a server whose crash another daemon has found

Cause: a cut at a server that has crashed and has not replied since counts for nothing, as its listener may outlive it; but each daemon knew only the crashes that it had found itself.

Change: the reports of other daemons name the servers that crashed; they count as down here too until they reply. A crash before the last reply is over, so that repeated reports do not bring it back.

--- a/packages/daemon/src/suspects/shared_text_guard.ts
+++ b/packages/daemon/src/suspects/shared_text_guard.ts
@@ -55,7 +55,7 @@
           if (result === undefined) return Effect.void;
           const {id} = attempt.server;
           if (Result.isSuccess(result)) {
-            this.crashed.recordReply(id);
+            this.crashed.recordReply(id, readSteadyMs());
             return this.recordAnswer(request);
           }
           if (result.failure.failure !== BackendFailure.CRASHED) {
--- a/packages/router/src/suspects/crash_guard.ts
+++ b/packages/router/src/suspects/crash_guard.ts
@@ -28,7 +28,6 @@
 /** Time in which a trial of a suspect has a verdict. */
 const TRIAL_MS = 15_000;
 const MIN_RETRY_AFTER_MS = 1000;
-const MAX_REPLIED_SERVERS = 5000;
 const logger = new Logger('suspects');
 
 /** Why a request is not sent to a server, or that it may be. */
@@ -61,8 +60,6 @@
 export class CrashGuard {
   private readonly cuts = new CutAttempts();
   private readonly crashed = new CrashedServers();
-  /** Servers that have replied to this daemon since it started. */
-  private readonly replied = new Set<string>();
   private readonly probes = new Map<string, Deferred.Deferred<void>>();
   /** When a trial of a suspect began here, on the monotonic clock. */
   private readonly trialsAtMs = new Map<string, number>();
@@ -120,9 +117,7 @@
 
   /** Records that a server replied, whatever its reply was. */
   recordReply(serverId: string): void {
-    this.crashed.recordReply(serverId);
-    if (this.replied.size >= MAX_REPLIED_SERVERS) this.replied.clear();
-    this.replied.add(serverId);
+    this.crashed.recordReply(serverId, readSteadyMs());
   }
 
   /**
@@ -141,7 +136,8 @@
     sentAtMs: number,
   ): Effect.Effect<void> {
     return Effect.suspend(() => {
-      const wasUp = this.replied.has(id) && !this.crashed.isDown(id, sentAtMs);
+      const {crashed} = this;
+      const wasUp = crashed.hasReplied(id) && !crashed.isDown(id, sentAtMs);
       this.cuts.add(id, {suspects, atMs: readSteadyMs(), sentAtMs, wasUp});
       const pending = this.probes.get(id) ?? this.startProbe(id, address);
       return Effect.timeoutOption(Deferred.await(pending), VERDICT_WAIT_MS);
@@ -179,6 +175,9 @@
   /** Merges the reports of another daemon. */
   merge(reports: readonly CrashReport[], nowMs: number): void {
     if (reports.length === 0) return;
+    for (const {server, ageMs} of reports.flatMap(report => report.crashes)) {
+      this.crashed.recordCrash(server, nowMs - ageMs);
+    }
     this.suspects.merge(reports, nowMs);
     this.logCondemned(nowMs);
   }
