--- a/packages/standins/src/edges/silent_kinds.ts
+++ b/packages/standins/src/edges/silent_kinds.ts
@@ -4,7 +4,11 @@
   HttpServiceClient,
   type BackendCall,
 } from '@greengagecross/backend';
-import {PriorityClass, type Address} from '@greengagecross/common';
+import {
+  makeRandomId,
+  PriorityClass,
+  type Address,
+} from '@greengagecross/common';
 import {HttpClient, readBody, type HttpExchange} from '@greengagecross/http';
 import {PeerClient, PeerMethod} from '@greengagecross/peers';
 import {HttpHostListSource, PlatformClient} from '@greengagecross/platform';
@@ -24,11 +28,12 @@
 ): SilentKind {
   const client = new HttpClient();
   const timeouts = {connectTimeoutMs: silenceMs, silenceMs};
-  const call = makeCall(address);
   switch (kind) {
     case 'an engine': {
       const engines = new HttpEngineClient(client, timeouts);
-      const opened = engines.open(call, Buffer.from('{}'));
+      const opened = Effect.suspend(() =>
+        engines.open(makeCall(address), Buffer.from('{}')),
+      );
       return {
         call: Effect.flatMap(opened, r => readBody(r.stream, MAX_BYTES, '')),
       };
@@ -36,7 +41,11 @@
     case 'a worker': {
       const workers = new HttpServiceClient(client, timeouts);
       const request = {method: 'GET', path: '/', headers: {}};
-      return {call: workers.send(call, {...request, body: Buffer.alloc(0)})};
+      return {
+        call: Effect.suspend(() =>
+          workers.send(makeCall(address), {...request, body: Buffer.alloc(0)}),
+        ),
+      };
     }
     case 'the platform': {
       const caller = new PlatformClient(client, address, silenceMs);
@@ -77,7 +86,8 @@
 function makeCall(address: Address): BackendCall {
   return {
     server: {id: 'server', ...address, availabilityZone: 'centro-a'},
-    attemptId: 'attempt',
+    // As from a daemon, each attempt has an id of its own.
+    attemptId: makeRandomId(),
     customer: 'customer',
     chat: 'chat',
     priority: PriorityClass.INTERACTIVE,
