Fetch an update from one peer, not from each that advertises it

Cause: the three daemons that follow the store advertise a change at the same time, and every other daemon fetched it from each of them; each of these fetches also read the configuration from the store.

Change: while a fetch is pending, a further peer is asked only 100 ms later, if the update has not arrived by then. A peer that does not answer still blocks nothing.

Test: state_catch_up.feature, 'An update that several peers advertise is fetched once' (3 calls before). The scenario on a peer without an answer now lets 100 ms of virtual time pass before its unchanged check, since the second fetch waits that long.

--- a/packages/router/src/members/state_catch_up.ts
+++ b/packages/router/src/members/state_catch_up.ts
@@ -12,6 +12,12 @@
 
 /** Time for the store to deliver an advertised update to its followers. */
 const STORE_DELIVERY_MS = 100;
+/**
+ * Time for a pending fetch to deliver an advertised update before it is also
+ * fetched from another peer. All followers of the store advertise an update at
+ * the same time, so that every other daemon would otherwise fetch it from each.
+ */
+const PENDING_FETCH_MS = 100;
 /**
  * Timeout of the RPC. A running peer responds within a few milliseconds; a lost
  * packet is sent again after 200 ms.
@@ -52,7 +58,7 @@
 
   /**
    * Fetches newer state from a peer, unless this daemon follows the store and
-   * the store delivers that state first.
+   * the store delivers that state first, or a pending fetch does.
    *
    * Does nothing while a fetch from this peer or too many fetches are pending;
    * a failure is logged.
@@ -65,9 +71,12 @@
     ) {
       return Effect.void;
     }
+    const hasPending = this.pendingPeerIds.size > 0;
     this.pendingPeerIds.add(id);
     return Effect.gen({self: this}, function* () {
-      if (this.source.isFollowing()) yield* Effect.sleep(STORE_DELIVERY_MS);
+      if (hasPending) yield* Effect.sleep(PENDING_FETCH_MS);
+      else if (this.source.isFollowing())
+        {yield* Effect.sleep(STORE_DELIVERY_MS);}
       if (!this.isBehind(heartbeat)) return;
       if (this.isConfigurationBehind(heartbeat)) {
         yield* this.source.readConfiguration(this.state);
--- a/packages/router/src/members/state_catch_up_steps.ts
+++ b/packages/router/src/members/state_catch_up_steps.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import {Given, Then, When} from '@cucumber/cucumber';
-import {Effect, Schema} from 'effect';
+import {Effect, ManagedRuntime, Schema} from 'effect';
+import {TestClock} from 'effect/testing';
 import type {Address} from '@greengagecross/common';
 import {PeerRpc, type PeerError, type PeerMethod} from '@greengagecross/peers';
 import {FleetStateSource} from '../ports/fleet_state_source.js';
@@ -34,6 +35,7 @@
 class PeersStandin extends PeerRpc {
   /** Number of RPCs that were sent. */
   calls = 0;
+  answerMs = 0;
   readonly revisions = new Map<string, number>();
 
   override send<S extends Schema.ConstraintDecoder<unknown>>(
@@ -52,7 +54,8 @@
       revision,
       changeRevision: revision,
     };
-    return Effect.succeed(Schema.decodeUnknownSync(result)({backends}));
+    const decoded = Schema.decodeUnknownSync(result)({backends});
+    return Effect.succeed(decoded).pipe(Effect.delay(this.answerMs));
   }
 }
 
@@ -61,6 +64,7 @@
   state: FleetState;
   peers: PeersStandin;
   catchUp: StateCatchUp;
+  runtime: ManagedRuntime.ManagedRuntime<TestClock.TestClock, never>;
 }
 
 function makeHeartbeat(id: string, backendsChange: number): Heartbeat {
@@ -84,7 +88,7 @@
 
 function startCatchUp(fixture: CatchUpFixture, heartbeat: Heartbeat): void {
   if (!fixture.catchUp.isBehind(heartbeat)) return;
-  Effect.runFork(fixture.catchUp.run(heartbeat));
+  fixture.runtime.runFork(fixture.catchUp.run(heartbeat));
 }
 
 Given(
@@ -95,6 +99,14 @@
     this.peers = new PeersStandin();
     const source = new NonFollowingSource();
     this.catchUp = new StateCatchUp(this.state, source, this.peers);
+    this.runtime = ManagedRuntime.make(TestClock.layer());
+  },
+);
+
+Given(
+  'peers answer after {int} ms',
+  function (this: CatchUpFixture, answerMs: number) {
+    this.peers.answerMs = answerMs;
   },
 );
 
@@ -113,6 +125,13 @@
   },
 );
 
+When(
+  '{int} ms pass for the fetches',
+  async function (this: CatchUpFixture, ms: number) {
+    await this.runtime.runPromise(TestClock.adjust(ms));
+  },
+);
+
 Then(
   'the daemon holds revision {int} of the backend list',
   function (this: CatchUpFixture, revision: number) {
