--- a/packages/router/src/members/state_catch_up.ts
+++ b/packages/router/src/members/state_catch_up.ts
@@ -74,9 +74,9 @@
     const hasPending = this.pendingPeerIds.size > 0;
     this.pendingPeerIds.add(id);
     return Effect.gen({self: this}, function* () {
-      if (hasPending) yield* Effect.sleep(PENDING_FETCH_MS);
-      else if (this.source.isFollowing())
-        {yield* Effect.sleep(STORE_DELIVERY_MS);}
+      const isStoreFirst = this.source.isFollowing();
+      if (isStoreFirst) yield* Effect.sleep(STORE_DELIVERY_MS);
+      else if (hasPending) yield* Effect.sleep(PENDING_FETCH_MS);
       if (!this.isBehind(heartbeat)) return;
       if (this.isConfigurationBehind(heartbeat)) {
         yield* this.source.readConfiguration(this.state);
