Evacuate availability zones on the users' platform

`EvacuatedZones` holds the set with the (era, revision) of its read; every heartbeat carries it, a follower sends at once when it changes, and a daemon adopts the higher version. ServerChooser leaves out servers of evacuated zones, AttemptSequence checks a reserved server again. If no other server is left: 503 with a retry delay at once. A daemon is ready only when it knows the evacuations.

--- a/packages/router/src/calls/attempt_sequence.ts
+++ b/packages/router/src/calls/attempt_sequence.ts
@@ -28,8 +28,12 @@
 
   /** Takes the server of the next attempt; undefined if none may follow. */
   takeNext(): ServerChoice | undefined {
-    const choice = this.reserved ?? this.choose(this.possibleRuns);
+    const {reserved} = this;
     this.reserved = undefined;
+    const choice =
+      reserved === undefined
+        ? this.choose(this.possibleRuns)
+        : this.verifyReserved(reserved);
     if (choice !== undefined) this.tried.add(choice.server.id);
     return choice;
   }
@@ -61,6 +65,17 @@
     return this.tried.size > 0;
   }
 
+  /**
+   * Replaces a reserved server whose availability zone was evacuated since; the
+   * retry that was taken for it is used for the replacement.
+   */
+  private verifyReserved(reserved: ServerChoice): ServerChoice | undefined {
+    const {job, tried, chooser} = this;
+    return chooser.isEvacuated(reserved.server)
+      ? chooser.choose(job, tried)
+      : reserved;
+  }
+
   private choose(possibleRuns: number): ServerChoice | undefined {
     const {job, tried, retries} = this;
     if (possibleRuns >= job.route.maxAttempts) return undefined;
--- a/packages/router/src/calls/call_handler.ts
+++ b/packages/router/src/calls/call_handler.ts
@@ -243,14 +243,15 @@
     });
   }
 
-  private describeState(): Record<string, number> {
+  private describeState(): Record<string, string | number> {
     const nowMs = readSteadyMs();
-    const {configuration, backends} = this.state;
+    const {configuration, backends, evacuated} = this.state;
     return {
       configuration: configuration.getVersion(),
       configurationAgeMs: configuration.computeAgeMs(nowMs),
       backends: backends.getRevision(),
       backendsAgeMs: backends.computeAgeMs(nowMs),
+      ...evacuated.describe(nowMs),
     };
   }
 }
--- a/packages/router/src/calls/server_chooser.ts
+++ b/packages/router/src/calls/server_chooser.ts
@@ -9,6 +9,7 @@
 import type {MemberView} from '../members/member_view.js';
 import type {BackendServer} from '../model/backend_server.js';
 import type {BackendRegistry} from '../state/backend_registry.js';
+import type {EvacuatedZones} from '../state/evacuated_zones.js';
 import type {EndedEnginesByService} from '../ports/ended_engines_store.js';
 import type {CallJob} from './call_job.js';
 import {RETRY_AFTER_MS} from './dispatch_limits.js';
@@ -39,6 +40,7 @@
     private readonly inFlight: InFlightCounter,
     private readonly members: MemberView,
     private readonly notices: ServerNotices,
+    private readonly evacuated: EvacuatedZones,
   ) {}
 
   /** Chooses a ready server that was not tried; undefined when none is left. */
@@ -48,7 +50,9 @@
       .listReady(job.service)
       .filter(
         server =>
-          !tried.has(server.id) && this.notices.isAvailable(server, nowMs),
+          !tried.has(server.id) &&
+          this.notices.isAvailable(server, nowMs) &&
+          !this.isEvacuated(server),
       );
     if (servers.length === 0) return undefined;
     const ids = servers.map(server => server.id);
@@ -61,13 +65,20 @@
     return server === undefined ? undefined : {server};
   }
 
+  /** Returns whether the server's availability zone is evacuated. */
+  isEvacuated({availabilityZone}: BackendServer): boolean {
+    return this.evacuated.has(availabilityZone, readSteadyMs());
+  }
+
   /**
    * Computes the retry delay of a request that no server ran, in milliseconds.
-   * While all servers want a pause it is at least the time until the first takes
+   * While all servers outside evacuated zones want a pause it is at least the time until the first takes
    * requests, longer by up to a fifth, so that clients do not return at once.
    */
   computeRetryAfterMs({service, call}: CallJob): number {
-    const servers = this.backends.listReady(service);
+    const servers = this.backends
+      .listReady(service)
+      .filter(server => !this.isEvacuated(server));
     const waitMs = this.notices.computeWaitMs(servers, readSteadyMs()) ?? 0;
     const spread = (hash32(call.id ?? '') / MAX_HASH) * RETURN_SPREAD;
     return Math.max(RETRY_AFTER_MS, Math.ceil(waitMs * (1 + spread)));
--- a/packages/router/src/members/heartbeat.ts
+++ b/packages/router/src/members/heartbeat.ts
@@ -44,6 +44,17 @@
   configurationVersion: Schema.Number,
   /** Revision of the newest change in the sender's backend list. */
   backendsChange: Schema.Number,
+  /**
+   * Evacuated availability zones and the version of the store at which they were
+   * read; see `EvacuatedZones`. Absent in heartbeats of earlier releases.
+   */
+  evacuated: Schema.optionalKey(
+    Schema.Struct({
+      zones: Schema.Array(Schema.String),
+      era: Schema.Int,
+      revision: Schema.Int,
+    }),
+  ),
   /** The sender's requests in flight, by id of the backend server. */
   inFlight: Schema.Record(Schema.String, Schema.Number),
   /** Ids of the daemons that watch the sender; see `FleetWatch`. */
--- a/packages/router/src/members/member_service.ts
+++ b/packages/router/src/members/member_service.ts
@@ -171,10 +171,11 @@
     const dueAtMs = this.lastSentAtMs + this.computeIntervalMs();
     // Half a timer period early counts as due: the next check would be late.
     if (readSteadyMs() >= dueAtMs - MIN_FLEET_HEARTBEAT_MS / 2) return true;
-    const {configuration, backends} = this.state;
+    const {configuration, backends, evacuated} = this.state;
     return (
       this.source.isFollowing() &&
       (lastHeartbeat.configurationVersion !== configuration.getVersion() ||
+        lastHeartbeat.evacuated?.zones !== evacuated.listZones() ||
         lastHeartbeat.backendsChange !== backends.getVersion().changeRevision)
     );
   }
@@ -215,7 +216,7 @@
 
   private makeHeartbeat(): Heartbeat {
     this.sequence += 1;
-    const {configuration, backends} = this.state;
+    const {configuration, backends, evacuated} = this.state;
     return {
       ...this.settings.self,
       incarnation: this.incarnation,
@@ -225,6 +226,7 @@
       isStoreReached: this.state.isStoreReached(),
       configurationVersion: configuration.getVersion(),
       backendsChange: backends.getVersion().changeRevision,
+      evacuated: evacuated.getSet(),
       inFlight: this.inFlight.toRecord(),
       watchers: this.watch.getWatchers(),
       silent: this.watch.getSilent(),
@@ -251,6 +253,7 @@
       this.socket.send(this.makeHeartbeat(), [heartbeat.heartbeats]);
     }
     this.guard.merge(heartbeat.suspects ?? [], nowMs);
+    this.catchUp.applyEvacuated(heartbeat, nowMs);
     if (this.catchUp.isBehind(heartbeat)) {
       this.runFiber?.(this.catchUp.run(heartbeat));
     } else if (heartbeat.isStoreReached) {
--- a/packages/router/src/members/state_catch_up.ts
+++ b/packages/router/src/members/state_catch_up.ts
@@ -8,7 +8,7 @@
   type FleetStateResult,
   type FleetStateQuery,
 } from './fleet_state_message.js';
-import type {Heartbeat} from './heartbeat.js';
+import {DaemonState, type Heartbeat} from './heartbeat.js';
 
 /** Time for the store to deliver an advertised update to its followers. */
 const STORE_DELIVERY_MS = 100;
@@ -50,6 +50,16 @@
     );
   }
 
+  /** Adopts the evacuated availability zones of a heartbeat if newer. */
+  applyEvacuated({id, state, evacuated}: Heartbeat, nowMs: number): void {
+    if (evacuated !== undefined) {
+      this.state.evacuated.acceptSet(evacuated, id, nowMs);
+    } else if (state === DaemonState.READY) {
+      this.state.evacuated.setLearned();
+    }
+    this.state.recordUpdate();
+  }
+
   /**
    * Fetches newer state from a peer, unless this daemon follows the store and
    * the store delivers that state first.
--- a/packages/router/src/router_daemon.ts
+++ b/packages/router/src/router_daemon.ts
@@ -127,7 +127,7 @@
       const view = state.configuration.getView();
       const limits = view?.configuration.limits ?? DEFAULT_CALLER_LIMITS;
       this.clientServer.setKeepAliveMs(limits.idleTimeoutMs);
-      state.backends.removeExpired(readSteadyMs());
+      state.update(readSteadyMs());
       health.removeAllBut(state.backends.listIds());
     });
     return Effect.forever(
--- a/packages/router/src/router_parts.ts
+++ b/packages/router/src/router_parts.ts
@@ -88,6 +88,7 @@
       this.inFlight,
       view,
       this.notices,
+      this.state.evacuated,
     );
     const guard = new CrashGuard(
       this.suspects,
@@ -168,7 +169,7 @@
   }
 
   private addGauges(view: MemberView, guard: CrashGuard): void {
-    const {configuration, backends} = this.state;
+    const {configuration, backends, evacuated} = this.state;
     this.metrics.addGauge({
       name: 'greengagecross_configuration_version',
       help: 'Version of the active configuration; -1 before the first.',
@@ -179,6 +180,11 @@
       help: 'Store revision of the backend server list; -1 before the first.',
       read: () => backends.getRevision(),
     });
+    this.metrics.addGauge({
+      name: 'greengagecross_zones_evacuated',
+      help: 'Availability zones whose servers get no requests.',
+      read: () => evacuated.count(),
+    });
     this.metrics.addGauge({
       name: 'greengagecross_members_live',
       help: 'Daemons with a recent heartbeat, including this daemon.',
--- a/packages/router/src/state/backend_registry.ts
+++ b/packages/router/src/state/backend_registry.ts
@@ -5,6 +5,7 @@
   EntryChange,
   ListVersion,
 } from './backend_changes.js';
+import {isSameServer} from './is_same_server.js';
 
 /**
  * Time that an expired entry stays in use. An entry counts as expired if it was
@@ -160,6 +161,13 @@
     return new Set(this.entries.keys());
   }
 
+  /** Returns whether any server is in an availability zone. */
+  hasZone(availabilityZone: string): boolean {
+    return [...this.entries.values()].some(
+      ({server}) => server.availabilityZone === availabilityZone,
+    );
+  }
+
   /** Returns the store revision of the list; -1 before the first list. */
   getRevision(): number {
     return this.revision;
@@ -260,15 +268,3 @@
     this.byService = byService;
   }
 }
-
-function isSameServer(a: BackendServer, b: BackendServer): boolean {
-  return (
-    a.service === b.service &&
-    a.address.host === b.address.host &&
-    a.address.port === b.address.port &&
-    a.availabilityZone === b.availabilityZone &&
-    a.slots === b.slots &&
-    a.isDraining === b.isDraining &&
-    a.startedAtMs === b.startedAtMs
-  );
-}
--- a/packages/router/src/state/fleet_state.ts
+++ b/packages/router/src/state/fleet_state.ts
@@ -2,18 +2,22 @@
 import {Logger} from '@greengagecross/common';
 import {BackendRegistry} from './backend_registry.js';
 import {CurrentConfiguration} from './current_configuration.js';
+import {EvacuatedZones} from './evacuated_zones.js';
 
 const logger = new Logger('state');
 
 /**
- * A daemon's copy of the configuration and the list of backend servers. Each
- * `nowMs` is a time on the monotonic clock.
+ * A daemon's copy of the configuration, the list of backend servers and the
+ * evacuated availability zones. Each `nowMs` is a time on the monotonic clock.
  */
 export class FleetState {
   readonly configuration = new CurrentConfiguration();
   readonly backends = new BackendRegistry();
+  readonly evacuated = new EvacuatedZones();
   private readonly completeLatch = Latch.makeUnsafe(false);
   private wasStoreReached = true;
+  /** The zones that were last checked for zones without servers. */
+  private checkedZones: readonly string[] = [];
 
   /** Records an update; resumes waiting requests once the state is complete. */
   recordUpdate(): void {
@@ -24,6 +28,14 @@
   recordConfirmed(nowMs: number): void {
     this.configuration.recordConfirmed(nowMs);
     this.backends.recordConfirmed(nowMs);
+    this.evacuated.recordConfirmed(nowMs);
+  }
+
+  /** Removes expired entries; logs evacuated zones that no server is in. */
+  update(nowMs: number): void {
+    this.backends.removeExpired(nowMs);
+    this.evacuated.removeExpired(nowMs);
+    this.checkZones();
   }
 
   /**
@@ -60,11 +72,27 @@
     return this.wasStoreReached;
   }
 
-  /** Returns whether a configuration and a backend list have been received. */
+  /**
+   * Returns whether a configuration, a backend list and the evacuated
+   * availability zones have been received.
+   */
   isComplete(): boolean {
     return (
       this.configuration.getView() !== undefined &&
-      this.backends.getRevision() >= 0
+      this.backends.getRevision() >= 0 &&
+      this.evacuated.hasLearned()
     );
   }
+
+  private checkZones(): void {
+    const zones = this.evacuated.listZones();
+    if (zones === this.checkedZones || !this.isComplete()) return;
+    this.checkedZones = zones;
+    for (const zone of zones) {
+      if (this.backends.hasZone(zone)) continue;
+      logger.log('An evacuated availability zone has no backend servers.', {
+        zone,
+      });
+    }
+  }
 }
