Keep the shares of a retry budget while other daemons are not heard

Cause: the fixed part of the budget was split among the daemons heard now; a daemon cut off from the others took all of it while they still used theirs.

Change: FleetSize keeps the largest fleet heard within ten minutes. Only retries become fewer, after a fleet was made smaller or parted. A daemon that has started behind a partition still knows no other.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -22,6 +22,7 @@
 export * from './members/ring_neighbours.js';
 export * from './members/peer_sync_state.js';
 export * from './members/fleet_heartbeats.js';
+export * from './members/fleet_size.js';
 export * from './members/fleet_watch.js';
 export * from './members/heartbeat_interval.js';
 export * from './members/load_sums.js';
--- a/packages/router/src/calls/fleet_retries.ts
+++ b/packages/router/src/calls/fleet_retries.ts
@@ -1,9 +1,11 @@
 import {readSteadyMs} from '@greengagecross/common';
-import type {FleetRetryBudget} from '@greengagecross/decisions';
+import {FleetSize, type FleetRetryBudget} from '@greengagecross/decisions';
 import type {MemberView} from '../members/member_view.js';
 
 /** This daemon's share of a retry budget for all daemons of the fleet. */
 export class FleetRetries {
+  private readonly size = new FleetSize();
+
   constructor(
     private readonly budget: FleetRetryBudget,
     private readonly members: MemberView,
@@ -11,7 +13,10 @@
 
   /** Records the first attempt of a request, which adds to the budget. */
   recordFirstTry(service: string): void {
-    this.budget.recordFirstTry(service, readSteadyMs());
+    const nowMs = readSteadyMs();
+    // Also records the size of the fleet while its daemons are still heard.
+    this.countDaemons(nowMs);
+    this.budget.recordFirstTry(service, nowMs);
   }
 
   /**
@@ -32,6 +37,7 @@
   }
 
   private countDaemons(nowMs: number): number {
-    return this.members.listRunning(nowMs).length + 1;
+    const heard = this.members.listRunning(nowMs).length + 1;
+    return this.size.update(heard, nowMs);
   }
 }
