Add HedgePolicy: when a slow idempotent request goes to a second server

Clients saw a few slow answers of otherwise quick idempotent routes. A second attempt helps if few servers are slow and only adds load if all are.

The policy takes its delay from a quantile of the route's latencies on this daemon (at least 20, the newest at most 5 s old) and refuses a hedge while slots are short, most servers are slow, no quick server is left, the share of the route is used up, or no retry is left. It does no I/O and is not used by the router yet.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -7,7 +7,8 @@
  *   `SuspectRegistry`, `CostPlacement`, `BudgetedRetryPolicy`, limits and
  *   orders. Its times are milliseconds since the epoch.
  * - Package `router`: heartbeats from every daemon to every other,
- *   `CrashSuspects`, `ServerNotices`, `PromptPlacement`, `FleetRetryBudget`, `EventLoopDelay` and
+ *   `CrashSuspects`, `ServerNotices`, `PromptPlacement`, `FleetRetryBudget`,
+ *   `HedgePolicy`, `EventLoopDelay` and
  *   the choice of workers. Its times are milliseconds of the monotonic clock,
  *   but for `PromptPlacement`: milliseconds since the epoch.
  *
@@ -75,6 +76,8 @@
 export * from './workers/server_notices.js';
 export * from './workers/choose_worker.js';
 export * from './retries/fleet_retry_budget.js';
+export * from './retries/hedge_limits.js';
+export * from './retries/hedge_policy.js';
 export * from './suspects/cut_attempts.js';
 export * from './suspects/suspect_ids.js';
 export * from './suspects/choose_condemned.js';
