Send a slow idempotent request to a second server if hedging is on

Clients waited for the slow server although others were idle. While the first attempt is open after the delay, ServiceDispatcher starts a second one through HedgedAttempts. The first valid answer wins; the other attempt is closed at once and not counted for its server. A 5xx, a refusal or a failure is not final while the other attempt is open. AttemptSequence counts open attempts, so that max_attempts, MAX_TRIED_SERVERS, the retry budget, crash verdicts and the reservation after a silence hold for both.

Without limits in the settings nothing is recorded and attempts run one after the other, as before.

--- a/packages/router/src/calls/attempt_sequence.ts
+++ b/packages/router/src/calls/attempt_sequence.ts
@@ -14,6 +14,9 @@
 export class AttemptSequence {
   private readonly tried = new Set<string>();
   private possibleRuns = 0;
+  /** Attempts under way; at most two, of which one is a hedge. */
+  private open = 0;
+  private isHedged = false;
   /** Server of the next attempt, whose retry is taken already. */
   private reserved: ServerChoice | undefined;
 
@@ -30,10 +33,59 @@
   takeNext(): ServerChoice | undefined {
     const choice = this.reserved ?? this.choose(this.possibleRuns);
     this.reserved = undefined;
-    if (choice !== undefined) this.tried.add(choice.server.id);
+    if (choice === undefined) return undefined;
+    this.tried.add(choice.server.id);
+    this.open = 1;
     return choice;
   }
 
+  /**
+   * Takes the server of a hedge, which runs beside the current attempt. Takes
+   * a retry from the budget. A request has one hedge at most.
+   *
+   * @param isEligible whether the hedge may be sent to a server
+   * @return undefined if no eligible server is left
+   */
+  takeHedge(
+    isEligible: (serverId: string) => boolean,
+  ): ServerChoice | undefined {
+    if (!this.isHedgeable() || !this.hasRetry()) return undefined;
+    const {job, chooser} = this;
+    const excluded = chooser
+      .listLoads(job)
+      .map(({id}) => id)
+      .filter(id => !isEligible(id));
+    const choice = chooser.choose(job, new Set([...this.tried, ...excluded]));
+    // A server that appeared since was not judged.
+    if (choice === undefined || !isEligible(choice.server.id)) return undefined;
+    this.retries.take(job.service);
+    this.isHedged = true;
+    this.tried.add(choice.server.id);
+    this.open += 1;
+    return choice;
+  }
+
+  /** Returns whether the attempts made so far allow a hedge. */
+  isHedgeable(): boolean {
+    return (
+      !this.isHedged &&
+      this.reserved === undefined &&
+      this.tried.size < MAX_TRIED_SERVERS &&
+      this.isRepeatable() &&
+      !this.guard.isRefused(this.job.suspects)
+    );
+  }
+
+  /** Returns whether a retry is left in the budget of the service. */
+  hasRetry(): boolean {
+    return this.retries.isAvailable(this.job.service);
+  }
+
+  /** Returns the ids of the servers chosen so far. */
+  getTried(): ReadonlySet<string> {
+    return this.tried;
+  }
+
   /**
    * Reserves the server of the next attempt while an attempt is under way that
    * its server may have run. An attempt is given up early only once another one
@@ -42,18 +94,24 @@
    * @return whether another attempt may follow
    */
   acquireNext(): boolean {
-    this.reserved ??= this.choose(this.possibleRuns + 1);
+    this.reserved ??= this.choose(this.possibleRuns + this.open);
     return this.reserved !== undefined;
   }
 
-  /** Records that the server of the last attempt may have run the request. */
+  /** Records an ended attempt whose server may have run the request. */
   recordPossibleRun(): void {
     this.possibleRuns += 1;
+    this.open = Math.max(0, this.open - 1);
+  }
+
+  /** Records an ended attempt whose server did not run the request. */
+  recordNotRun(): void {
+    this.open = Math.max(0, this.open - 1);
   }
 
-  /** Returns whether another server may run the request after the current one. */
+  /** Returns whether another server may run the request after the open ones. */
   isRepeatable(): boolean {
-    return this.possibleRuns + 1 < this.job.route.maxAttempts;
+    return this.possibleRuns + this.open < this.job.route.maxAttempts;
   }
 
   /** Returns whether any server was chosen. */
--- a/packages/router/src/calls/backend_attempts.ts
+++ b/packages/router/src/calls/backend_attempts.ts
@@ -53,6 +53,11 @@
   readonly silenceTimeoutMs: number;
   /** Whether the attempt may end for its server's silence; by default it may. */
   readonly mayEndSilent?: () => boolean;
+  /**
+   * Whether another attempt has answered the request; the cancellation of this
+   * one then says nothing about its server. By default none has.
+   */
+  readonly isSuperseded?: () => boolean;
 }
 
 /** Makes attempts: sends a request once to one backend server. */
@@ -95,7 +100,7 @@
         ),
         Effect.onInterrupt(() =>
           Effect.sync(() => {
-            if (!progress.hasHead) {
+            if (!progress.hasHead && plan.isSuperseded?.() !== true) {
               this.recorder.recordCancelled(server.id, startedAtMs);
             }
           }),
--- a/packages/router/src/calls/call_handler.ts
+++ b/packages/router/src/calls/call_handler.ts
@@ -211,14 +211,15 @@
     outcome: CallOutcome | 'client-left',
   ): void {
     const afterMs = readSteadyMs() - startedAtMs;
-    const {attempts, mayHaveRun, placement, firstEventAtMs, longestPauseMs} =
-      job.trace;
+    const {attempts, mayHaveRun, placement, hedge, isHedgingOn} = job.trace;
+    const {firstEventAtMs, longestPauseMs} = job.trace;
     if (outcome !== 'client-left') {
       this.metrics.recordCall(
         job.route.kind,
         outcome,
         attempts.length,
         afterMs / 1000,
+        isHedgingOn,
       );
     }
     logger.log('A request ended.', {
@@ -229,6 +230,7 @@
       customer: job.customer,
       servers: attempts.join(','),
       placement,
+      hedge,
       mayHaveRun,
       outcome,
       status: job.exchange.response.statusCode,
--- a/packages/router/src/calls/call_job.ts
+++ b/packages/router/src/calls/call_job.ts
@@ -21,6 +21,15 @@
   readonly trace: CallTrace;
 }
 
+/** Which attempt answered a request that was hedged. */
+export enum HedgeResult {
+  OPEN = 'open',
+  WON = 'won',
+  LOST = 'lost',
+  /** Neither attempt gave a valid answer. */
+  FAILED = 'failed',
+}
+
 /** Progress of a request, for its log line. */
 export interface CallTrace {
   /** Ids of the servers tried, in order, including unreachable servers. */
@@ -32,6 +41,10 @@
    * empty for requests without a prompt.
    */
   placement: string;
+  /** Whether hedging was on for the request; undefined before its dispatch. */
+  isHedgingOn?: boolean;
+  /** Which attempt answered a hedged request; `open` until one has. */
+  hedge?: HedgeResult;
   /** When a stream's first event was relayed, on the monotonic clock. */
   firstEventAtMs?: number;
   /** Longest pause between two stream events, in milliseconds. */
--- a/packages/router/src/calls/server_chooser.ts
+++ b/packages/router/src/calls/server_chooser.ts
@@ -4,6 +4,7 @@
   findSubject,
   PromptPlacement,
   type ServerHealth,
+  type ServerLoad,
   type ServerNotices,
 } from '@greengagecross/decisions';
 import type {MemberView} from '../members/member_view.js';
@@ -61,6 +62,17 @@
     return server === undefined ? undefined : {server};
   }
 
+  /** Lists the loads of a service's available servers, tried ones included. */
+  listLoads({service}: CallJob): ServerLoad[] {
+    const nowMs = readSteadyMs();
+    const servers = this.backends
+      .listReady(service)
+      .filter(server => this.notices.isAvailable(server, nowMs));
+    const ids = servers.map(({id}) => id);
+    const avoided = this.health.listAvoided(ids, nowMs);
+    return this.makeLoads(servers, avoided, nowMs);
+  }
+
   /**
    * Computes the retry delay of a request that no server ran, in milliseconds.
    * While all servers want a pause it is at least the time until the first takes
@@ -167,7 +179,16 @@
     avoided: ReadonlySet<string>,
     nowMs: number,
   ): string | undefined {
-    const workers = servers.map(({id, availabilityZone, slots}) => ({
+    const workers = this.makeLoads(servers, avoided, nowMs);
+    return chooseWorker(workers, this.availabilityZone)?.id;
+  }
+
+  private makeLoads(
+    servers: readonly BackendServer[],
+    avoided: ReadonlySet<string>,
+    nowMs: number,
+  ): ServerLoad[] {
+    return servers.map(({id, availabilityZone, slots}) => ({
       id,
       availabilityZone,
       slots,
@@ -176,7 +197,6 @@
       failureShare: this.health.getFailureShare(id),
       isAvoided: avoided.has(id),
     }));
-    return chooseWorker(workers, this.availabilityZone)?.id;
   }
 
   private countInFlight(serverId: string, nowMs: number): number {
--- a/packages/router/src/calls/service_dispatcher.ts
+++ b/packages/router/src/calls/service_dispatcher.ts
@@ -9,6 +9,13 @@
   AttemptReply,
   BackendAttempts,
 } from './backend_attempts.js';
+import {
+  isPossiblyRun,
+  type AttemptEnd,
+  type AttemptOptions,
+  type HedgedAttempts,
+} from './hedged_attempts.js';
+import type {ServerChoice} from './server_choice.js';
 import {CallOutcome, type CallAnswer} from './call_answer.js';
 import type {CallJob} from './call_job.js';
 import {MAX_SILENCE_TIMEOUT_MS} from './dispatch_limits.js';
@@ -32,6 +39,7 @@
     private readonly retries: FleetRetries,
     private readonly answers: LocalAnswers,
     private readonly guard: CrashGuard,
+    private readonly hedges: HedgedAttempts,
   ) {}
 
   /**
@@ -42,30 +50,23 @@
    */
   dispatch(job: CallJob): Effect.Effect<CallAnswer> {
     return Effect.gen({self: this}, function* () {
-      const {guard, retries, chooser} = this;
+      const {guard, retries, chooser, hedges} = this;
       const isIdempotent = job.route.kind === CallKind.IDEMPOTENT;
       const sequence = new AttemptSequence(job, chooser, retries, guard);
+      if (isIdempotent) hedges.recordRequest(job);
       let errorAnswer: CallAnswer | undefined;
       for (;;) {
         const choice = sequence.takeNext();
         if (choice === undefined) break;
-        const {server} = choice;
-        const plan = {server, ...planSilence(job, sequence)};
-        // A cache source in the choice is ignored: only streams copy contexts.
-        const result = yield* Effect.result(
-          this.attempts.run(job, plan, reply => readReply(server.id, reply)),
+        const ends = yield* hedges.run(job, sequence, choice, (next, options) =>
+          this.runAttempt(job, sequence, next, options),
         );
-        if (Result.isSuccess(result)) {
-          sequence.recordPossibleRun();
-          if (result.success.status < 500) return result.success;
-          errorAnswer = result.success;
-          job.trace.mayHaveRun = true;
-          if (!isIdempotent) return errorAnswer;
-          continue;
+        for (const end of ends) {
+          if (Result.isFailure(end)) continue;
+          if (end.success.status < 500) return end.success;
+          errorAnswer = end.success;
         }
-        if (!result.failure.isPossiblyRun()) continue;
-        sequence.recordPossibleRun();
-        if (!isIdempotent) break;
+        if (!isIdempotent && ends.some(isPossiblyRun)) break;
       }
       if (errorAnswer !== undefined) return errorAnswer;
       if (job.trace.mayHaveRun) {
@@ -78,6 +79,29 @@
       return this.answers.make(outcome, job.call, retryAfterMs);
     });
   }
+
+  /** Runs one attempt to its end, which it records. */
+  private runAttempt(
+    job: CallJob,
+    sequence: AttemptSequence,
+    {server}: ServerChoice,
+    options: AttemptOptions,
+  ): Effect.Effect<AttemptEnd> {
+    // A cache source in the choice is ignored: only streams copy contexts.
+    const plan = {server, ...planSilence(job, sequence), ...options};
+    return Effect.result(
+      this.attempts.run(job, plan, reply => readReply(server.id, reply)),
+    ).pipe(
+      Effect.tap(end =>
+        Effect.sync(() => {
+          if (isPossiblyRun(end)) sequence.recordPossibleRun();
+          else sequence.recordNotRun();
+          const isError = Result.isSuccess(end) && end.success.status >= 500;
+          if (isError) job.trace.mayHaveRun = true;
+        }),
+      ),
+    );
+  }
 }
 
 /**
--- a/packages/router/src/metrics/router_metrics.ts
+++ b/packages/router/src/metrics/router_metrics.ts
@@ -1,5 +1,5 @@
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
-import type {ServerNotice} from '@greengagecross/decisions';
+import type {HedgeRefusal, ServerNotice} from '@greengagecross/decisions';
 import type {AttemptFailureKind} from '../calls/attempt_failure.js';
 import type {CallOutcome} from '../calls/call_answer.js';
 import type {CallKind} from '../model/call_kind.js';
@@ -52,6 +52,26 @@
     registers: [this.registry],
   });
 
+  private readonly idempotentSeconds = new Histogram({
+    name: 'greengagecross_idempotent_call_seconds',
+    help: 'Time from an idempotent request to the end of its answer, in seconds, by whether hedging was on.',
+    labelNames: ['hedging'],
+    buckets: SECONDS_BUCKETS,
+    registers: [this.registry],
+  });
+  private readonly hedges = new Counter({
+    name: 'greengagecross_hedges_total',
+    help: 'Hedged requests that were sent, and those that answered first.',
+    labelNames: ['event'],
+    registers: [this.registry],
+  });
+  private readonly hedgeRefusals = new Counter({
+    name: 'greengagecross_hedges_refused_total',
+    help: 'Requests open after their delay that were not hedged, by why.',
+    labelNames: ['reason'],
+    registers: [this.registry],
+  });
+
   /** Registers a gauge that is read when metrics are collected. */
   addGauge({name, help, read}: GaugeReader): void {
     new Gauge({
@@ -71,16 +91,21 @@
    *     dispatch
    * @param attempts number of backend servers tried
    * @param seconds time from the request to the end of its answer
+   * @param isHedgingOn whether hedging was on, for a dispatched idempotent request
    */
   recordCall(
     kind: CallKind | 'none',
     outcome: CallOutcome,
     attempts: number,
     seconds: number,
+    isHedgingOn?: boolean,
   ): void {
     this.calls.inc({kind, outcome});
     this.attempts.inc({kind}, attempts);
     this.seconds.observe({kind}, seconds);
+    if (isHedgingOn === undefined) return;
+    const hedging = isHedgingOn ? 'on' : 'off';
+    this.idempotentSeconds.observe({hedging}, seconds);
   }
 
   /** Records an attempt that gave no complete reply. */
@@ -93,6 +118,16 @@
     this.notices.inc({notice});
   }
 
+  /** Records a hedge that was sent, or that gave the answer. */
+  recordHedge(event: 'sent' | 'won'): void {
+    this.hedges.inc({event});
+  }
+
+  /** Records that a request was not hedged. */
+  recordHedgeRefusal(reason: HedgeRefusal): void {
+    this.hedgeRefusals.inc({reason});
+  }
+
   /** Formats all metrics in the Prometheus text format. */
   format(): Promise<string> {
     return this.registry.metrics();
--- a/packages/router/src/model/router_settings.ts
+++ b/packages/router/src/model/router_settings.ts
@@ -1,5 +1,5 @@
 import type {Address} from '@greengagecross/common';
-import type {RetryLimits} from '@greengagecross/decisions';
+import type {HedgeLimits, RetryLimits} from '@greengagecross/decisions';
 import type {DaemonIdentity} from './daemon_identity.js';
 
 /** Decoded settings of one daemon. */
@@ -13,6 +13,8 @@
   /** Time from the stop signal until the process is killed, in milliseconds. */
   readonly stopGraceMs: number;
   readonly retryLimits: RetryLimits;
+  /** Limits on hedged requests; hedging is off if absent. */
+  readonly hedgeLimits?: HedgeLimits;
   /** Memory that the process may use, in bytes; unlimited if absent. */
   readonly memoryBytes?: number;
 }
--- a/packages/router/src/router_daemon.ts
+++ b/packages/router/src/router_daemon.ts
@@ -1,6 +1,9 @@
 import {Deferred, Effect, type Scope} from 'effect';
 import {Logger, readSteadyMs, type Address} from '@greengagecross/common';
-import {EVENT_LOOP_SAMPLE_INTERVAL_MS} from '@greengagecross/decisions';
+import {
+  EVENT_LOOP_SAMPLE_INTERVAL_MS,
+  type HedgeLimits,
+} from '@greengagecross/decisions';
 import {
   HttpServer,
   processBuffers,
@@ -74,6 +77,11 @@
     this.stopGraceMs = settings.stopGraceMs;
   }
 
+  /** Applies changed limits on hedged requests; undefined turns hedging off. */
+  setHedgeLimits(limits: HedgeLimits | undefined): void {
+    this.parts.hedging.setLimits(limits);
+  }
+
   /**
    * Runs until a stop is requested and then until all requests have ended or the
    * stop grace has nearly elapsed.
--- a/packages/router/src/router_parts.ts
+++ b/packages/router/src/router_parts.ts
@@ -3,6 +3,7 @@
   FleetRetryBudget,
   EventLoopDelay,
   FleetWatch,
+  HedgePolicy,
   LoadSums,
   ServerHealth,
   ServerNotices,
@@ -16,6 +17,7 @@
 import {BackendAttempts} from './calls/backend_attempts.js';
 import {CallHandler} from './calls/call_handler.js';
 import {FleetRetries} from './calls/fleet_retries.js';
+import {HedgedAttempts} from './calls/hedged_attempts.js';
 import {InFlightCounter} from './calls/in_flight_counter.js';
 import {LocalAnswers} from './calls/local_answers.js';
 import {ServerChooser} from './calls/server_chooser.js';
@@ -59,6 +61,7 @@
   readonly members: MemberService;
   readonly endpoints: OperationalEndpoints;
   readonly budget: FleetRetryBudget;
+  readonly hedging: HedgePolicy;
   readonly eventLoopDelay = new EventLoopDelay();
   readonly endedEngines: EndedEnginesPersister;
   private readonly inFlight = new InFlightCounter();
@@ -81,6 +84,7 @@
     const answers = new LocalAnswers(ports.codec);
     const budget = new FleetRetryBudget(settings.retryLimits);
     this.budget = budget;
+    this.hedging = new HedgePolicy(settings.hedgeLimits);
     const chooser = new ServerChooser(
       self.availabilityZone,
       this.state.backends,
@@ -119,7 +123,10 @@
     this.calls = new CallHandler(
       ports.codec,
       this.state,
-      new ServiceDispatcher(...dispatcherArguments),
+      new ServiceDispatcher(
+        ...dispatcherArguments,
+        new HedgedAttempts(this.hedging, chooser, this.metrics),
+      ),
       new StreamDispatcher(...dispatcherArguments),
       guard,
       this.eventLoopDelay,
