--- a/packages/router/src/calls/call_handler.ts
+++ b/packages/router/src/calls/call_handler.ts
@@ -200,7 +200,7 @@
         outcome,
         status: answer.status,
         ownDelayMs: Math.round(this.eventLoopDelay.getDelayMs()),
-        ...this.describeState(),
+        ...this.state.describe(readSteadyMs()),
       });
     });
   }
@@ -211,14 +211,15 @@
     outcome: CallOutcome | 'client-left',
   ): void {
     const afterMs = readSteadyMs() - startedAtMs;
-    const {attempts, mayHaveRun, placement, firstEventAtMs, longestPauseMs} =
-      job.trace;
+    const {attempts, mayHaveRun, placement, hedge, isHedgingOn} = job.trace;
+    const {firstEventAtMs, longestPauseMs} = job.trace;
     if (outcome !== 'client-left') {
       this.metrics.recordCall(
         job.route.kind,
         outcome,
         attempts.length,
         afterMs / 1000,
+        isHedgingOn,
       );
     }
     logger.log('A request ended.', {
@@ -229,6 +230,7 @@
       customer: job.customer,
       servers: attempts.join(','),
       placement,
+      hedge,
       mayHaveRun,
       outcome,
       status: job.exchange.response.statusCode,
@@ -239,21 +241,9 @@
             firstEventMs: Math.round(firstEventAtMs - startedAtMs),
             longestPauseMs: Math.round(longestPauseMs ?? 0),
           }),
-      ...this.describeState(),
+      ...this.state.describe(readSteadyMs()),
     });
   }
-
-  private describeState(): Record<string, string | number> {
-    const nowMs = readSteadyMs();
-    const {configuration, backends, evacuated} = this.state;
-    return {
-      configuration: configuration.getVersion(),
-      configurationAgeMs: configuration.computeAgeMs(nowMs),
-      backends: backends.getRevision(),
-      backendsAgeMs: backends.computeAgeMs(nowMs),
-      ...evacuated.describe(nowMs),
-    };
-  }
 }
 
 function sendAnswer(exchange: HttpExchange, answer: CallAnswer): void {
--- a/packages/router/src/calls/server_chooser.ts
+++ b/packages/router/src/calls/server_chooser.ts
@@ -4,6 +4,7 @@
   findSubject,
   PromptPlacement,
   type ServerHealth,
+  type ServerLoad,
   type ServerNotices,
 } from '@greengagecross/decisions';
 import type {MemberView} from '../members/member_view.js';
@@ -46,14 +47,9 @@
   /** Chooses a ready server that was not tried; undefined when none is left. */
   choose(job: CallJob, tried: ReadonlySet<string>): ServerChoice | undefined {
     const nowMs = readSteadyMs();
-    const servers = this.backends
-      .listReady(job.service)
-      .filter(
-        server =>
-          !tried.has(server.id) &&
-          this.notices.isAvailable(server, nowMs) &&
-          !this.isEvacuated(server),
-      );
+    const servers = this.listAvailable(job.service, nowMs).filter(
+      ({id}) => !tried.has(id),
+    );
     if (servers.length === 0) return undefined;
     const ids = servers.map(server => server.id);
     const avoided = this.health.listAvoided(ids, nowMs);
@@ -70,6 +66,15 @@
     return this.evacuated.has(availabilityZone, readSteadyMs());
   }
 
+  /** Lists the loads of a service's available servers, tried ones included. */
+  listLoads({service}: CallJob): ServerLoad[] {
+    const nowMs = readSteadyMs();
+    const servers = this.listAvailable(service, nowMs);
+    const ids = servers.map(({id}) => id);
+    const avoided = this.health.listAvoided(ids, nowMs);
+    return this.makeLoads(servers, avoided, nowMs);
+  }
+
   /**
    * Computes the retry delay of a request that no server ran, in milliseconds.
    * While all servers outside evacuated zones want a pause it is at least the time until the first takes
@@ -112,6 +117,16 @@
     }
   }
 
+  /** Lists the servers of a service that requests may be sent to now. */
+  private listAvailable(service: string, nowMs: number): BackendServer[] {
+    return this.backends
+      .listReady(service)
+      .filter(
+        server =>
+          this.notices.isAvailable(server, nowMs) && !this.isEvacuated(server),
+      );
+  }
+
   private chooseForPrompt(
     job: CallJob,
     servers: readonly BackendServer[],
@@ -178,7 +193,16 @@
     avoided: ReadonlySet<string>,
     nowMs: number,
   ): string | undefined {
-    const workers = servers.map(({id, availabilityZone, slots}) => ({
+    const workers = this.makeLoads(servers, avoided, nowMs);
+    return chooseWorker(workers, this.availabilityZone)?.id;
+  }
+
+  private makeLoads(
+    servers: readonly BackendServer[],
+    avoided: ReadonlySet<string>,
+    nowMs: number,
+  ): ServerLoad[] {
+    return servers.map(({id, availabilityZone, slots}) => ({
       id,
       availabilityZone,
       slots,
@@ -187,7 +211,6 @@
       failureShare: this.health.getFailureShare(id),
       isAvoided: avoided.has(id),
     }));
-    return chooseWorker(workers, this.availabilityZone)?.id;
   }
 
   private countInFlight(serverId: string, nowMs: number): number {
--- a/packages/router/src/state/fleet_state.ts
+++ b/packages/router/src/state/fleet_state.ts
@@ -84,6 +84,18 @@
     );
   }
 
+  /** Describes the versions in use and their ages for a log line. */
+  describe(nowMs: number): Record<string, string | number> {
+    const {configuration, backends, evacuated} = this;
+    return {
+      configuration: configuration.getVersion(),
+      configurationAgeMs: configuration.computeAgeMs(nowMs),
+      backends: backends.getRevision(),
+      backendsAgeMs: backends.computeAgeMs(nowMs),
+      ...evacuated.describe(nowMs),
+    };
+  }
+
   private checkZones(): void {
     const zones = this.evacuated.listZones();
     if (zones === this.checkedZones || !this.isComplete()) return;
