Count the share of hedges in 30 s

A daemon of the customer with 23 daemons gets about 17 requests of the hedged route in 10 s, which never paid for a hedge at a share of 0.05. The share of the requests is unchanged; hedge_policy.feature passes as it was.

--- a/packages/decisions/src/retries/hedge_policy.ts
+++ b/packages/decisions/src/retries/hedge_policy.ts
@@ -8,8 +8,12 @@
 } from './hedge_limits.js';
 import {MAX_LATENCY_AGE_MS, RecentLatencies} from './recent_latencies.js';
 
-/** Window in which the hedges of a route are compared with its requests. */
-const SHARE_WINDOW_MS = 10_000;
+/**
+ * Window in which the hedges of a route are compared with its requests: as long
+ * as latencies are kept. A daemon of a large fleet gets few requests of a route,
+ * and in a shorter window they would never pay for a hedge.
+ */
+const SHARE_WINDOW_MS = 30_000;
 /**
  * Share of a service's slots above which no hedge is sent. Of three servers, two
  * thirds of the slots remain after the loss of one; hedges add at most a tenth
