Leave requests in flight out of heartbeats while collectors tell them

Operators saw heartbeats whose bytes grow with the requests in flight: at 360 daemons with 130 requests each, 92 KB/s sent by each daemon, though above 13 daemons loads go through collectors and the counts in heartbeats are not read.

A heartbeat now carries them only to peers that miss loads (isMissingLoads: no sums for 15 load intervals, or a collector without a zone's sums for as long), or to all if its sender misses loads. Daemons bridge the time with the last sums, a new collector waits for the reports of its zone before it sends sums, and a collector without reports uses the last ones. The field inFlight stays, empty, so that earlier releases read the heartbeat.

load_traffic.feature simulates heartbeats and loads on virtual time: bytes at 23, 81 and 360 daemons, and the counts when a collector or a zone is lost, a daemon does not hear its collector, and a collector does not hear another one.

--- a/packages/decisions/src/members/load_sums.ts
+++ b/packages/decisions/src/members/load_sums.ts
@@ -6,6 +6,17 @@
 const LOAD_INTERVAL_MS_PER_DAEMON = 10;
 /** Age in intervals from which a report or sum is no longer used. */
 const MAX_AGE_INTERVALS = 5;
+/**
+ * Age of sums or reports in intervals from which heartbeats carry counts again.
+ * Longer than the 1.5 s (`fleet_watch.feature`) until the next collector takes
+ * over from one that stopped, so that a stopped collector alone adds no bytes.
+ */
+const MISSING_INTERVALS = 15;
+/**
+ * Intervals for which a new collector waits for reports before it sends sums:
+ * within two, every daemon with the same view has reported once.
+ */
+const NEW_COLLECTOR_INTERVALS = 3;
 
 /** Requests in flight by id of the backend server. */
 export type ServerCounts = Readonly<Record<string, number>>;
@@ -69,12 +80,62 @@
   private sums: TimedCounts | undefined;
   private lastReport: ServerCounts = {};
   private intervalMs = MIN_LOAD_INTERVAL_MS;
+  private heartbeatIntervalMs = 0;
+  /** Since when a collector lacks recent reports; undefined without a lack. */
+  private incompleteSinceMs: number | undefined;
+  private collectingSinceMs: number | undefined;
 
   /** Sets the interval, by which old reports and sums are recognized. */
   setIntervalMs(intervalMs: number): void {
     this.intervalMs = intervalMs;
   }
 
+  /**
+   * Sets the interval of heartbeats to all daemons: without sums, the counts of
+   * all peers have arrived in heartbeats after this time.
+   */
+  setHeartbeatIntervalMs(intervalMs: number): void {
+    this.heartbeatIntervalMs = intervalMs;
+  }
+
+  /** Records that this daemon is the collector of its zone. */
+  startCollecting(nowMs: number): void {
+    this.collectingSinceMs ??= nowMs;
+  }
+
+  /** Records that this daemon is not, or no longer, a collector. */
+  stopCollecting(): void {
+    this.collectingSinceMs = undefined;
+    this.incompleteSinceMs = undefined;
+  }
+
+  /** Returns whether this collector may not have heard from its zone yet. */
+  isNewCollector(nowMs: number): boolean {
+    const sinceMs = this.collectingSinceMs ?? nowMs;
+    return nowMs - sinceMs < NEW_COLLECTOR_INTERVALS * this.intervalMs;
+  }
+
+  /** Records whether a collector has recent reports of all daemons and zones. */
+  setComplete(isComplete: boolean, nowMs: number): void {
+    if (isComplete) this.incompleteSinceMs = undefined;
+    else this.incompleteSinceMs ??= nowMs;
+  }
+
+  /**
+   * Returns whether this daemon has been without sums or, as a collector,
+   * without a report for so long that it needs the counts in heartbeats, and
+   * its own heartbeats must carry counts.
+   */
+  isMissing(nowMs: number): boolean {
+    if (this.sums === undefined) return true;
+    const missingMs = MISSING_INTERVALS * this.intervalMs;
+    const incompleteSinceMs = this.incompleteSinceMs ?? nowMs;
+    return (
+      nowMs - this.sums.atMs > missingMs ||
+      nowMs - incompleteSinceMs > missingMs
+    );
+  }
+
   /** Records the counts that this daemon reports to its collector. */
   setOwnReport(counts: ServerCounts): void {
     this.lastReport = counts;
@@ -105,6 +166,34 @@
     return this.addRecent(this.zones, nowMs);
   }
 
+  /**
+   * Finds the counts of a daemon without a recent report, or of a zone without
+   * recent sums: those of the heartbeats if all of them carry counts, otherwise
+   * the last report or sums.
+   *
+   * @param heartbeats counts of the last heartbeats; undefined for each that
+   *     carries none
+   */
+  findLastCounts(
+    daemonIdOrZone: string,
+    heartbeats: ReadonlyArray<ServerCounts | undefined>,
+  ): ServerCounts {
+    const carried = heartbeats.filter(counts => counts !== undefined);
+    const last =
+      this.reports.get(daemonIdOrZone) ?? this.zones.get(daemonIdOrZone);
+    const isUsed = last !== undefined && carried.length < heartbeats.length;
+    return isUsed ? last.counts : addCounts(carried);
+  }
+
+  /** Removes the reports and sums of daemons and zones that are not running. */
+  keepRunning(daemonIdsAndZones: ReadonlySet<string>): void {
+    for (const entries of [this.reports, this.zones]) {
+      for (const id of entries.keys()) {
+        if (!daemonIdsAndZones.has(id)) entries.delete(id);
+      }
+    }
+  }
+
   /** Returns whether a report of a daemon, or sums of a zone, are recent. */
   isRecent(daemonIdOrZone: string, nowMs: number): boolean {
     const entry =
@@ -114,12 +203,14 @@
 
   /**
    * Counts the requests in flight of the other daemons at a server; undefined
-   * without recent sums.
+   * if heartbeats are the better source. Older sums are used until peers have
+   * learned that this daemon needs counts and have sent them in heartbeats.
    */
   countOthers(serverId: string, nowMs: number): number | undefined {
-    if (this.sums === undefined || !this.isFresh(this.sums, nowMs)) {
-      return undefined;
-    }
+    if (this.sums === undefined) return undefined;
+    const maxAgeMs =
+      MISSING_INTERVALS * this.intervalMs + this.heartbeatIntervalMs;
+    if (nowMs - this.sums.atMs > maxAgeMs) return undefined;
     const all = this.sums.counts[serverId] ?? 0;
     return Math.max(0, all - (this.lastReport[serverId] ?? 0));
   }
@@ -129,9 +220,8 @@
     nowMs: number,
   ): ServerCounts {
     const all: ServerCounts[] = [];
-    for (const [id, entry] of entries) {
+    for (const entry of entries.values()) {
       if (this.isFresh(entry, nowMs)) all.push(entry.counts);
-      else entries.delete(id);
     }
     return addCounts(all);
   }
--- a/packages/router/src/members/heartbeat.ts
+++ b/packages/router/src/members/heartbeat.ts
@@ -44,8 +44,15 @@
   configurationVersion: Schema.Number,
   /** Revision of the newest change in the sender's backend list. */
   backendsChange: Schema.Number,
-  /** The sender's requests in flight, by id of the backend server. */
+  /**
+   * The sender's requests in flight, by id of the backend server; empty also
+   * where collectors tell the receiver, see `HeartbeatCounts`.
+   */
   inFlight: Schema.Record(Schema.String, Schema.Number),
+  /** Whether `inFlight` is empty because the sender has no requests in flight. */
+  isIdle: Schema.optionalKey(Schema.Boolean),
+  /** Whether the sender needs `inFlight` of others; see `LoadSums.isMissing`. */
+  isMissingLoads: Schema.optionalKey(Schema.Boolean),
   /** Ids of the daemons that watch the sender; see `FleetWatch`. */
   watchers: Schema.optionalKey(Schema.Array(Schema.String)),
   /** Incarnations of silent daemons, by id, that the sender watches. */
@@ -58,3 +65,8 @@
 
 /** Decoded form of {@link HeartbeatSchema}. */
 export type Heartbeat = typeof HeartbeatSchema.Type;
+
+/** Returns whether a heartbeat carries the requests in flight of its sender. */
+export function hasCounts({inFlight, isIdle}: Heartbeat): boolean {
+  return isIdle === true || Object.keys(inFlight).length > 0;
+}
--- a/packages/router/src/members/load_exchange.ts
+++ b/packages/router/src/members/load_exchange.ts
@@ -7,7 +7,7 @@
   type ServerCounts,
 } from '@greengagecross/decisions';
 import type {DaemonIdentity} from '../model/daemon_identity.js';
-import type {Heartbeat} from './heartbeat.js';
+import {hasCounts, type Heartbeat} from './heartbeat.js';
 import {LoadMessageKind, type LoadMessage} from './load_message.js';
 import type {MemberView} from './member_view.js';
 
@@ -60,12 +60,14 @@
     this.sums.setOwnReport(counts);
     const collectors = chooseCollectors(ready);
     const collector = collectors.get(zone);
-    if (collector === undefined) return;
     if (collector !== this.self) {
+      this.sums.stopCollecting();
+      if (collector === undefined) return;
       const report = this.makeMessage(LoadMessageKind.REPORT, counts);
       this.send(report, [collector.heartbeats]);
       return;
     }
+    this.sums.startCollecting(nowMs);
     this.sums.recordReport(this.self.id, counts, nowMs);
     const others = [...collectors.values()].filter(
       other => other !== this.self,
@@ -95,36 +97,80 @@
   ): void {
     const {sums, self} = this;
     const running = this.view.listRunning(nowMs);
-    const isUnreported = ({id, availabilityZone: zone}: Heartbeat): boolean =>
-      zone === self.availabilityZone
-        ? !sums.isRecent(id, nowMs)
-        : !sums.isRecent(zone, nowMs);
-    // Daemons without a recent report count as in their last heartbeats.
-    const unreported = running.filter(isUnreported);
-    const isOwnZone = ({availabilityZone: zone}: Heartbeat): boolean =>
-      zone === self.availabilityZone;
+    const ownZone = self.availabilityZone;
+    sums.keepRunning(
+      new Set([
+        self.id,
+        ...running.flatMap(({id, availabilityZone}) => [id, availabilityZone]),
+      ]),
+    );
+    // A new collector would first send sums that are too low.
+    const isNew = sums.isNewCollector(nowMs);
+    const hasOwnReports = this.hasOwnReports(nowMs);
+    const hasAllReports = hasOwnReports && this.hasOtherZones(nowMs);
+    sums.setComplete(hasAllReports, nowMs);
+    if (isNew && !hasOwnReports) return;
+    const unreported = running.filter(
+      ({id, availabilityZone}) =>
+        availabilityZone === ownZone && !sums.isRecent(id, nowMs),
+    );
     const zone = addCounts([
       sums.addReports(nowMs),
-      ...unreported.filter(isOwnZone).map(({inFlight}) => inFlight),
+      ...unreported.map(heartbeat =>
+        sums.findLastCounts(heartbeat.id, listCounts([heartbeat])),
+      ),
     ]);
+    this.send(
+      this.makeMessage(LoadMessageKind.ZONE, zone),
+      collectors.map(({heartbeats}) => heartbeats),
+    );
+    if (isNew && !hasAllReports) return;
     const all = addCounts([
       zone,
       sums.addZones(nowMs),
-      ...unreported
-        .filter(heartbeat => !isOwnZone(heartbeat))
-        .map(({inFlight}) => inFlight),
+      ...this.listSilentZoneCounts(running, nowMs),
     ]);
     sums.recordSums(all, nowMs);
-    this.send(
-      this.makeMessage(LoadMessageKind.ZONE, zone),
-      collectors.map(({heartbeats}) => heartbeats),
-    );
     this.send(
       this.makeMessage(LoadMessageKind.ALL, all),
       neighbours.map(({heartbeats}) => heartbeats),
     );
   }
 
+  /** Lists the last known counts of each other zone without recent sums. */
+  private listSilentZoneCounts(
+    running: readonly Heartbeat[],
+    nowMs: number,
+  ): ServerCounts[] {
+    const silent = running.filter(
+      ({availabilityZone: zone}) =>
+        zone !== this.self.availabilityZone && !this.sums.isRecent(zone, nowMs),
+    );
+    const zones = new Set(silent.map(daemon => daemon.availabilityZone));
+    return [...zones].map(zone =>
+      this.sums.findLastCounts(
+        zone,
+        listCounts(silent.filter(daemon => daemon.availabilityZone === zone)),
+      ),
+    );
+  }
+
+  /** Returns whether no ready daemon of this zone lacks a recent report. */
+  private hasOwnReports(nowMs: number): boolean {
+    return this.view
+      .listReady(nowMs)
+      .filter(daemon => daemon.availabilityZone === this.self.availabilityZone)
+      .every(({id}) => this.sums.isRecent(id, nowMs));
+  }
+
+  /** Returns whether no other zone with ready daemons lacks recent sums. */
+  private hasOtherZones(nowMs: number): boolean {
+    return this.view
+      .listReady(nowMs)
+      .filter(daemon => daemon.availabilityZone !== this.self.availabilityZone)
+      .every(({availabilityZone: zone}) => this.sums.isRecent(zone, nowMs));
+  }
+
   private makeMessage(
     kind: LoadMessageKind,
     inFlight: ServerCounts,
@@ -133,3 +179,12 @@
     return {kind, id, availabilityZone, inFlight};
   }
 }
+
+/** Lists the counts of heartbeats; undefined for one that carries none. */
+function listCounts(
+  heartbeats: readonly Heartbeat[],
+): Array<ServerCounts | undefined> {
+  return heartbeats.map(heartbeat =>
+    hasCounts(heartbeat) ? heartbeat.inFlight : undefined,
+  );
+}
--- a/packages/router/src/members/member_service.ts
+++ b/packages/router/src/members/member_service.ts
@@ -2,7 +2,6 @@
 import {Logger, readSteadyMs} from '@greengagecross/common';
 import {
   computeFleetHeartbeatMs,
-  isStoreFollower,
   MIN_FLEET_HEARTBEAT_MS,
   WATCH_HEARTBEAT_MS,
   type CrashReport,
@@ -18,10 +17,12 @@
 import type {CrashGuard} from '../suspects/crash_guard.js';
 import {SUSPECT_MESSAGE_KIND} from '../suspects/suspect_message.js';
 import {DaemonState, type Heartbeat} from './heartbeat.js';
+import {HeartbeatCounts, hasCollectors} from './heartbeat_counts.js';
 import {HeartbeatSocket} from './heartbeat_socket.js';
 import {LoadExchange} from './load_exchange.js';
 import type {MemberView} from './member_view.js';
 import {PeerDiscovery} from './peer_discovery.js';
+import {StoreFollowing} from './store_following.js';
 import {SuspicionLog} from './suspicion_log.js';
 import type {StateCatchUp} from './state_catch_up.js';
 
@@ -35,6 +36,7 @@
 export class MemberService {
   private readonly socket: HeartbeatSocket;
   private readonly loads: LoadExchange;
+  private readonly counts: HeartbeatCounts;
   private sequence = 0;
   private lastHeartbeat: Heartbeat | undefined;
   private lastSentAtMs = Number.NEGATIVE_INFINITY;
@@ -43,6 +45,7 @@
   private readonly suspicionLog = new SuspicionLog();
   private isLeaving = false;
   private readonly discovery: PeerDiscovery;
+  private readonly following: StoreFollowing;
   private runFiber: ((effect: Effect.Effect<void>) => unknown) | undefined;
 
   constructor(
@@ -56,17 +59,21 @@
     private readonly source: FleetStateSource,
     private readonly catchUp: StateCatchUp,
     private readonly watch: FleetWatch,
-    sums: LoadSums,
+    private readonly sums: LoadSums,
     private readonly incarnation: number,
   ) {
     const {self} = settings;
     this.discovery = new PeerDiscovery(settings, view, registry);
+    this.following = new StoreFollowing(self.id, state, view, source);
     this.socket = new HeartbeatSocket(
       self.heartbeats,
       heartbeat => this.receive(heartbeat),
       message => this.loads.receive(message, readSteadyMs()),
       ({reports}) => this.guard.merge(reports, readSteadyMs()),
     );
+    this.counts = new HeartbeatCounts(sums, (heartbeat, addresses) =>
+      this.socket.send(heartbeat, addresses),
+    );
     this.loads = new LoadExchange(self, view, sums, (message, addresses) =>
       this.socket.send(message, addresses),
     );
@@ -110,7 +117,7 @@
     return Effect.forever(
       Effect.andThen(
         Effect.sync(() => {
-          this.updateFollowing();
+          this.following.update(readSteadyMs());
           this.runTick();
         }),
         Effect.sleep(MIN_FLEET_HEARTBEAT_MS),
@@ -131,8 +138,8 @@
     } else if (nowMs - this.lastWatchMs >= WATCH_HEARTBEAT_MS - toleranceMs) {
       this.sendToWatchers(nowMs);
     }
-    // In a small fleet heartbeats carry loads often enough.
-    if (intervalMs <= WATCH_HEARTBEAT_MS) return;
+    if (!hasCollectors(intervalMs)) return;
+    this.sums.setHeartbeatIntervalMs(intervalMs);
     const counts = this.inFlight.toRecord();
     const isReady = this.getState() === DaemonState.READY;
     this.loads.runTick(counts, isReady, nowMs, toleranceMs);
@@ -142,11 +149,7 @@
     const ids = this.watch.listRecipients(nowMs);
     if (ids.length === 0) return;
     this.lastWatchMs = nowMs;
-    const watchers = this.view.findHeartbeats(ids);
-    this.socket.send(
-      this.makeHeartbeat(),
-      watchers.map(({heartbeats}) => heartbeats),
-    );
+    this.counts.send(this.makeHeartbeat(), this.view.findHeartbeats(ids));
   }
 
   /**
@@ -168,9 +171,14 @@
   private isHeartbeatDue(): boolean {
     const {lastHeartbeat} = this;
     if (lastHeartbeat?.state !== this.getState()) return true;
-    const dueAtMs = this.lastSentAtMs + this.computeIntervalMs();
+    const nowMs = readSteadyMs();
+    const intervalMs = this.computeIntervalMs();
+    const isMissingLoads = this.counts.isMissing(intervalMs, nowMs);
+    // Peers send their counts with their next heartbeats only if they know.
+    if (isMissingLoads && !lastHeartbeat.isMissingLoads) return true;
+    const dueAtMs = this.lastSentAtMs + intervalMs;
     // Half a timer period early counts as due: the next check would be late.
-    if (readSteadyMs() >= dueAtMs - MIN_FLEET_HEARTBEAT_MS / 2) return true;
+    if (nowMs >= dueAtMs - MIN_FLEET_HEARTBEAT_MS / 2) return true;
     const {configuration, backends} = this.state;
     return (
       this.source.isFollowing() &&
@@ -179,56 +187,39 @@
     );
   }
 
-  /**
-   * Starts or stops following the store. A daemon follows the store if it is one
-   * of the followers or its state is incomplete: the store is the fastest source.
-   */
-  private updateFollowing(): void {
-    const others = this.view.listReady(readSteadyMs());
-    const {id} = this.settings.self;
-    const self = {id, isStoreReached: this.state.isStoreReached()};
-    const isNeeded = !this.state.isComplete() || isStoreFollower(self, others);
-    if (isNeeded === this.source.isFollowing()) return;
-    this.source.setFollowing(isNeeded);
-    logger.log(
-      isNeeded
-        ? 'This daemon now follows the store.'
-        : 'This daemon stopped following the store; some peers follow the store.',
-      {heard: others.length, storeReached: self.isStoreReached},
-    );
-  }
-
   private sendHeartbeat(): void {
     const nowMs = readSteadyMs();
-    const peers = this.view
-      .listHeartbeatTargets(nowMs)
-      .map(peer => peer.heartbeats);
-    const hosts = new Set(peers.map(({host}) => host));
+    const peers = this.view.listHeartbeatTargets(nowMs);
+    const hosts = new Set(peers.map(({heartbeats}) => heartbeats.host));
     const newAddresses = this.discovery
       .listAddresses(nowMs)
       .filter(({host}) => !hosts.has(host));
     this.lastHeartbeat = this.makeHeartbeat();
     this.lastSentAtMs = nowMs;
     this.lastWatchMs = nowMs;
-    this.socket.send(this.lastHeartbeat, [...peers, ...newAddresses]);
+    this.counts.send(this.lastHeartbeat, peers, newAddresses);
   }
 
   private makeHeartbeat(): Heartbeat {
     this.sequence += 1;
     const {configuration, backends} = this.state;
+    const nowMs = readSteadyMs();
+    const intervalMs = this.computeIntervalMs();
+    const isMissingLoads = this.counts.isMissing(intervalMs, nowMs);
     return {
       ...this.settings.self,
       incarnation: this.incarnation,
       sequence: this.sequence,
       state: this.getState(),
-      intervalMs: this.computeIntervalMs(),
+      intervalMs,
       isStoreReached: this.state.isStoreReached(),
       configurationVersion: configuration.getVersion(),
       backendsChange: backends.getVersion().changeRevision,
       inFlight: this.inFlight.toRecord(),
+      ...(isMissingLoads ? {isMissingLoads} : {}),
       watchers: this.watch.getWatchers(),
       silent: this.watch.getSilent(),
-      suspects: this.suspects.listReports(MAX_SUSPECTS, readSteadyMs()),
+      suspects: this.suspects.listReports(MAX_SUSPECTS, nowMs),
       crashes: {},
     };
   }
@@ -248,7 +239,7 @@
     }
     // A heartbeat in return announces this daemon to the new peer.
     if (!hasPeer) {
-      this.socket.send(this.makeHeartbeat(), [heartbeat.heartbeats]);
+      this.counts.send(this.makeHeartbeat(), [heartbeat]);
     }
     this.guard.merge(heartbeat.suspects ?? [], nowMs);
     if (this.catchUp.isBehind(heartbeat)) {
