Follow the store's eras after its return from an older copy

Clients would see: after the store returned from an older copy, daemons ignored every change until the store's counter had passed its old value, since revisions alone were compared; requests went on to servers that had left.

BackendRegistry, TableFeed, EvacuatedZones, heartbeats (`storeEra`), FETCH_FLEET_STATE and StateCatchUp compare (era, revision); a feed that meets a higher era reads the whole table. Servers missing from the copy stay for 2 s; one that was draining, or left after draining, gets no requests in the same incarnation. Each daemon writes its `members` row again, the fleet's writer its `engine-history` row. Peers that advertise no era count as era 0 and are sent none, since they refuse unknown fields. RemovedServers, ExpiryGrace and isAdvertised are taken out of larger files.

--- a/packages/router/src/calls/attempt_sequence_steps.ts
+++ b/packages/router/src/calls/attempt_sequence_steps.ts
@@ -92,7 +92,11 @@
       isDraining: false,
       startedAtMs: 1,
     }));
-    this.state.backends.setAll(entries, {revision: 1, changeRevision: 1}, 0);
+    this.state.backends.setAll(
+      entries,
+      {era: 0, revision: 1, changeRevision: 1},
+      0,
+    );
     const watch = new FleetWatch('self', 1);
     const view = new MemberView('self', watch, new LoadSums());
     const limits = {ratio: 1, slack: RETRIES, windowMs: 10_000};
--- a/packages/router/src/members/fleet_state_message.ts
+++ b/packages/router/src/members/fleet_state_message.ts
@@ -54,6 +54,11 @@
   isConfigurationWanted: Schema.Boolean,
   /** Store revision of the sender's list of backend servers; -1 for none. */
   backendsRevision: Schema.Number,
+  /**
+   * Store era of that list; absent means 0. Daemons of earlier releases refuse
+   * the field, so that it is sent only to those that advertise an era.
+   */
+  storeEra: Schema.optionalKey(Schema.Int),
 });
 
 /** Decoded form of {@link FleetStateQuerySchema}. */
@@ -61,6 +66,8 @@
 
 /** Result of the RPC: changes of the state since the revision in the query. */
 export const FleetStateResultSchema = Schema.Struct({
+  /** Store era of the backends; absent, which means 0, if not in the query. */
+  storeEra: Schema.optionalKey(Schema.Int),
   /** Absent when not requested or not available. */
   configuration: Schema.optionalKey(ConfigurationSchema),
   backends: Schema.Struct({
--- a/packages/router/src/members/heartbeat.ts
+++ b/packages/router/src/members/heartbeat.ts
@@ -44,6 +44,8 @@
   configurationVersion: Schema.Number,
   /** Revision of the newest change in the sender's backend list. */
   backendsChange: Schema.Number,
+  /** Store era of that list. Absent in heartbeats of earlier releases: 0. */
+  storeEra: Schema.optionalKey(Schema.Int),
   /**
    * Evacuated availability zones and the version of the store at which they were
    * read; see `EvacuatedZones`. Absent in heartbeats of earlier releases.
--- a/packages/router/src/members/member_service.ts
+++ b/packages/router/src/members/member_service.ts
@@ -17,6 +17,7 @@
 import type {FleetState} from '../state/fleet_state.js';
 import type {CrashGuard} from '../suspects/crash_guard.js';
 import {SUSPECT_MESSAGE_KIND} from '../suspects/suspect_message.js';
+import {isAdvertised, makeAdvertisedState} from './advertised_state.js';
 import {DaemonState, type Heartbeat} from './heartbeat.js';
 import {HeartbeatSocket} from './heartbeat_socket.js';
 import {LoadExchange} from './load_exchange.js';
@@ -60,7 +61,7 @@
     private readonly incarnation: number,
   ) {
     const {self} = settings;
-    this.discovery = new PeerDiscovery(settings, view, registry);
+    this.discovery = new PeerDiscovery(settings, state, view, registry);
     this.socket = new HeartbeatSocket(
       self.heartbeats,
       heartbeat => this.receive(heartbeat),
@@ -78,7 +79,7 @@
       const run = yield* FiberSet.makeRuntime<never, void, never>();
       this.runFiber = effect => run(effect);
       yield* this.socket.open();
-      yield* Effect.forkScoped(this.discovery.addSelf());
+      yield* Effect.forkScoped(this.discovery.runRegistration());
       yield* Effect.forkScoped(this.discovery.run());
       yield* Effect.forkScoped(this.runHeartbeats());
     });
@@ -171,12 +172,8 @@
     const dueAtMs = this.lastSentAtMs + this.computeIntervalMs();
     // Half a timer period early counts as due: the next check would be late.
     if (readSteadyMs() >= dueAtMs - MIN_FLEET_HEARTBEAT_MS / 2) return true;
-    const {configuration, backends, evacuated} = this.state;
     return (
-      this.source.isFollowing() &&
-      (lastHeartbeat.configurationVersion !== configuration.getVersion() ||
-        lastHeartbeat.evacuated?.zones !== evacuated.listZones() ||
-        lastHeartbeat.backendsChange !== backends.getVersion().changeRevision)
+      this.source.isFollowing() && !isAdvertised(lastHeartbeat, this.state)
     );
   }
 
@@ -216,17 +213,14 @@
 
   private makeHeartbeat(): Heartbeat {
     this.sequence += 1;
-    const {configuration, backends, evacuated} = this.state;
     return {
       ...this.settings.self,
+      ...makeAdvertisedState(this.state),
       incarnation: this.incarnation,
       sequence: this.sequence,
       state: this.getState(),
       intervalMs: this.computeIntervalMs(),
       isStoreReached: this.state.isStoreReached(),
-      configurationVersion: configuration.getVersion(),
-      backendsChange: backends.getVersion().changeRevision,
-      evacuated: evacuated.getSet(),
       inFlight: this.inFlight.toRecord(),
       watchers: this.watch.getWatchers(),
       silent: this.watch.getSilent(),
--- a/packages/router/src/members/peer_discovery.ts
+++ b/packages/router/src/members/peer_discovery.ts
@@ -1,13 +1,25 @@
 import {Effect} from 'effect';
-import {readSteadyMs, type Address} from '@greengagecross/common';
+import {
+  hash32,
+  Logger,
+  readSteadyMs,
+  type Address,
+} from '@greengagecross/common';
 import type {RouterSettings} from '../model/router_settings.js';
 import type {MemberRegistry} from '../ports/member_registry.js';
+import type {FleetState} from '../state/fleet_state.js';
 import type {MemberView} from './member_view.js';
 
 /** How long heartbeats are sent to discovered addresses that have sent none. */
 const DISCOVERY_MS = 6000;
 /** Interval between reads of the registry while no peer is running. */
 const REGISTRY_POLL_MS = 3000;
+/** Interval between checks whether the store lost this daemon's entry. */
+const ERA_CHECK_MS = 500;
+/** Time over which the daemons of a fleet write their entries again. */
+const REWRITE_SPREAD_MS = 2000;
+const MAX_HASH = 0xffff_ffff;
+const logger = new Logger('members');
 
 /** Finds addresses of other daemons in the settings and the registry. */
 export class PeerDiscovery {
@@ -16,15 +28,33 @@
 
   constructor(
     private readonly settings: RouterSettings,
+    private readonly state: FleetState,
     private readonly view: MemberView,
     private readonly registry: MemberRegistry,
   ) {
     this.setAddresses(this.listSeeds());
   }
 
-  /** Writes this daemon's entry to the registry. */
-  addSelf(): Effect.Effect<void> {
-    return this.registry.add(this.settings.self);
+  /**
+   * Writes this daemon's entry to the registry, and again whenever the store has
+   * returned from an older copy, which may lack the entry.
+   */
+  runRegistration(): Effect.Effect<never> {
+    const {self} = this.settings;
+    const spreadMs = (hash32(self.id) / MAX_HASH) * REWRITE_SPREAD_MS;
+    return Effect.gen({self: this}, function* () {
+      for (;;) {
+        const era = yield* this.registry.add(self);
+        while (this.state.getStoreEra() <= era) {
+          yield* Effect.sleep(ERA_CHECK_MS);
+        }
+        logger.log("This daemon's entry is written again after a new era.", {
+          era: this.state.getStoreEra(),
+          before: era,
+        });
+        yield* Effect.sleep(spreadMs);
+      }
+    });
   }
 
   /** Reads the registry at the start and then while no peer is running. */
--- a/packages/router/src/members/state_catch_up.ts
+++ b/packages/router/src/members/state_catch_up.ts
@@ -3,6 +3,7 @@
 import {PeerMethod, type PeerRpc} from '@greengagecross/peers';
 import type {FleetStateSource} from '../ports/fleet_state_source.js';
 import type {FleetState} from '../state/fleet_state.js';
+import {compareStoreVersions} from '../state/store_version.js';
 import {
   FleetStateResultSchema,
   type FleetStateResult,
@@ -46,7 +47,10 @@
   isBehind(heartbeat: Heartbeat): boolean {
     return (
       this.isConfigurationBehind(heartbeat) ||
-      heartbeat.backendsChange > this.state.backends.getRevision()
+      compareStoreVersions(
+        {era: heartbeat.storeEra ?? 0, revision: heartbeat.backendsChange},
+        this.state.backends.getVersion(),
+      ) > 0
     );
   }
 
@@ -85,10 +89,7 @@
       const result = yield* this.peers.send(
         heartbeat.peers,
         PeerMethod.FETCH_FLEET_STATE,
-        {
-          isConfigurationWanted: this.isConfigurationBehind(heartbeat),
-          backendsRevision: this.state.backends.getRevision(),
-        },
+        this.makeQuery(heartbeat),
         FleetStateResultSchema,
         FETCH_TIMEOUT_MS,
       );
@@ -116,9 +117,24 @@
     const view = configuration.getView();
     const isConfigurationIncluded =
       query.isConfigurationWanted && view !== undefined;
+    const {storeEra, backendsRevision: revision} = query;
+    const {era, ...changes} = backends.listChanges({
+      era: storeEra ?? 0,
+      revision,
+    });
     return {
       ...(isConfigurationIncluded ? {configuration: view.configuration} : {}),
-      backends: backends.listChanges(query.backendsRevision),
+      ...(storeEra === undefined ? {} : {storeEra: era}),
+      backends: changes,
+    };
+  }
+
+  private makeQuery(heartbeat: Heartbeat): FleetStateQuery {
+    const {era, revision} = this.state.backends.getVersion();
+    return {
+      isConfigurationWanted: this.isConfigurationBehind(heartbeat),
+      backendsRevision: revision,
+      ...(heartbeat.storeEra === undefined ? {} : {storeEra: era}),
     };
   }
 
@@ -129,16 +145,17 @@
 
   private apply(result: FleetStateResult, peer: string): void {
     const nowMs = readSteadyMs();
-    const {configuration, backends} = result;
+    const {configuration, backends, storeEra: era = 0} = result;
     if (configuration !== undefined) {
       this.state.configuration.set(configuration, nowMs);
     }
-    this.state.backends.applyPeerChanges(backends, nowMs);
+    this.state.backends.applyPeerChanges({...backends, era}, nowMs);
     this.state.recordUpdate();
     logger.log('State from a peer was applied.', {
       peer,
       configuration: configuration?.version,
       backends: backends.revision,
+      era,
       changed: backends.changed.length,
       removed: backends.removed.length,
     });
--- a/packages/router/src/members/state_catch_up_steps.ts
+++ b/packages/router/src/members/state_catch_up_steps.ts
@@ -5,6 +5,7 @@
 import {PeerRpc, type PeerError, type PeerMethod} from '@greengagecross/peers';
 import {FleetStateSource} from '../ports/fleet_state_source.js';
 import {FleetState} from '../state/fleet_state.js';
+import type {FleetStateQuery} from './fleet_state_message.js';
 import {DaemonState, type Heartbeat} from './heartbeat.js';
 import {StateCatchUp} from './state_catch_up.js';
 
@@ -35,6 +36,10 @@
   /** Number of RPCs that were sent. */
   calls = 0;
   readonly revisions = new Map<string, number>();
+  /** Store eras of the lists, by host; others have none. */
+  readonly eras = new Map<string, number>();
+  /** Parameters of the RPCs that were sent. */
+  readonly queries: FleetStateQuery[] = [];
 
   override send<S extends Schema.ConstraintDecoder<unknown>>(
     address: Address,
@@ -43,6 +48,7 @@
     result: S,
   ): Effect.Effect<S['Type'], PeerError> {
     this.calls += 1;
+    this.queries.push(params as FleetStateQuery);
     const revision = this.revisions.get(address.host);
     if (revision === undefined) return Effect.never;
     const backends = {
@@ -52,7 +58,9 @@
       revision,
       changeRevision: revision,
     };
-    return Effect.succeed(Schema.decodeUnknownSync(result)({backends}));
+    const storeEra = this.eras.get(address.host);
+    const era = storeEra === undefined ? {} : {storeEra};
+    return Effect.succeed(Schema.decodeUnknownSync(result)({...era, backends}));
   }
 }
 
@@ -63,7 +71,11 @@
   catchUp: StateCatchUp;
 }
 
-function makeHeartbeat(id: string, backendsChange: number): Heartbeat {
+function makeHeartbeat(
+  id: string,
+  backendsChange: number,
+  storeEra?: number,
+): Heartbeat {
   return {
     id,
     availabilityZone: 'a',
@@ -77,6 +89,7 @@
     isStoreReached: true,
     configurationVersion: -1,
     backendsChange,
+    ...(storeEra === undefined ? {} : {storeEra}),
     inFlight: {},
     crashes: {},
   };
@@ -87,14 +100,47 @@
   Effect.runFork(fixture.catchUp.run(heartbeat));
 }
 
+function startDaemon(
+  fixture: CatchUpFixture,
+  revision: number,
+  era: number,
+): void {
+  fixture.state = new FleetState();
+  const version = {era, revision, changeRevision: revision};
+  fixture.state.backends.setAll([], version, 0);
+  fixture.peers = new PeersStandin();
+  const source = new NonFollowingSource();
+  fixture.catchUp = new StateCatchUp(fixture.state, source, fixture.peers);
+}
+
 Given(
   'a daemon at revision {int} of the backend list',
   function (this: CatchUpFixture, revision: number) {
-    this.state = new FleetState();
-    this.state.backends.setAll([], {revision, changeRevision: revision}, 0);
-    this.peers = new PeersStandin();
-    const source = new NonFollowingSource();
-    this.catchUp = new StateCatchUp(this.state, source, this.peers);
+    startDaemon(this, revision, 0);
+  },
+);
+
+Given(
+  'a daemon at revision {int} of the backend list in era {int}',
+  function (this: CatchUpFixture, revision: number, era: number) {
+    startDaemon(this, revision, era);
+  },
+);
+
+When(
+  'peer {string} advertises revision {int} in era {int}',
+  function (this: CatchUpFixture, id: string, revision: number, era: number) {
+    this.peers.revisions.set(id, revision);
+    this.peers.eras.set(id, era);
+    startCatchUp(this, makeHeartbeat(id, revision, era));
+  },
+);
+
+Then(
+  /^the call (names era \d+|names no era)$/,
+  function (this: CatchUpFixture, text: string) {
+    const era = this.peers.queries[0]?.storeEra;
+    assert.equal(text, era === undefined ? 'names no era' : `names era ${era}`);
   },
 );
 
--- a/packages/router/src/ports/ended_engines_store.ts
+++ b/packages/router/src/ports/ended_engines_store.ts
@@ -11,8 +11,12 @@
 
 /** Persists recently ended engines for daemons that start later. */
 export abstract class EndedEnginesStore {
-  /** Replaces the stored record; a failure is logged, not returned. */
-  abstract write(ended: EndedEnginesByService): Effect.Effect<void>;
+  /**
+   * Replaces the stored record; a failure is logged.
+   *
+   * @return whether the record was written
+   */
+  abstract write(ended: EndedEnginesByService): Effect.Effect<boolean>;
 
   /** Reads the stored record; a failure is logged and gives an empty record. */
   abstract read(): Effect.Effect<EndedEnginesByService>;
--- a/packages/router/src/router_parts.ts
+++ b/packages/router/src/router_parts.ts
@@ -180,6 +180,11 @@
       help: 'Store revision of the backend server list; -1 before the first.',
       read: () => backends.getRevision(),
     });
+    this.metrics.addGauge({
+      name: 'greengagecross_store_era',
+      help: 'Era of the store, which rises when it returns from an older copy.',
+      read: () => this.state.getStoreEra(),
+    });
     this.metrics.addGauge({
       name: 'greengagecross_zones_evacuated',
       help: 'Availability zones whose servers get no requests.',
--- a/packages/router/src/state/backend_changes.ts
+++ b/packages/router/src/state/backend_changes.ts
@@ -1,10 +1,12 @@
 import type {BackendServer} from '../model/backend_server.js';
+import type {StoreVersion} from './store_version.js';
 
-/** Store revisions that a list of backend servers corresponds to. */
-export interface ListVersion {
-  /** The list includes every change up to this revision. */
-  readonly revision: number;
-  /** Revision of the newest change of a backend server in the list. */
+/**
+ * Version of the store that a list of backend servers corresponds to; the list
+ * includes every change up to it.
+ */
+export interface ListVersion extends StoreVersion {
+  /** Revision of the newest change, of the same era, in the list. */
   readonly changeRevision: number;
 }
 
@@ -15,7 +17,7 @@
   readonly server: BackendServer | undefined;
 }
 
-/** Changes of a list since a revision, for a daemon with an older list. */
+/** Changes of a list since a version, for a daemon with an older list. */
 export interface BackendChanges extends ListVersion {
   readonly changed: readonly BackendServer[];
   /** Ids of removed servers. */
--- a/packages/router/src/state/backend_registry.ts
+++ b/packages/router/src/state/backend_registry.ts
@@ -5,24 +5,21 @@
   EntryChange,
   ListVersion,
 } from './backend_changes.js';
+import {EXPIRED_GRACE_MS, ExpiryGrace} from './expiry_grace.js';
 import {isSameServer} from './is_same_server.js';
+import {RemovedServers} from './removed_servers.js';
+import {
+  compareStoreVersions,
+  NO_STORE_VERSION,
+  type StoreVersion,
+} from './store_version.js';
 
-/**
- * Time that an expired entry stays in use. An entry counts as expired if it was
- * removed during a store outage, or within this time after the outage, and the
- * server was not draining. The time begins at a removal during the outage and
- * again at the end of the outage: running servers register again within two
- * seconds.
- */
-const EXPIRED_GRACE_MS = 2000;
-/** Maximum number of removals kept for daemons with an older list. */
-const MAX_REMEMBERED_REMOVALS = 2000;
 const logger = new Logger('backends');
 
 interface Entry {
   readonly server: BackendServer;
-  /** Store revision of the list when the entry last changed. */
-  readonly revision: number;
+  /** Store revision of the list when the entry last changed in this era. */
+  revision: number;
   /** When an expired entry is removed; undefined while it is registered. */
   removeAtMs?: number;
 }
@@ -34,40 +31,37 @@
  */
 export class BackendRegistry {
   private entries = new Map<string, Entry>();
-  /** Ids of removed servers with the list's revision at the removal. */
-  private readonly removalRevisions = new Map<string, number>();
+  private readonly removed = new RemovedServers();
   private byService = new Map<string, BackendServer[]>();
-  private revision = -1;
-  private changeRevision = -1;
+  private version: ListVersion = {...NO_STORE_VERSION, changeRevision: -1};
   private confirmedAtMs = 0;
-  private storeUnreachableSinceMs: number | undefined;
-  private storeReachableSinceMs = Number.NEGATIVE_INFINITY;
+  private readonly grace = new ExpiryGrace();
 
   /**
-   * Replaces the complete list; a list of an older revision is ignored.
+   * Replaces the complete list; a list of an older version is ignored.
    *
-   * @return whether the list is of a newer revision than the current one
+   * @return whether the list is of a newer version than the current one
    */
   setAll(
     servers: readonly BackendServer[],
     version: ListVersion,
     nowMs: number,
   ): boolean {
-    if (version.revision < this.revision) return false;
+    const order = compareStoreVersions(version, this.version);
+    if (order < 0) return false;
     this.confirmedAtMs = nowMs;
-    const isNewer = version.revision > this.revision;
-    this.setVersion(version);
+    this.setVersion(version, nowMs);
     const listed = new Set(servers.map(server => server.id));
     for (const id of [...this.entries.keys()]) {
       if (!listed.has(id)) this.removeEntry(id, nowMs);
     }
     for (const server of servers) this.putEntry(server);
     this.updateIndex();
-    return isNewer;
+    return order > 0;
   }
 
   /**
-   * Applies changes up to a store revision, in order; changes up to a revision
+   * Applies changes up to a store version, in order; changes up to a version
    * that the list already includes are not applied.
    */
   applyChanges(
@@ -76,8 +70,8 @@
     nowMs: number,
   ): void {
     this.confirmedAtMs = nowMs;
-    if (version.revision <= this.revision) return;
-    this.setVersion(version);
+    if (compareStoreVersions(version, this.version) <= 0) return;
+    this.setVersion(version, nowMs);
     if (changes.length === 0) return;
     for (const {id, server} of changes) {
       if (server === undefined) this.removeEntry(id, nowMs);
@@ -86,46 +80,50 @@
     this.updateIndex();
   }
 
-  /** Applies a peer's changes; starts the grace of entries listed as expired. */
+  /**
+   * Applies a peer's changes; starts the grace of entries listed as expired. The
+   * changes of a peer with a higher era are its complete list.
+   */
   applyPeerChanges(changes: BackendChanges, nowMs: number): void {
-    if (changes.revision <= this.revision) return;
+    if (compareStoreVersions(changes, this.version) <= 0) return;
     const entries = [
       ...changes.removed.map(id => ({id, server: undefined})),
       ...changes.changed.map(server => ({id: server.id, server})),
     ];
-    this.applyChanges(entries, changes, nowMs);
-    for (const id of changes.lapsed) this.setExpired(id, nowMs);
+    if (changes.era > this.version.era) {
+      this.setAll(changes.changed, changes, nowMs);
+    } else {
+      this.applyChanges(entries, changes, nowMs);
+    }
+    const endMs = nowMs + EXPIRED_GRACE_MS;
+    for (const id of changes.lapsed) this.setExpired(id, endMs);
   }
 
-  /** Lists changes after a revision (-1: every entry) and all expired ids. */
-  listChanges(sinceRevision: number): BackendChanges {
+  /**
+   * Lists changes after a version, and all expired ids. Lists every entry for a
+   * version of another era or with revision -1.
+   */
+  listChanges(since: StoreVersion): BackendChanges {
+    const isSameEra = since.era === this.version.era;
+    const sinceRevision = isSameEra ? since.revision : -1;
     const changed: BackendServer[] = [];
     const lapsed: string[] = [];
     for (const [id, entry] of this.entries) {
       if (entry.removeAtMs !== undefined) lapsed.push(id);
       if (entry.revision > sinceRevision) changed.push(entry.server);
     }
-    const removed = [...this.removalRevisions]
-      .filter(([, revision]) => revision > sinceRevision)
-      .map(([id]) => id);
-    return {...this.getVersion(), changed, removed, lapsed};
+    const removed = this.removed.listSince(sinceRevision);
+    return {...this.version, changed, removed, lapsed};
   }
 
   /** Records that the store is unreachable. */
-  setStoreUnreachable(nowMs: number): void {
-    this.storeUnreachableSinceMs ??= nowMs;
+  setStoreUnreachable(): void {
+    this.grace.setUnreachable();
   }
 
   /** Records that the store is reachable; after an outage, restarts all grace. */
   setStoreReachable(nowMs: number): void {
-    if (this.storeUnreachableSinceMs === undefined) return;
-    this.storeUnreachableSinceMs = undefined;
-    this.storeReachableSinceMs = nowMs;
-    for (const entry of this.entries.values()) {
-      if (entry.removeAtMs !== undefined) {
-        entry.removeAtMs = nowMs + EXPIRED_GRACE_MS;
-      }
-    }
+    if (this.grace.setReachable(nowMs)) this.renewGrace(nowMs);
   }
 
   /** Removes expired entries whose grace period has elapsed. */
@@ -133,7 +131,7 @@
     let isChanged = false;
     for (const [id, entry] of this.entries) {
       if (entry.removeAtMs === undefined || entry.removeAtMs > nowMs) continue;
-      this.removeImmediately(id);
+      this.removeImmediately(entry.server);
       isChanged = true;
       logger.log('An expired backend server was removed.', {id});
     }
@@ -161,21 +159,14 @@
     return new Set(this.entries.keys());
   }
 
-  /** Returns whether any server is in an availability zone. */
-  hasZone(availabilityZone: string): boolean {
-    return [...this.entries.values()].some(
-      ({server}) => server.availabilityZone === availabilityZone,
-    );
-  }
-
   /** Returns the store revision of the list; -1 before the first list. */
   getRevision(): number {
-    return this.revision;
+    return this.version.revision;
   }
 
-  /** Returns both revisions of the list; -1 before the first list. */
+  /** Returns the version of the list; revision -1 before the first list. */
   getVersion(): ListVersion {
-    return {revision: this.revision, changeRevision: this.changeRevision};
+    return this.version;
   }
 
   /** Records a confirmation of the list. */
@@ -188,12 +179,37 @@
     return Math.round(nowMs - this.confirmedAtMs);
   }
 
-  private setVersion(version: ListVersion): void {
-    this.revision = version.revision;
-    this.changeRevision = Math.max(this.changeRevision, version.changeRevision);
+  private setVersion(version: ListVersion, nowMs: number): void {
+    const {era, revision} = version;
+    const before = this.version;
+    const isSameEra = era === before.era;
+    const changeRevision = isSameEra
+      ? Math.max(before.changeRevision, version.changeRevision)
+      : version.changeRevision;
+    this.version = {era, revision, changeRevision};
+    if (isSameEra || before.revision < 0) return;
+    logger.log('The list of backend servers has a new store era.', {
+      era,
+      revision,
+      eraBefore: before.era,
+      revisionBefore: before.revision,
+    });
+    for (const entry of this.entries.values()) entry.revision = revision;
+    this.removed.startEra(revision);
+    this.grace.start(nowMs);
+    this.renewGrace(nowMs);
   }
 
-  private putEntry(server: BackendServer): void {
+  private renewGrace(nowMs: number): void {
+    for (const entry of this.entries.values()) {
+      if (entry.removeAtMs === undefined) continue;
+      entry.removeAtMs = this.grace.computeEndMs(nowMs);
+    }
+  }
+
+  private putEntry(given: BackendServer): void {
+    const hasEnded = this.removed.hasEnded(given, this.version.era);
+    const server = hasEnded ? {...given, isDraining: true} : given;
     const current = this.entries.get(server.id)?.server;
     if (current !== undefined) {
       // Ignored: it was written by an earlier incarnation of the server.
@@ -206,55 +222,41 @@
       logger.log('A backend server was added or its draining state changed.', {
         id: server.id,
         draining: server.isDraining,
-        revision: this.revision,
+        revision: this.version.revision,
       });
     }
     const isUnchanged = current !== undefined && isSameServer(current, server);
     const revision = isUnchanged
-      ? (this.entries.get(server.id)?.revision ?? this.revision)
-      : this.revision;
+      ? (this.entries.get(server.id)?.revision ?? this.version.revision)
+      : this.version.revision;
     this.entries.set(server.id, {server, revision});
-    this.removalRevisions.delete(server.id);
+    this.removed.remove(server.id);
   }
 
   private removeEntry(id: string, nowMs: number): void {
     const entry = this.entries.get(id);
     if (entry === undefined) return;
-    const isExpiry =
-      this.isOutageOrGracePeriod(nowMs) && !entry.server.isDraining;
+    const isExpiry = this.grace.isActive(nowMs) && !entry.server.isDraining;
     logger.log('A backend server is no longer registered.', {
       id,
       kept: isExpiry,
-      revision: this.revision,
+      revision: this.version.revision,
     });
     if (!isExpiry) {
-      this.removeImmediately(id);
+      this.removeImmediately(entry.server);
       return;
     }
-    const isStoreUnreachable = this.storeUnreachableSinceMs !== undefined;
-    this.setExpired(
-      id,
-      isStoreUnreachable ? nowMs : this.storeReachableSinceMs,
-    );
+    this.setExpired(id, this.grace.computeEndMs(nowMs));
   }
 
-  private setExpired(id: string, sinceMs: number): void {
+  private setExpired(id: string, endMs: number): void {
     const entry = this.entries.get(id);
-    if (entry !== undefined) entry.removeAtMs ??= sinceMs + EXPIRED_GRACE_MS;
-  }
-
-  private removeImmediately(id: string): void {
-    this.entries.delete(id);
-    this.removalRevisions.delete(id);
-    this.removalRevisions.set(id, this.revision);
-    if (this.removalRevisions.size <= MAX_REMEMBERED_REMOVALS) return;
-    const oldest = this.removalRevisions.keys().next().value;
-    if (oldest !== undefined) this.removalRevisions.delete(oldest);
+    if (entry !== undefined) entry.removeAtMs ??= endMs;
   }
 
-  private isOutageOrGracePeriod(nowMs: number): boolean {
-    if (this.storeUnreachableSinceMs !== undefined) return true;
-    return nowMs - this.storeReachableSinceMs < EXPIRED_GRACE_MS;
+  private removeImmediately(server: BackendServer): void {
+    this.entries.delete(server.id);
+    this.removed.record(server, this.version);
   }
 
   private updateIndex(): void {
--- a/packages/router/src/state/ended_engines_persister.ts
+++ b/packages/router/src/state/ended_engines_persister.ts
@@ -19,6 +19,8 @@
 export class EndedEnginesPersister {
   /** The record when it last changed, in JSON; it may not have been written. */
   private lastText = '{}';
+  /** Store era of the last record; undefined until the state is complete. */
+  private era: number | undefined;
 
   constructor(
     private readonly selfId: string,
@@ -48,6 +50,9 @@
 
   private writeChange(): Effect.Effect<void> {
     return Effect.suspend(() => {
+      if (!this.state.isComplete()) return Effect.void;
+      const storeEra = this.state.getStoreEra();
+      this.era ??= storeEra;
       const others = this.members.listReady(readSteadyMs());
       const isStoreReached = this.state.isStoreReached();
       if (!isStoreWriter({id: this.selfId, isStoreReached}, others)) {
@@ -55,11 +60,27 @@
       }
       const ended = this.chooser.listEnded();
       const text = JSON.stringify(ended);
+      // After a new era the store may lack the record, also if it is unchanged.
+      const isRestored = storeEra > this.era;
+      const isChanged = text !== this.lastText;
+      if (text === '{}' || (!isChanged && !isRestored)) return Effect.void;
       // A shorter text means that old entries expired; it is not written.
-      if (text === this.lastText || text === '{}') return Effect.void;
       const isGrown = text.length >= this.lastText.length;
       this.lastText = text;
-      return isGrown ? this.store.write(ended) : Effect.void;
+      if (!isGrown && !isRestored) return Effect.void;
+      return Effect.map(this.store.write(ended), isWritten => {
+        if (isWritten) this.recordWritten(storeEra);
+      });
     });
   }
+
+  private recordWritten(storeEra: number): void {
+    if (storeEra !== this.era) {
+      logger.log('Ended engines were written again after a new store era.', {
+        era: storeEra,
+        before: this.era,
+      });
+    }
+    this.era = storeEra;
+  }
 }
--- a/packages/router/src/state/evacuated_zones_steps.ts
+++ b/packages/router/src/state/evacuated_zones_steps.ts
@@ -140,7 +140,7 @@
   'a starting daemon with a configuration and a list of servers',
   function (this: EvacuationWorld) {
     this.state = new FleetState();
-    this.state.backends.setAll([], {revision: 1, changeRevision: 1}, 0);
+    this.state.backends.setAll([], {era: 0, revision: 1, changeRevision: 1}, 0);
     const limits = DEFAULT_CALLER_LIMITS;
     const configuration = {version: 1, routes: [], services: [], limits};
     this.state.configuration.set(configuration, 0);
--- a/packages/router/src/state/fleet_state.ts
+++ b/packages/router/src/state/fleet_state.ts
@@ -54,7 +54,7 @@
   setStoreReached(isReached: boolean, nowMs: number, cause = ''): void {
     if (isReached) this.recordUpdate();
     if (isReached) this.backends.setStoreReachable(nowMs);
-    else this.backends.setStoreUnreachable(nowMs);
+    else this.backends.setStoreUnreachable();
     if (isReached === this.wasStoreReached) return;
     this.wasStoreReached = isReached;
     logger.log(
@@ -67,6 +67,12 @@
     );
   }
 
+  /** Returns the highest era of the store that this daemon's state has. */
+  getStoreEra(): number {
+    const {backends, evacuated} = this;
+    return Math.max(backends.getVersion().era, evacuated.getSet().era);
+  }
+
   /** Returns whether the last store call succeeded; true before the first. */
   isStoreReached(): boolean {
     return this.wasStoreReached;
@@ -88,8 +94,11 @@
     const zones = this.evacuated.listZones();
     if (zones === this.checkedZones || !this.isComplete()) return;
     this.checkedZones = zones;
+    const servers = [...this.backends.listIds()].map(id =>
+      this.backends.find(id),
+    );
     for (const zone of zones) {
-      if (this.backends.hasZone(zone)) continue;
+      if (servers.some(server => server?.availabilityZone === zone)) continue;
       logger.log('An evacuated availability zone has no backend servers.', {
         zone,
       });
