--- a/packages/router/src/members/member_service.ts
+++ b/packages/router/src/members/member_service.ts
@@ -16,6 +16,7 @@
 import type {FleetState} from '../state/fleet_state.js';
 import type {CrashGuard} from '../suspects/crash_guard.js';
 import {SUSPECT_MESSAGE_KIND} from '../suspects/suspect_message.js';
+import {isAdvertised, makeAdvertisedState} from './advertised_state.js';
 import {DaemonState, type Heartbeat} from './heartbeat.js';
 import {HeartbeatCounts, hasCollectors} from './heartbeat_counts.js';
 import {HeartbeatSocket} from './heartbeat_socket.js';
@@ -63,7 +64,7 @@
     private readonly incarnation: number,
   ) {
     const {self} = settings;
-    this.discovery = new PeerDiscovery(settings, view, registry);
+    this.discovery = new PeerDiscovery(settings, state, view, registry);
     this.following = new StoreFollowing(self.id, state, view, source);
     this.socket = new HeartbeatSocket(
       self.heartbeats,
@@ -85,7 +86,7 @@
       const run = yield* FiberSet.makeRuntime<never, void, never>();
       this.runFiber = effect => run(effect);
       yield* this.socket.open();
-      yield* Effect.forkScoped(this.discovery.addSelf());
+      yield* Effect.forkScoped(this.discovery.runRegistration());
       yield* Effect.forkScoped(this.discovery.run());
       yield* Effect.forkScoped(this.runHeartbeats());
     });
@@ -179,12 +180,8 @@
     const dueAtMs = this.lastSentAtMs + intervalMs;
     // Half a timer period early counts as due: the next check would be late.
     if (nowMs >= dueAtMs - MIN_FLEET_HEARTBEAT_MS / 2) return true;
-    const {configuration, backends, evacuated} = this.state;
     return (
-      this.source.isFollowing() &&
-      (lastHeartbeat.configurationVersion !== configuration.getVersion() ||
-        lastHeartbeat.evacuated?.zones !== evacuated.listZones() ||
-        lastHeartbeat.backendsChange !== backends.getVersion().changeRevision)
+      this.source.isFollowing() && !isAdvertised(lastHeartbeat, this.state)
     );
   }
 
@@ -203,20 +200,17 @@
 
   private makeHeartbeat(): Heartbeat {
     this.sequence += 1;
-    const {configuration, backends, evacuated} = this.state;
     const nowMs = readSteadyMs();
     const intervalMs = this.computeIntervalMs();
     const isMissingLoads = this.counts.isMissing(intervalMs, nowMs);
     return {
       ...this.settings.self,
+      ...makeAdvertisedState(this.state),
       incarnation: this.incarnation,
       sequence: this.sequence,
       state: this.getState(),
       intervalMs,
       isStoreReached: this.state.isStoreReached(),
-      configurationVersion: configuration.getVersion(),
-      backendsChange: backends.getVersion().changeRevision,
-      evacuated: evacuated.getSet(),
       inFlight: this.inFlight.toRecord(),
       ...(isMissingLoads ? {isMissingLoads} : {}),
       watchers: this.watch.getWatchers(),
