Limit the requests to cold servers on the users' platform

ServerChooser leaves out cold servers without a token, like paused ones, and takes a token only for the server that it returns, for first attempts, retries and resumptions alike. If only such servers are left, the request is rejected with the time until a token is due. The bound comes from cold_per_s and cold_start_s of the service and bounds.cold_overage and cold_slack of the settings; without one of them nothing changes. cold_left_ms of an entry reaches peers with the list of servers, but only peers that ask for it, since earlier releases reject unknown fields. A remaining time that went down as expected is no change of the list. Invalid values are logged and keep the last valid state.

--- a/packages/router/src/calls/attempt_recorder.ts
+++ b/packages/router/src/calls/attempt_recorder.ts
@@ -42,7 +42,11 @@
     private readonly guard: CrashGuard,
     private readonly notices: ServerNotices,
     private readonly metrics: RouterMetrics,
-    private readonly onUnreachable: (serverId: string) => void,
+    private readonly onUnreachable: (
+      serverId: string,
+      attemptStartMs: number,
+    ) => void,
+    private readonly onReachable: (serverId: string) => void,
   ) {}
 
   /** Records that a request is being sent to a server. */
@@ -58,6 +62,7 @@
   ): void {
     const nowMs = readSteadyMs();
     this.guard.recordReply(serverId);
+    this.onReachable(serverId);
     const result = head.status >= 500 ? ServerResult.ERROR : ServerResult.OK;
     this.health.recordResult(serverId, result, nowMs);
     if (result === ServerResult.OK) {
@@ -92,7 +97,7 @@
 
   /** Records that the server at a server's address has another id. */
   recordReplaced(server: BackendServer): void {
-    this.onUnreachable(server.id);
+    this.onUnreachable(server.id, readSteadyMs());
     if (!this.notices.recordReplaced(server, readSteadyMs())) return;
     this.metrics.recordNotice(ServerNotice.REPLACED);
     logger.log(
@@ -123,7 +128,10 @@
   ): Effect.Effect<void> {
     return Effect.suspend(() => {
       this.logFailure(job, failure, progress);
-      if (REPLY_FAILURES.has(failure.kind)) this.guard.recordReply(server.id);
+      if (REPLY_FAILURES.has(failure.kind)) {
+        this.guard.recordReply(server.id);
+        this.onReachable(server.id);
+      }
       const isCut = failure.kind === AttemptFailureKind.DISCONNECTED;
       if (!isCut || progress.hasEvent) return Effect.void;
       return this.guard.recordCut(job.suspects, server, progress.startedAtMs);
@@ -141,7 +149,7 @@
     this.metrics.recordAttemptFailure(kind, hasEvent);
     this.health.recordResult(serverId, toServerResult(kind), nowMs);
     if (kind === AttemptFailureKind.NOT_SENT) {
-      this.onUnreachable(serverId);
+      this.onUnreachable(serverId, startedAtMs);
       this.guard.recordDown(serverId);
     }
     logger.log('An attempt failed.', {
--- a/packages/router/src/calls/call_handler.ts
+++ b/packages/router/src/calls/call_handler.ts
@@ -213,6 +213,7 @@
     const afterMs = readSteadyMs() - startedAtMs;
     const {attempts, mayHaveRun, placement, firstEventAtMs, longestPauseMs} =
       job.trace;
+    const {cold} = job.trace;
     if (outcome !== 'client-left') {
       this.metrics.recordCall(
         job.route.kind,
@@ -229,6 +230,7 @@
       customer: job.customer,
       servers: attempts.join(','),
       placement,
+      ...(cold === undefined ? {} : {cold}),
       mayHaveRun,
       outcome,
       status: job.exchange.response.statusCode,
--- a/packages/router/src/calls/call_job.ts
+++ b/packages/router/src/calls/call_job.ts
@@ -32,6 +32,8 @@
    * empty for requests without a prompt.
    */
   placement: string;
+  /** How cold servers affected the last choice; absent if they did not. */
+  cold?: string;
   /** When a stream's first event was relayed, on the monotonic clock. */
   firstEventAtMs?: number;
   /** Longest pause between two stream events, in milliseconds. */
--- a/packages/router/src/calls/server_chooser.ts
+++ b/packages/router/src/calls/server_chooser.ts
@@ -11,6 +11,7 @@
 import type {BackendRegistry} from '../state/backend_registry.js';
 import type {EndedEnginesByService} from '../ports/ended_engines_store.js';
 import type {CallJob} from './call_job.js';
+import type {ColdServers} from './cold_servers.js';
 import {RETRY_AFTER_MS} from './dispatch_limits.js';
 import type {InFlightCounter} from './in_flight_counter.js';
 import type {ServerChoice} from './server_choice.js';
@@ -39,6 +40,7 @@
     private readonly inFlight: InFlightCounter,
     private readonly members: MemberView,
     private readonly notices: ServerNotices,
+    private readonly cold: ColdServers,
   ) {}
 
   /** Chooses a ready server that was not tried; undefined when none is left. */
@@ -51,26 +53,32 @@
           !tried.has(server.id) && this.notices.isAvailable(server, nowMs),
       );
     if (servers.length === 0) return undefined;
-    const ids = servers.map(server => server.id);
-    const avoided = this.health.listAvoided(ids, nowMs);
-    if (job.call.prompt.length > 0) {
-      return this.chooseForPrompt(job, servers, avoided, nowMs);
-    }
-    const id = this.chooseWithoutPrompt(servers, avoided, nowMs);
-    const server = servers.find(candidate => candidate.id === id);
-    return server === undefined ? undefined : {server};
+    const available = this.cold.keepAvailable(job.service, servers, nowMs);
+    const choice = this.chooseFrom(job, available, nowMs);
+    const heldBack = servers.length - available.length;
+    this.cold.recordChoice(job, heldBack, choice?.server, nowMs);
+    return choice;
   }
 
   /**
    * Computes the retry delay of a request that no server ran, in milliseconds.
    * While all servers want a pause it is at least the time until the first takes
    * requests, longer by up to a fifth, so that clients do not return at once.
+   * While all others are cold it is the time until one may get a request.
    */
   computeRetryAfterMs({service, call}: CallJob): number {
+    const nowMs = readSteadyMs();
     const servers = this.backends.listReady(service);
-    const waitMs = this.notices.computeWaitMs(servers, readSteadyMs()) ?? 0;
-    const spread = (hash32(call.id ?? '') / MAX_HASH) * RETURN_SPREAD;
-    return Math.max(RETRY_AFTER_MS, Math.ceil(waitMs * (1 + spread)));
+    const spread = hash32(call.id ?? '') / MAX_HASH;
+    const coldMs = this.cold.computeRetryAfterMs(
+      service,
+      servers.filter(server => this.notices.isAvailable(server, nowMs)),
+      spread,
+      nowMs,
+    );
+    const pauseMs = this.notices.computeWaitMs(servers, nowMs) ?? 0;
+    const waitMs = coldMs ?? pauseMs * (1 + spread * RETURN_SPREAD);
+    return Math.max(RETRY_AFTER_MS, Math.ceil(waitMs));
   }
 
   /**
@@ -95,12 +103,29 @@
   }
 
   /** Records that a server is unreachable and its cached context is lost. */
-  recordUnreachable(serverId: string): void {
+  recordUnreachable(serverId: string, attemptStartMs: number): void {
+    this.cold.recordUnreachable(serverId, attemptStartMs);
     for (const placement of this.placements.values()) {
       placement.recordCacheLost(serverId);
     }
   }
 
+  private chooseFrom(
+    job: CallJob,
+    servers: readonly BackendServer[],
+    nowMs: number,
+  ): ServerChoice | undefined {
+    if (servers.length === 0) return undefined;
+    const ids = servers.map(server => server.id);
+    const avoided = this.health.listAvoided(ids, nowMs);
+    if (job.call.prompt.length > 0) {
+      return this.chooseForPrompt(job, servers, avoided, nowMs);
+    }
+    const id = this.chooseWithoutPrompt(servers, avoided, nowMs);
+    const server = servers.find(candidate => candidate.id === id);
+    return server === undefined ? undefined : {server};
+  }
+
   private chooseForPrompt(
     job: CallJob,
     servers: readonly BackendServer[],
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -14,6 +14,7 @@
 export * from './model/route.js';
 export * from './model/routed_customer.js';
 export * from './model/caller_limits.js';
+export * from './model/cold_limits.js';
 export * from './model/routing_configuration.js';
 export * from './model/backend_server.js';
 export * from './model/client_call.js';
--- a/packages/router/src/members/fleet_state_message.ts
+++ b/packages/router/src/members/fleet_state_message.ts
@@ -1,6 +1,6 @@
 import {Schema} from 'effect';
-import {AddressSchema} from '@greengagecross/common';
 import {CallKind} from '../model/call_kind.js';
+import {BackendSchema} from './backend_message.js';
 
 const RouteSchema = Schema.Struct({
   name: Schema.String,
@@ -36,16 +36,16 @@
     headerTimeoutMs: Schema.Number,
     idleTimeoutMs: Schema.Number,
   }),
-});
-
-const BackendSchema = Schema.Struct({
-  id: Schema.String,
-  service: Schema.String,
-  address: AddressSchema,
-  availabilityZone: Schema.String,
-  slots: Schema.Number,
-  isDraining: Schema.Boolean,
-  startedAtMs: Schema.Number,
+  /** Only for receivers that ask for it: earlier releases reject it. */
+  coldServices: Schema.optionalKey(
+    Schema.Record(
+      Schema.String,
+      Schema.Struct({
+        requestsPerSecond: Schema.Number,
+        startMs: Schema.Number,
+      }),
+    ),
+  ),
 });
 
 /** Parameters of the RPC that fetches the state that its sender lacks. */
@@ -54,6 +54,11 @@
   isConfigurationWanted: Schema.Boolean,
   /** Store revision of the sender's list of backend servers; -1 for none. */
   backendsRevision: Schema.Number,
+  /**
+   * Whether the sender also requests what is known of cold servers. Sent only to
+   * peers whose heartbeat says that they know the field.
+   */
+  isColdStateWanted: Schema.optionalKey(Schema.Boolean),
 });
 
 /** Decoded form of {@link FleetStateQuerySchema}. */
--- a/packages/router/src/members/heartbeat.ts
+++ b/packages/router/src/members/heartbeat.ts
@@ -52,6 +52,8 @@
   silent: Schema.optionalKey(Schema.Record(Schema.String, Schema.Number)),
   /** Suspects under which servers crashed; see `CrashSuspects`. */
   suspects: Schema.optionalKey(Schema.Array(CrashReportSchema)),
+  /** Whether queries for the sender's state may ask for cold servers. */
+  isColdStateKnown: Schema.optionalKey(Schema.Boolean),
   /** Always empty; daemons of earlier releases need the field. */
   crashes: Schema.Record(Schema.String, Schema.Number),
 });
--- a/packages/router/src/members/member_service.ts
+++ b/packages/router/src/members/member_service.ts
@@ -229,6 +229,9 @@
       watchers: this.watch.getWatchers(),
       silent: this.watch.getSilent(),
       suspects: this.suspects.listReports(MAX_SUSPECTS, readSteadyMs()),
+      ...(this.settings.coldLimits === undefined
+        ? {}
+        : {isColdStateKnown: true}),
       crashes: {},
     };
   }
--- a/packages/router/src/members/state_catch_up.ts
+++ b/packages/router/src/members/state_catch_up.ts
@@ -1,8 +1,10 @@
 import {Effect} from 'effect';
 import {Logger, readSteadyMs} from '@greengagecross/common';
 import {PeerMethod, type PeerRpc} from '@greengagecross/peers';
+import type {RoutingConfiguration} from '../model/routing_configuration.js';
 import type {FleetStateSource} from '../ports/fleet_state_source.js';
 import type {FleetState} from '../state/fleet_state.js';
+import {makeBackendMessage, toBackendServer} from './backend_message.js';
 import {
   FleetStateResultSchema,
   type FleetStateResult,
@@ -78,6 +80,9 @@
         {
           isConfigurationWanted: this.isConfigurationBehind(heartbeat),
           backendsRevision: this.state.backends.getRevision(),
+          ...(heartbeat.isColdStateKnown === true
+            ? {isColdStateWanted: true}
+            : {}),
         },
         FleetStateResultSchema,
         FETCH_TIMEOUT_MS,
@@ -104,11 +109,21 @@
   makeResult(query: FleetStateQuery): FleetStateResult {
     const {configuration, backends} = this.state;
     const view = configuration.getView();
+    const isColdIncluded = query.isColdStateWanted === true;
     const isConfigurationIncluded =
       query.isConfigurationWanted && view !== undefined;
+    const changes = backends.listChanges(query.backendsRevision);
+    const nowMs = readSteadyMs();
     return {
-      ...(isConfigurationIncluded ? {configuration: view.configuration} : {}),
-      backends: backends.listChanges(query.backendsRevision),
+      ...(isConfigurationIncluded
+        ? {configuration: makeMessage(view.configuration, isColdIncluded)}
+        : {}),
+      backends: {
+        ...changes,
+        changed: changes.changed.map(server =>
+          makeBackendMessage(server, isColdIncluded, nowMs),
+        ),
+      },
     };
   }
 
@@ -123,7 +138,10 @@
     if (configuration !== undefined) {
       this.state.configuration.set(configuration, nowMs);
     }
-    this.state.backends.applyPeerChanges(backends, nowMs);
+    const changed = backends.changed.map(message =>
+      toBackendServer(message, nowMs),
+    );
+    this.state.backends.applyPeerChanges({...backends, changed}, nowMs);
     this.state.recordUpdate();
     logger.log('State from a peer was applied.', {
       peer,
@@ -134,3 +152,11 @@
     });
   }
 }
+
+function makeMessage(
+  {coldServices, ...configuration}: RoutingConfiguration,
+  isColdIncluded: boolean,
+): RoutingConfiguration {
+  const isOmitted = coldServices === undefined || !isColdIncluded;
+  return isOmitted ? configuration : {...configuration, coldServices};
+}
--- a/packages/router/src/metrics/router_metrics.ts
+++ b/packages/router/src/metrics/router_metrics.ts
@@ -44,6 +44,17 @@
     labelNames: ['notice'],
     registers: [this.registry],
   });
+  private readonly coldRequests = new Counter({
+    name: 'greengagecross_cold_requests_total',
+    help: 'Attempts for which the right to send to a cold server was used.',
+    registers: [this.registry],
+  });
+  private readonly heldBack = new Counter({
+    name: 'greengagecross_cold_held_back_total',
+    help: 'Choices in which a cold server was not available: another server was chosen, or none was left.',
+    labelNames: ['result'],
+    registers: [this.registry],
+  });
   private readonly seconds = new Histogram({
     name: 'greengagecross_call_seconds',
     help: 'Time from a request to the end of its answer, in seconds.',
@@ -93,6 +104,16 @@
     this.notices.inc({notice});
   }
 
+  /** Records that a request is sent to a cold server. */
+  recordColdRequest(): void {
+    this.coldRequests.inc();
+  }
+
+  /** Records that a cold server was not available for a request. */
+  recordHeldBack(hasOtherServer: boolean): void {
+    this.heldBack.inc({result: hasOtherServer ? 'other-server' : 'no-server'});
+  }
+
   /** Formats all metrics in the Prometheus text format. */
   format(): Promise<string> {
     return this.registry.metrics();
--- a/packages/router/src/model/backend_server.ts
+++ b/packages/router/src/model/backend_server.ts
@@ -1,4 +1,5 @@
 import type {Address} from '@greengagecross/common';
+import type {ColdReport} from '@greengagecross/decisions';
 
 /** Registration of one backend server, as the server wrote it to the store. */
 export interface BackendServer {
@@ -15,4 +16,6 @@
   readonly isDraining: boolean;
   /** Start time in milliseconds since the epoch; 0 when not reported. */
   readonly startedAtMs: number;
+  /** Absent if the entry has no valid cold time. */
+  readonly coldReport?: ColdReport;
 }
--- a/packages/router/src/model/router_settings.ts
+++ b/packages/router/src/model/router_settings.ts
@@ -1,5 +1,6 @@
 import type {Address} from '@greengagecross/common';
 import type {RetryLimits} from '@greengagecross/decisions';
+import type {ColdLimits} from './cold_limits.js';
 import type {DaemonIdentity} from './daemon_identity.js';
 
 /** Decoded settings of one daemon. */
@@ -13,6 +14,8 @@
   /** Time from the stop signal until the process is killed, in milliseconds. */
   readonly stopGraceMs: number;
   readonly retryLimits: RetryLimits;
+  /** If absent, requests to cold servers are not limited. */
+  readonly coldLimits?: ColdLimits;
   /** Memory that the process may use, in bytes; unlimited if absent. */
   readonly memoryBytes?: number;
 }
--- a/packages/router/src/model/routing_configuration.ts
+++ b/packages/router/src/model/routing_configuration.ts
@@ -1,4 +1,5 @@
 import type {CallerLimits} from './caller_limits.js';
+import type {ColdService} from './cold_limits.js';
 import type {Route} from './route.js';
 import type {RoutedCustomer} from './routed_customer.js';
 
@@ -12,4 +13,6 @@
   /** Undefined when requests need no API key. */
   readonly customers?: readonly RoutedCustomer[];
   readonly limits: CallerLimits;
+  /** By name of the service; services without a bound are omitted. */
+  readonly coldServices?: Readonly<Record<string, ColdService>>;
 }
--- a/packages/router/src/router_daemon.ts
+++ b/packages/router/src/router_daemon.ts
@@ -68,9 +68,10 @@
     Deferred.doneUnsafe(this.stopRequested, Effect.void);
   }
 
-  /** Applies a changed retry budget and stop grace; ignores other settings. */
+  /** Applies a changed retry budget, cold bound and stop grace; ignores others. */
   setSettings(settings: RouterSettings): void {
     this.parts.budget.setLimits(settings.retryLimits);
+    this.parts.cold.setLimits(settings.coldLimits);
     this.stopGraceMs = settings.stopGraceMs;
   }
 
@@ -122,13 +123,14 @@
 
   /** Applies configuration changes and removes expired entries periodically. */
   private runUpdates(): Effect.Effect<never> {
-    const {state, health} = this.parts;
+    const {state, health, cold} = this.parts;
     const update = Effect.sync(() => {
       const view = state.configuration.getView();
       const limits = view?.configuration.limits ?? DEFAULT_CALLER_LIMITS;
       this.clientServer.setKeepAliveMs(limits.idleTimeoutMs);
       state.backends.removeExpired(readSteadyMs());
       health.removeAllBut(state.backends.listIds());
+      cold.update();
     });
     return Effect.forever(
       Effect.andThen(update, Effect.sleep(UPDATE_INTERVAL_MS)),
--- a/packages/router/src/router_parts.ts
+++ b/packages/router/src/router_parts.ts
@@ -18,6 +18,7 @@
 import {FleetRetries} from './calls/fleet_retries.js';
 import {InFlightCounter} from './calls/in_flight_counter.js';
 import {LocalAnswers} from './calls/local_answers.js';
+import {ColdServers} from './calls/cold_servers.js';
 import {ServerChooser} from './calls/server_chooser.js';
 import {ServiceDispatcher} from './calls/service_dispatcher.js';
 import {FleetStateQuerySchema} from './members/fleet_state_message.js';
@@ -59,6 +60,7 @@
   readonly members: MemberService;
   readonly endpoints: OperationalEndpoints;
   readonly budget: FleetRetryBudget;
+  readonly cold: ColdServers;
   readonly eventLoopDelay = new EventLoopDelay();
   readonly endedEngines: EndedEnginesPersister;
   private readonly inFlight = new InFlightCounter();
@@ -81,6 +83,13 @@
     const answers = new LocalAnswers(ports.codec);
     const budget = new FleetRetryBudget(settings.retryLimits);
     this.budget = budget;
+    this.cold = new ColdServers(
+      self.id,
+      settings.coldLimits,
+      this.state,
+      view,
+      this.metrics,
+    );
     const chooser = new ServerChooser(
       self.availabilityZone,
       this.state.backends,
@@ -88,6 +97,7 @@
       this.inFlight,
       view,
       this.notices,
+      this.cold,
     );
     const guard = new CrashGuard(
       this.suspects,
@@ -100,7 +110,9 @@
       guard,
       this.notices,
       this.metrics,
-      serverId => chooser.recordUnreachable(serverId),
+      (serverId, attemptStartMs) =>
+        chooser.recordUnreachable(serverId, attemptStartMs),
+      serverId => this.cold.recordReachable(serverId),
     );
     const attempts = new BackendAttempts(
       this.backendClient,
@@ -194,6 +206,11 @@
       help: 'Servers that want no requests from this daemon now.',
       read: () => this.notices.countPaused(readSteadyMs()),
     });
+    this.metrics.addGauge({
+      name: 'greengagecross_servers_cold',
+      help: 'Servers that count as cold and get a limited rate of requests.',
+      read: () => this.cold.countCold(),
+    });
     this.metrics.addGauge({
       name: 'greengagecross_prompt_parts_suspected',
       help: 'Prompt parts and requests under which a server crashed and none answered since.',
--- a/packages/router/src/state/backend_registry.ts
+++ b/packages/router/src/state/backend_registry.ts
@@ -5,6 +5,11 @@
   EntryChange,
   ListVersion,
 } from './backend_changes.js';
+import {
+  isColdTimeUpdate,
+  isSameServer,
+  keepColdReport,
+} from './compare_servers.js';
 
 /**
  * Time that an expired entry stays in use. An entry counts as expired if it was
@@ -76,7 +81,11 @@
   ): void {
     this.confirmedAtMs = nowMs;
     if (version.revision <= this.revision) return;
-    this.setVersion(version);
+    const isColdTimeOnly = changes.every(({id, server}) =>
+      isColdTimeUpdate(this.entries.get(id)?.server, server),
+    );
+    const changeRevision = isColdTimeOnly ? -1 : version.changeRevision;
+    this.setVersion({...version, changeRevision});
     if (changes.length === 0) return;
     for (const {id, server} of changes) {
       if (server === undefined) this.removeEntry(id, nowMs);
@@ -205,7 +214,10 @@
     const revision = isUnchanged
       ? (this.entries.get(server.id)?.revision ?? this.revision)
       : this.revision;
-    this.entries.set(server.id, {server, revision});
+    this.entries.set(server.id, {
+      server: keepColdReport(server, current),
+      revision,
+    });
     this.removalRevisions.delete(server.id);
   }
 
@@ -260,15 +272,3 @@
     this.byService = byService;
   }
 }
-
-function isSameServer(a: BackendServer, b: BackendServer): boolean {
-  return (
-    a.service === b.service &&
-    a.address.host === b.address.host &&
-    a.address.port === b.address.port &&
-    a.availabilityZone === b.availabilityZone &&
-    a.slots === b.slots &&
-    a.isDraining === b.isDraining &&
-    a.startedAtMs === b.startedAtMs
-  );
-}
