--- a/packages/router/src/members/heartbeat.ts
+++ b/packages/router/src/members/heartbeat.ts
@@ -52,7 +52,10 @@
   silent: Schema.optionalKey(Schema.Record(Schema.String, Schema.Number)),
   /** Suspects under which servers crashed; see `CrashSuspects`. */
   suspects: Schema.optionalKey(Schema.Array(CrashReportSchema)),
-  /** Whether queries for the sender's state may ask for cold servers. */
+  /**
+   * Whether queries for the sender's state may ask for cold servers; absent if
+   * the sender's configuration has no service with a bound for them.
+   */
   isColdStateKnown: Schema.optionalKey(Schema.Boolean),
   /** Always empty; daemons of earlier releases need the field. */
   crashes: Schema.Record(Schema.String, Schema.Number),
--- a/packages/router/src/members/member_service.ts
+++ b/packages/router/src/members/member_service.ts
@@ -216,6 +216,8 @@
   private makeHeartbeat(): Heartbeat {
     this.sequence += 1;
     const {configuration, backends} = this.state;
+    const hasColdServices =
+      configuration.getView()?.configuration.coldServices !== undefined;
     return {
       ...this.settings.self,
       incarnation: this.incarnation,
@@ -229,9 +231,7 @@
       watchers: this.watch.getWatchers(),
       silent: this.watch.getSilent(),
       suspects: this.suspects.listReports(MAX_SUSPECTS, readSteadyMs()),
-      ...(this.settings.coldLimits === undefined
-        ? {}
-        : {isColdStateKnown: true}),
+      ...(hasColdServices ? {isColdStateKnown: true} : {}),
       crashes: {},
     };
   }
