--- a/packages/router/src/calls/attempt_sequence_steps.ts
+++ b/packages/router/src/calls/attempt_sequence_steps.ts
@@ -16,6 +16,8 @@
 import type {CallJob} from './call_job.js';
 import {FleetRetries} from './fleet_retries.js';
 import {InFlightCounter} from './in_flight_counter.js';
+import {RouterMetrics} from '../metrics/router_metrics.js';
+import {ColdServers} from './cold_servers.js';
 import {ServerChooser} from './server_chooser.js';
 
 const SERVICE = 'service';
@@ -109,6 +111,7 @@
       view,
       new ServerNotices(),
       this.state.evacuated,
+      new ColdServers('self', undefined, this.state, view, new RouterMetrics()),
     );
     const guard = new CrashGuard(
       new CrashSuspects(),
--- a/packages/router/src/calls/call_handler.ts
+++ b/packages/router/src/calls/call_handler.ts
@@ -212,7 +212,7 @@
   ): void {
     const afterMs = readSteadyMs() - startedAtMs;
     const {attempts, mayHaveRun, placement, hedge, isHedgingOn} = job.trace;
-    const {firstEventAtMs, longestPauseMs} = job.trace;
+    const {firstEventAtMs, longestPauseMs, cold} = job.trace;
     if (outcome !== 'client-left') {
       this.metrics.recordCall(
         job.route.kind,
@@ -231,6 +231,7 @@
       servers: attempts.join(','),
       placement,
       hedge,
+      ...(cold === undefined ? {} : {cold}),
       mayHaveRun,
       outcome,
       status: job.exchange.response.statusCode,
--- a/packages/router/src/calls/call_job.ts
+++ b/packages/router/src/calls/call_job.ts
@@ -45,6 +45,8 @@
   isHedgingOn?: boolean;
   /** Which attempt answered a hedged request; `open` until one has. */
   hedge?: HedgeResult;
+  /** How cold servers affected the last choice; absent if they did not. */
+  cold?: string;
   /** When a stream's first event was relayed, on the monotonic clock. */
   firstEventAtMs?: number;
   /** Longest pause between two stream events, in milliseconds. */
--- a/packages/router/src/calls/server_chooser.ts
+++ b/packages/router/src/calls/server_chooser.ts
@@ -13,6 +13,7 @@
 import type {EvacuatedZones} from '../state/evacuated_zones.js';
 import type {EndedEnginesByService} from '../ports/ended_engines_store.js';
 import type {CallJob} from './call_job.js';
+import type {ColdServers} from './cold_servers.js';
 import {RETRY_AFTER_MS} from './dispatch_limits.js';
 import type {InFlightCounter} from './in_flight_counter.js';
 import type {ServerChoice} from './server_choice.js';
@@ -42,6 +43,7 @@
     private readonly members: MemberView,
     private readonly notices: ServerNotices,
     private readonly evacuated: EvacuatedZones,
+    private readonly cold: ColdServers,
   ) {}
 
   /** Chooses a ready server that was not tried; undefined when none is left. */
@@ -51,14 +53,11 @@
       ({id}) => !tried.has(id),
     );
     if (servers.length === 0) return undefined;
-    const ids = servers.map(server => server.id);
-    const avoided = this.health.listAvoided(ids, nowMs);
-    if (job.call.prompt.length > 0) {
-      return this.chooseForPrompt(job, servers, avoided, nowMs);
-    }
-    const id = this.chooseWithoutPrompt(servers, avoided, nowMs);
-    const server = servers.find(candidate => candidate.id === id);
-    return server === undefined ? undefined : {server};
+    const available = this.cold.keepAvailable(job.service, servers, nowMs);
+    const choice = this.chooseFrom(job, available, nowMs);
+    const heldBack = servers.length - available.length;
+    this.cold.recordChoice(job, heldBack, choice?.server, nowMs);
+    return choice;
   }
 
   /** Returns whether the server's availability zone is evacuated. */
@@ -79,14 +78,23 @@
    * Computes the retry delay of a request that no server ran, in milliseconds.
    * While all servers outside evacuated zones want a pause it is at least the time until the first takes
    * requests, longer by up to a fifth, so that clients do not return at once.
+   * While all others are cold it is the time until one may get a request.
    */
   computeRetryAfterMs({service, call}: CallJob): number {
+    const nowMs = readSteadyMs();
+    const spread = hash32(call.id ?? '') / MAX_HASH;
+    const coldMs = this.cold.computeRetryAfterMs(
+      service,
+      this.listAvailable(service, nowMs),
+      spread,
+      nowMs,
+    );
     const servers = this.backends
       .listReady(service)
       .filter(server => !this.isEvacuated(server));
-    const waitMs = this.notices.computeWaitMs(servers, readSteadyMs()) ?? 0;
-    const spread = (hash32(call.id ?? '') / MAX_HASH) * RETURN_SPREAD;
-    return Math.max(RETRY_AFTER_MS, Math.ceil(waitMs * (1 + spread)));
+    const pauseMs = this.notices.computeWaitMs(servers, nowMs) ?? 0;
+    const waitMs = coldMs ?? pauseMs * (1 + spread * RETURN_SPREAD);
+    return Math.max(RETRY_AFTER_MS, Math.ceil(waitMs));
   }
 
   /**
@@ -111,7 +119,8 @@
   }
 
   /** Records that a server is unreachable and its cached context is lost. */
-  recordUnreachable(serverId: string): void {
+  recordUnreachable(serverId: string, attemptStartMs: number): void {
+    this.cold.recordUnreachable(serverId, attemptStartMs);
     for (const placement of this.placements.values()) {
       placement.recordCacheLost(serverId);
     }
@@ -127,6 +136,22 @@
       );
   }
 
+  private chooseFrom(
+    job: CallJob,
+    servers: readonly BackendServer[],
+    nowMs: number,
+  ): ServerChoice | undefined {
+    if (servers.length === 0) return undefined;
+    const ids = servers.map(server => server.id);
+    const avoided = this.health.listAvoided(ids, nowMs);
+    if (job.call.prompt.length > 0) {
+      return this.chooseForPrompt(job, servers, avoided, nowMs);
+    }
+    const id = this.chooseWithoutPrompt(servers, avoided, nowMs);
+    const server = servers.find(candidate => candidate.id === id);
+    return server === undefined ? undefined : {server};
+  }
+
   private chooseForPrompt(
     job: CallJob,
     servers: readonly BackendServer[],
--- a/packages/router/src/members/member_service.ts
+++ b/packages/router/src/members/member_service.ts
@@ -203,6 +203,8 @@
     const nowMs = readSteadyMs();
     const intervalMs = this.computeIntervalMs();
     const isMissingLoads = this.counts.isMissing(intervalMs, nowMs);
+    const view = this.state.configuration.getView();
+    const hasColdServices = view?.configuration.coldServices !== undefined;
     return {
       ...this.settings.self,
       ...makeAdvertisedState(this.state),
@@ -216,6 +218,7 @@
       watchers: this.watch.getWatchers(),
       silent: this.watch.getSilent(),
       suspects: this.suspects.listReports(MAX_SUSPECTS, nowMs),
+      ...(hasColdServices ? {isColdStateKnown: true} : {}),
       crashes: {},
     };
   }
--- a/packages/router/src/members/state_catch_up.ts
+++ b/packages/router/src/members/state_catch_up.ts
@@ -1,9 +1,11 @@
 import {Effect} from 'effect';
 import {Logger, readSteadyMs} from '@greengagecross/common';
 import {PeerMethod, type PeerRpc} from '@greengagecross/peers';
+import type {RoutingConfiguration} from '../model/routing_configuration.js';
 import type {FleetStateSource} from '../ports/fleet_state_source.js';
 import type {FleetState} from '../state/fleet_state.js';
 import {compareStoreVersions} from '../state/store_version.js';
+import {makeBackendMessage, toBackendServer} from './backend_message.js';
 import {
   FleetStateResultSchema,
   type FleetStateResult,
@@ -124,6 +126,7 @@
   makeResult(query: FleetStateQuery): FleetStateResult {
     const {configuration, backends} = this.state;
     const view = configuration.getView();
+    const isColdIncluded = query.isColdStateWanted === true;
     const isConfigurationIncluded =
       query.isConfigurationWanted && view !== undefined;
     const {storeEra, backendsRevision: revision} = query;
@@ -131,19 +134,29 @@
       era: storeEra ?? 0,
       revision,
     });
+    const nowMs = readSteadyMs();
     return {
-      ...(isConfigurationIncluded ? {configuration: view.configuration} : {}),
+      ...(isConfigurationIncluded
+        ? {configuration: makeMessage(view.configuration, isColdIncluded)}
+        : {}),
       ...(storeEra === undefined ? {} : {storeEra: era}),
-      backends: changes,
+      backends: {
+        ...changes,
+        changed: changes.changed.map(server =>
+          makeBackendMessage(server, isColdIncluded, nowMs),
+        ),
+      },
     };
   }
 
   private makeQuery(heartbeat: Heartbeat): FleetStateQuery {
     const {era, revision} = this.state.backends.getVersion();
+    const {storeEra, isColdStateKnown} = heartbeat;
     return {
       isConfigurationWanted: this.isConfigurationBehind(heartbeat),
       backendsRevision: revision,
-      ...(heartbeat.storeEra === undefined ? {} : {storeEra: era}),
+      ...(storeEra === undefined ? {} : {storeEra: era}),
+      ...(isColdStateKnown === true ? {isColdStateWanted: true} : {}),
     };
   }
 
@@ -158,7 +171,10 @@
     if (configuration !== undefined) {
       this.state.configuration.set(configuration, nowMs);
     }
-    this.state.backends.applyPeerChanges({...backends, era}, nowMs);
+    const changed = backends.changed.map(message =>
+      toBackendServer(message, nowMs),
+    );
+    this.state.backends.applyPeerChanges({...backends, changed, era}, nowMs);
     this.state.recordUpdate();
     logger.log('State from a peer was applied.', {
       peer,
@@ -170,3 +186,11 @@
     });
   }
 }
+
+function makeMessage(
+  {coldServices, ...configuration}: RoutingConfiguration,
+  isColdIncluded: boolean,
+): RoutingConfiguration {
+  const isOmitted = coldServices === undefined || !isColdIncluded;
+  return isOmitted ? configuration : {...configuration, coldServices};
+}
--- a/packages/router/src/model/router_settings.ts
+++ b/packages/router/src/model/router_settings.ts
@@ -1,5 +1,6 @@
 import type {Address} from '@greengagecross/common';
 import type {HedgeLimits, RetryLimits} from '@greengagecross/decisions';
+import type {ColdLimits} from './cold_limits.js';
 import type {DaemonIdentity} from './daemon_identity.js';
 
 /** Decoded settings of one daemon. */
@@ -15,6 +16,8 @@
   readonly retryLimits: RetryLimits;
   /** Limits on hedged requests; hedging is off if absent. */
   readonly hedgeLimits?: HedgeLimits;
+  /** If absent, requests to cold servers are not limited. */
+  readonly coldLimits?: ColdLimits;
   /** Memory that the process may use, in bytes; unlimited if absent. */
   readonly memoryBytes?: number;
 }
--- a/packages/router/src/router_parts.ts
+++ b/packages/router/src/router_parts.ts
@@ -9,7 +9,7 @@
   ServerNotices,
 } from '@greengagecross/decisions';
 import {readNowMs, readSteadyMs} from '@greengagecross/common';
-import {HttpClient, processBuffers} from '@greengagecross/http';
+import {HttpClient} from '@greengagecross/http';
 import {PeerClient, PeerMethod, PeerServer} from '@greengagecross/peers';
 import {Effect} from 'effect';
 import {OperationalEndpoints} from './operational_endpoints.js';
@@ -20,12 +20,14 @@
 import {HedgedAttempts} from './calls/hedged_attempts.js';
 import {InFlightCounter} from './calls/in_flight_counter.js';
 import {LocalAnswers} from './calls/local_answers.js';
+import {ColdServers} from './calls/cold_servers.js';
 import {ServerChooser} from './calls/server_chooser.js';
 import {ServiceDispatcher} from './calls/service_dispatcher.js';
 import {FleetStateQuerySchema} from './members/fleet_state_message.js';
 import {MemberService} from './members/member_service.js';
 import {MemberView} from './members/member_view.js';
 import {StateCatchUp} from './members/state_catch_up.js';
+import {listGauges} from './metrics/router_gauges.js';
 import {RouterMetrics} from './metrics/router_metrics.js';
 import type {RouterSettings} from './model/router_settings.js';
 import type {CallCodec} from './ports/call_codec.js';
@@ -62,6 +64,7 @@
   readonly endpoints: OperationalEndpoints;
   readonly budget: FleetRetryBudget;
   readonly hedging: HedgePolicy;
+  readonly cold: ColdServers;
   readonly eventLoopDelay = new EventLoopDelay();
   readonly endedEngines: EndedEnginesPersister;
   private readonly inFlight = new InFlightCounter();
@@ -85,6 +88,13 @@
     const budget = new FleetRetryBudget(settings.retryLimits);
     this.budget = budget;
     this.hedging = new HedgePolicy(settings.hedgeLimits);
+    this.cold = new ColdServers(
+      self.id,
+      settings.coldLimits,
+      this.state,
+      view,
+      this.metrics,
+    );
     const chooser = new ServerChooser(
       self.availabilityZone,
       this.state.backends,
@@ -93,6 +103,7 @@
       view,
       this.notices,
       this.state.evacuated,
+      this.cold,
     );
     const guard = new CrashGuard(
       this.suspects,
@@ -105,7 +116,9 @@
       guard,
       this.notices,
       this.metrics,
-      serverId => chooser.recordUnreachable(serverId),
+      (serverId, attemptStartMs) =>
+        chooser.recordUnreachable(serverId, attemptStartMs),
+      serverId => this.cold.recordReachable(serverId),
     );
     const attempts = new BackendAttempts(
       this.backendClient,
@@ -172,80 +185,15 @@
       peerServer,
       this.metrics,
     );
-    this.addGauges(view, guard);
-  }
-
-  private addGauges(view: MemberView, guard: CrashGuard): void {
-    const {configuration, backends, evacuated} = this.state;
-    this.metrics.addGauge({
-      name: 'greengagecross_configuration_version',
-      help: 'Version of the active configuration; -1 before the first.',
-      read: () => configuration.getVersion(),
-    });
-    this.metrics.addGauge({
-      name: 'greengagecross_backends_revision',
-      help: 'Store revision of the backend server list; -1 before the first.',
-      read: () => backends.getRevision(),
-    });
-    this.metrics.addGauge({
-      name: 'greengagecross_store_era',
-      help: 'Era of the store, which rises when it returns from an older copy.',
-      read: () => this.state.getStoreEra(),
-    });
-    this.metrics.addGauge({
-      name: 'greengagecross_zones_evacuated',
-      help: 'Availability zones whose servers get no requests.',
-      read: () => evacuated.count(),
-    });
-    this.metrics.addGauge({
-      name: 'greengagecross_members_live',
-      help: 'Daemons with a recent heartbeat, including this daemon.',
-      read: () => view.listRunning(performance.now()).length + 1,
-    });
-    this.metrics.addGauge({
-      name: 'greengagecross_members_suspected',
-      help: 'Daemons left out of the directory by reports of their watchers.',
-      read: () => view.listSuspected(performance.now()).length,
-    });
-    this.metrics.addGauge({
-      name: 'greengagecross_servers_paused',
-      help: 'Servers that want no requests from this daemon now.',
-      read: () => this.notices.countPaused(readSteadyMs()),
-    });
-    this.metrics.addGauge({
-      name: 'greengagecross_prompt_parts_suspected',
-      help: 'Prompt parts and requests under which a server crashed and none answered since.',
-      read: () => this.suspects.countSuspects(),
-    });
-    this.metrics.addGauge({
-      name: 'greengagecross_prompt_parts_refused',
-      help: 'Prompt parts and requests that are refused since servers crash under them.',
-      read: () => this.suspects.listCondemned().length,
-    });
-    this.metrics.addGauge({
-      name: 'greengagecross_server_crashes_found',
-      help: 'Crashes of servers under waiting requests that this daemon found.',
-      read: () => guard.countCrashes(),
-    });
-    this.metrics.addGauge({
-      name: 'greengagecross_buffered_bytes',
-      help: 'Memory of bodies and events that are being read, in bytes.',
-      read: () => processBuffers.countBytes(),
-    });
-    this.metrics.addGauge({
-      name: 'greengagecross_buffers_evicted',
-      help: 'Bodies and streams given up since all of them took too much memory.',
-      read: () => processBuffers.countEvictions(),
-    });
-    this.metrics.addGauge({
-      name: 'greengagecross_late_replies',
-      help: 'Late copies of replies of backend servers that were discarded.',
-      read: () => this.backendClient.pool.countLateReplies(),
-    });
-    this.metrics.addGauge({
-      name: 'greengagecross_store_reached',
-      help: '1 if the last call to the store succeeded, otherwise 0.',
-      read: () => Number(this.state.isStoreReached()),
+    const gauges = listGauges({
+      state: this.state,
+      view,
+      notices: this.notices,
+      cold: this.cold,
+      suspects: this.suspects,
+      guard,
+      backendClient: this.backendClient,
     });
+    for (const gauge of gauges) this.metrics.addGauge(gauge);
   }
 }
--- a/packages/router/src/state/backend_registry.ts
+++ b/packages/router/src/state/backend_registry.ts
@@ -5,8 +5,14 @@
   EntryChange,
   ListVersion,
 } from './backend_changes.js';
+import {
+  isColdTimeUpdate,
+  isOutdated,
+  isSameServer,
+  keepColdReport,
+} from './compare_servers.js';
 import {EXPIRED_GRACE_MS, ExpiryGrace} from './expiry_grace.js';
-import {isSameServer} from './is_same_server.js';
+import {listReadyByService} from './list_ready_by_service.js';
 import {RemovedServers} from './removed_servers.js';
 import {
   compareStoreVersions,
@@ -71,7 +77,11 @@
   ): void {
     this.confirmedAtMs = nowMs;
     if (compareStoreVersions(version, this.version) <= 0) return;
-    this.setVersion(version, nowMs);
+    const isColdTimeOnly = changes.every(({id, server}) =>
+      isColdTimeUpdate(this.entries.get(id)?.server, server),
+    );
+    const changeRevision = isColdTimeOnly ? -1 : version.changeRevision;
+    this.setVersion({...version, changeRevision}, nowMs);
     if (changes.length === 0) return;
     for (const {id, server} of changes) {
       if (server === undefined) this.removeEntry(id, nowMs);
@@ -211,13 +221,7 @@
     const hasEnded = this.removed.hasEnded(given, this.version.era);
     const server = hasEnded ? {...given, isDraining: true} : given;
     const current = this.entries.get(server.id)?.server;
-    if (current !== undefined) {
-      // Ignored: it was written by an earlier incarnation of the server.
-      if (server.startedAtMs < current.startedAtMs) return;
-      const isSameIncarnation = server.startedAtMs === current.startedAtMs;
-      // A draining server accepts requests again only after a restart.
-      if (isSameIncarnation && current.isDraining && !server.isDraining) return;
-    }
+    if (current !== undefined && isOutdated(server, current)) return;
     if (current?.isDraining !== server.isDraining) {
       logger.log('A backend server was added or its draining state changed.', {
         id: server.id,
@@ -229,7 +233,10 @@
     const revision = isUnchanged
       ? (this.entries.get(server.id)?.revision ?? this.version.revision)
       : this.version.revision;
-    this.entries.set(server.id, {server, revision});
+    this.entries.set(server.id, {
+      server: keepColdReport(server, current),
+      revision,
+    });
     this.removed.remove(server.id);
   }
 
@@ -260,13 +267,7 @@
   }
 
   private updateIndex(): void {
-    const byService = new Map<string, BackendServer[]>();
-    for (const {server} of this.entries.values()) {
-      if (server.isDraining) continue;
-      const servers = byService.get(server.service) ?? [];
-      servers.push(server);
-      byService.set(server.service, servers);
-    }
-    this.byService = byService;
+    const servers = [...this.entries.values()].map(({server}) => server);
+    this.byService = listReadyByService(servers);
   }
 }
