Count servers as cold when the evacuation of their zone ends

Servers of an evacuated zone may have restarted meanwhile, and all daemons send to them at once when it ends.

--- a/packages/router/src/calls/cold_servers.ts
+++ b/packages/router/src/calls/cold_servers.ts
@@ -31,13 +31,17 @@
   /** By service, the list of servers that was last recorded. */
   private readonly lists = new Map<string, readonly BackendServer[]>();
   private membersAtMs = Number.NEGATIVE_INFINITY;
+  /** Availability zones of the recorded servers, and whether evacuated. */
+  private readonly zones = new Map<string, boolean>();
 
+  /** @param isEvacuated whether an availability zone gets no requests now */
   constructor(
     selfId: string,
     private limits: ColdLimits | undefined,
     private readonly state: FleetState,
     private readonly members: MemberView,
     private readonly metrics: RouterMetrics,
+    private readonly isEvacuated: (zone: string, nowMs: number) => boolean,
   ) {
     this.limit = new ColdServerLimit(selfId);
   }
@@ -53,6 +57,7 @@
     const services = this.listBoundServices();
     if (services.length === 0) {
       this.lists.clear();
+      this.zones.clear();
       this.states.removeAllBut(new Set());
     }
     for (const service of services) {
@@ -148,17 +153,6 @@
     this.states.recordReachable(serverId, readSteadyMs());
   }
 
-  /** Records that the evacuation of an availability zone has ended. */
-  recordZoneReturned(availabilityZone: string): void {
-    const nowMs = readSteadyMs();
-    for (const service of this.listBoundServices()) {
-      for (const server of this.state.backends.listReady(service)) {
-        if (server.availabilityZone !== availabilityZone) continue;
-        this.states.recordZoneReturned(server.id, nowMs);
-      }
-    }
-  }
-
   /** Counts the servers that are cold. */
   countCold(): number {
     return this.states.listCold(readSteadyMs()).length;
@@ -177,6 +171,7 @@
       this.limit.updateMembers(heard, nowMs);
     }
     this.recordServers(service, nowMs);
+    this.updateZones(nowMs);
     return bound;
   }
 
@@ -193,6 +188,29 @@
     const times = {nowMs, epochMs: readNowMs()};
     for (const server of servers) {
       this.states.record(server, startMs, before === undefined, times);
+      const {availabilityZone: zone} = server;
+      if (!this.zones.has(zone)) {
+        this.zones.set(zone, this.isEvacuated(zone, nowMs));
+      }
+    }
+  }
+
+  /** Records which evacuations have ended: their servers may have restarted. */
+  private updateZones(nowMs: number): void {
+    for (const [zone, wasEvacuated] of this.zones) {
+      const isEvacuated = this.isEvacuated(zone, nowMs);
+      if (isEvacuated === wasEvacuated) continue;
+      this.zones.set(zone, isEvacuated);
+      if (!isEvacuated) this.recordZoneReturned(zone, nowMs);
+    }
+  }
+
+  private recordZoneReturned(zone: string, nowMs: number): void {
+    for (const service of this.listBoundServices()) {
+      for (const server of this.state.backends.listReady(service)) {
+        if (server.availabilityZone !== zone) continue;
+        this.states.recordZoneReturned(server.id, nowMs);
+      }
     }
   }
 
--- a/packages/router/src/router_parts.ts
+++ b/packages/router/src/router_parts.ts
@@ -89,6 +89,7 @@
       this.state,
       view,
       this.metrics,
+      () => false,
     );
     const chooser = new ServerChooser(
       self.availabilityZone,
