--- a/packages/router/src/calls/attempt_sequence_steps.ts
+++ b/packages/router/src/calls/attempt_sequence_steps.ts
@@ -111,7 +111,14 @@
       view,
       new ServerNotices(),
       this.state.evacuated,
-      new ColdServers('self', undefined, this.state, view, new RouterMetrics()),
+      new ColdServers(
+        'self',
+        undefined,
+        this.state,
+        view,
+        new RouterMetrics(),
+        () => false,
+      ),
     );
     const guard = new CrashGuard(
       new CrashSuspects(),
--- a/packages/router/src/router_parts.ts
+++ b/packages/router/src/router_parts.ts
@@ -94,6 +94,7 @@
       this.state,
       view,
       this.metrics,
+      (zone, nowMs) => this.state.evacuated.has(zone, nowMs),
     );
     const chooser = new ServerChooser(
       self.availabilityZone,
