Reject a reply that ends before its request, and statuses that are none

Clients on the users' interface (safe, unsafe, chat, once) got 200 with a part of the body, as complete, from a worker that answered an upload of 8 MB early without a length, closed its side, and reset the connection while the upload was still being written. They got 500 "internal error" for the worker's statuses 000 and 099, and 600 and 999 as they came. On the daemon's own interface a streamed chat got no outcome for 000 and 099, and a repeatable call got "complete" for 600 and 999.

A body without a length ended when the connection did, whether or not the request had been written; it now fails with the connection. HttpClient fails on a status outside 100 to 599, with the request as possibly run: 502 for clients, failed or unknown for callers of the own interface.

--- a/packages/backend/src/to_backend_error.ts
+++ b/packages/backend/src/to_backend_error.ts
@@ -22,11 +22,18 @@
   if (error.phase === RequestPhase.NOT_SENT) {
     return new BackendError(BackendFailure.NOT_SENT, backendId, error);
   }
-  const failure =
-    error.failure === HttpFailure.SILENT
-      ? BackendFailure.SILENT
-      : BackendFailure.DISCONNECTED;
-  return new BackendError(failure, backendId, error);
+  return new BackendError(toBackendFailure(error), backendId, error);
+}
+
+function toBackendFailure({failure}: HttpError): BackendFailure {
+  switch (failure) {
+    case HttpFailure.SILENT:
+      return BackendFailure.SILENT;
+    case HttpFailure.INVALID_STATUS:
+      return BackendFailure.INVALID_REPLY;
+    default:
+      return BackendFailure.DISCONNECTED;
+  }
 }
 
 /**
--- a/packages/http/src/http_client.ts
+++ b/packages/http/src/http_client.ts
@@ -20,6 +20,9 @@
  * well.
  */
 const LONG_WAIT_SHARE = 0.5;
+/** Statuses that HTTP defines; Node also accepts 000 to 099 and 600 to 999. */
+const MIN_STATUS = 100;
+const MAX_STATUS = 599;
 /** Use of a request that no connection was assigned to yet. */
 const UNUSED_CONNECTION: ConnectionUse = {
   connection: 0,
@@ -60,9 +63,15 @@
       const tracker = new PhaseTracker(clientRequest, outgoing, this.pool);
       clientRequest.once('response', stream => {
         watchReset(clientRequest, stream);
+        const status = stream.statusCode ?? 0;
+        if (status < MIN_STATUS || status > MAX_STATUS) {
+          resume(Effect.fail(tracker.makeStatusError(status)));
+          clientRequest.destroy();
+          return;
+        }
         resume(
           Effect.succeed({
-            status: stream.statusCode ?? 0,
+            status,
             headers: stream.headers,
             stream,
             connectionUse: tracker.getConnectionUse(),
@@ -103,7 +112,9 @@
 }
 
 /**
- * Fails the reply stream if its connection is reset.
+ * Fails the reply stream if its connection is reset, or if a body without a
+ * length ends before the request is written: the server has not read it all,
+ * and its reset may follow the end.
  *
  * Node treats a body that is framed by the close of its connection as complete
  * even after a reset, and reports a reset that arrives with the last bytes as
@@ -122,8 +133,11 @@
     headers['transfer-encoding'] !== undefined;
   if (isFramed) return;
   socket.prependOnceListener('end', () => {
-    if (socket.remotePort !== undefined) return;
-    stream.destroy(new Error('the connection was reset'));
+    if (socket.remotePort === undefined) {
+      stream.destroy(new Error('the connection was reset'));
+    } else if (!clientRequest.writableFinished) {
+      stream.destroy(new Error('the reply ended before the request'));
+    }
   });
 }
 
@@ -174,6 +188,12 @@
     return new HttpError(this.failure, this.phase, target, cause);
   }
 
+  /** Makes the error for a reply whose status is not valid. */
+  makeStatusError(status: number): HttpError {
+    this.failure = HttpFailure.INVALID_STATUS;
+    return this.makeError(new Error(`the reply has status ${status}`));
+  }
+
   /**
    * Cancels the request. After a long wait without a reply, the idle
    * connections to the same address are closed too, as they may be dead as well.
--- a/packages/http/src/http_failure.ts
+++ b/packages/http/src/http_failure.ts
@@ -6,6 +6,8 @@
   SILENT = 'silent',
   /** The connection closed before the exchange was complete. */
   CLOSED = 'closed',
+  /** The reply has a status outside 100 to 599. */
+  INVALID_STATUS = 'invalid-status',
   /** The body exceeded its size limit. */
   TOO_LARGE = 'too-large',
   /** The process held too many bytes of bodies; this one was the largest. */
--- a/packages/router/src/calls/backend_attempts.ts
+++ b/packages/router/src/calls/backend_attempts.ts
@@ -203,9 +203,16 @@
   if (error.phase === RequestPhase.NOT_SENT) {
     return new AttemptFailure(AttemptFailureKind.NOT_SENT, serverId, cause);
   }
-  const kind =
-    error.failure === HttpFailure.SILENT
-      ? AttemptFailureKind.SILENT
-      : AttemptFailureKind.DISCONNECTED;
-  return new AttemptFailure(kind, serverId, cause);
+  return new AttemptFailure(toFailureKind(error), serverId, cause);
+}
+
+function toFailureKind({failure}: HttpError): AttemptFailureKind {
+  switch (failure) {
+    case HttpFailure.SILENT:
+      return AttemptFailureKind.SILENT;
+    case HttpFailure.INVALID_STATUS:
+      return AttemptFailureKind.INVALID_REPLY;
+    default:
+      return AttemptFailureKind.DISCONNECTED;
+  }
 }
