Log and measure missing loads; leave empty fields out of heartbeats

Operators could not see whether a daemon's loads come from collectors or from heartbeats.

Heartbeats leave out silent daemons and suspects where there are none; both fields were optional already.

--- a/packages/decisions/src/members/load_sums.ts
+++ b/packages/decisions/src/members/load_sums.ts
@@ -136,6 +136,16 @@
     );
   }
 
+  /** Describes the inputs of {@link isMissing}, for logs. */
+  describe(nowMs: number): Record<string, number> {
+    const {sums, incompleteSinceMs = nowMs} = this;
+    return {
+      loadIntervalMs: this.intervalMs,
+      sumsAgeMs: sums === undefined ? -1 : Math.round(nowMs - sums.atMs),
+      incompleteForMs: Math.round(nowMs - incompleteSinceMs),
+    };
+  }
+
   /** Records the counts that this daemon reports to its collector. */
   setOwnReport(counts: ServerCounts): void {
     this.lastReport = counts;
--- a/packages/router/src/members/heartbeat_counts.ts
+++ b/packages/router/src/members/heartbeat_counts.ts
@@ -1,7 +1,9 @@
-import type {Address} from '@greengagecross/common';
+import {Logger, type Address} from '@greengagecross/common';
 import {WATCH_HEARTBEAT_MS, type LoadSums} from '@greengagecross/decisions';
 import type {Heartbeat} from './heartbeat.js';
 
+const logger = new Logger('members');
+
 /** Sends one datagram to each address. */
 export type SendHeartbeat = (
   heartbeat: Heartbeat,
@@ -27,6 +29,8 @@
  * grow with the requests in flight.
  */
 export class HeartbeatCounts {
+  private wasMissing = false;
+
   constructor(
     private readonly sums: LoadSums,
     private readonly sendTo: SendHeartbeat,
@@ -37,6 +41,19 @@
     return hasCollectors(intervalMs) && this.sums.isMissing(nowMs);
   }
 
+  /** Logs whether loads are missing, if that has changed since the last call. */
+  logChange(intervalMs: number, nowMs: number): void {
+    const isMissing = this.isMissing(intervalMs, nowMs);
+    if (isMissing === this.wasMissing) return;
+    this.wasMissing = isMissing;
+    logger.log(
+      isMissing
+        ? 'Loads of other daemons are missing; heartbeats carry them.'
+        : 'Loads of other daemons arrive from collectors again.',
+      {heartbeatIntervalMs: intervalMs, ...this.sums.describe(nowMs)},
+    );
+  }
+
   /**
    * Sends a heartbeat, without its counts where they are not needed.
    *
@@ -57,8 +74,18 @@
       const isNeeded = isSentToAll || isMissingLoads === true;
       (isNeeded ? withCounts : withoutCounts).push(heartbeats);
     }
-    const isIdle = Object.keys(heartbeat.inFlight).length === 0;
-    this.sendTo(isIdle ? {...heartbeat, isIdle} : heartbeat, withCounts);
-    this.sendTo({...heartbeat, inFlight: {}}, withoutCounts);
+    const {silent = {}, suspects = [], ...rest} = heartbeat;
+    const sent = {
+      ...rest,
+      ...(hasKeys(silent) ? {silent} : {}),
+      ...(suspects.length > 0 ? {suspects} : {}),
+    };
+    const idle = hasKeys(heartbeat.inFlight) ? {} : {isIdle: true};
+    this.sendTo({...sent, ...idle}, withCounts);
+    this.sendTo({...sent, inFlight: {}}, withoutCounts);
   }
 }
+
+function hasKeys(record: object): boolean {
+  return Object.keys(record).length > 0;
+}
--- a/packages/router/src/members/load_traffic.feature
+++ b/packages/router/src/members/load_traffic.feature
@@ -10,9 +10,9 @@
 
     Examples:
       | daemons | zones | requests | servers | heartbeats | before |
-      | 23      | 3     | 35       | 101     | 20000      | 30000  |
-      | 81      | 3     | 8        | 66      | 20000      | 23000  |
-      | 360     | 6     | 130      | 600     | 20000      | 50000  |
+      | 23      | 3     | 35       | 101     | 18000      | 30000  |
+      | 81      | 3     | 8        | 66      | 18700      | 23000  |
+      | 360     | 6     | 130      | 600     | 18000      | 50000  |
 
   # Guards against daemons that count nothing because peers left out their
   # counts. A daemon that cannot be heard is not counted: 1 of 77 others.
--- a/packages/router/src/members/member_service.ts
+++ b/packages/router/src/members/member_service.ts
@@ -113,6 +113,11 @@
     return this.state.isComplete() ? DaemonState.READY : DaemonState.STARTING;
   }
 
+  /** Returns whether loads of other daemons must come in their heartbeats. */
+  isMissingLoads(): boolean {
+    return this.counts.isMissing(this.computeIntervalMs(), readSteadyMs());
+  }
+
   private runHeartbeats(): Effect.Effect<never> {
     return Effect.forever(
       Effect.andThen(
@@ -138,6 +143,7 @@
     } else if (nowMs - this.lastWatchMs >= WATCH_HEARTBEAT_MS - toleranceMs) {
       this.sendToWatchers(nowMs);
     }
+    this.counts.logChange(intervalMs, nowMs);
     if (!hasCollectors(intervalMs)) return;
     this.sums.setHeartbeatIntervalMs(intervalMs);
     const counts = this.inFlight.toRecord();
--- a/packages/router/src/router_parts.ts
+++ b/packages/router/src/router_parts.ts
@@ -189,6 +189,11 @@
       help: 'Daemons left out of the directory by reports of their watchers.',
       read: () => view.listSuspected(performance.now()).length,
     });
+    this.metrics.addGauge({
+      name: 'greengagecross_loads_missing',
+      help: '1 if collectors tell no loads, so that heartbeats carry them.',
+      read: () => Number(this.members.isMissingLoads()),
+    });
     this.metrics.addGauge({
       name: 'greengagecross_servers_paused',
       help: 'Servers that want no requests from this daemon now.',
