--- a/packages/router/src/calls/cold_servers_steps.ts
+++ b/packages/router/src/calls/cold_servers_steps.ts
@@ -55,7 +55,7 @@
       startedAtMs: 0,
       ...(entry === 'nothing' ? {} : {coldReport}),
     };
-    const version = {revision: 1, changeRevision: 1};
+    const version = {era: 0, revision: 1, changeRevision: 1};
     this.state.backends.setAll([server], version, nowMs);
     this.cold = new ColdServers(
       'edge-1',
--- a/packages/router/src/metrics/router_gauges.ts
+++ b/packages/router/src/metrics/router_gauges.ts
@@ -2,6 +2,7 @@
 import type {CrashSuspects, ServerNotices} from '@greengagecross/decisions';
 import {processBuffers, type HttpClient} from '@greengagecross/http';
 import type {ColdServers} from '../calls/cold_servers.js';
+import type {MemberService} from '../members/member_service.js';
 import type {MemberView} from '../members/member_view.js';
 import type {FleetState} from '../state/fleet_state.js';
 import type {CrashGuard} from '../suspects/crash_guard.js';
@@ -11,6 +12,7 @@
 export interface GaugeSources {
   readonly state: FleetState;
   readonly view: MemberView;
+  readonly members: MemberService;
   readonly notices: ServerNotices;
   readonly cold: ColdServers;
   readonly suspects: CrashSuspects;
@@ -20,7 +22,8 @@
 
 /** Lists the gauges of a router daemon. */
 export function listGauges(sources: GaugeSources): GaugeReader[] {
-  const {state, view, notices, cold, suspects, guard, backendClient} = sources;
+  const {state, view, members, notices, cold, suspects, guard, backendClient} =
+    sources;
   const {configuration, backends, evacuated} = state;
   return [
     {
@@ -53,6 +56,11 @@
       help: 'Daemons left out of the directory by reports of their watchers.',
       read: () => view.listSuspected(readSteadyMs()).length,
     },
+    {
+      name: 'greengagecross_loads_missing',
+      help: '1 if collectors tell no loads, so that heartbeats carry them.',
+      read: () => Number(members.isMissingLoads()),
+    },
     {
       name: 'greengagecross_servers_paused',
       help: 'Servers that want no requests from this daemon now.',
--- a/packages/router/src/router_parts.ts
+++ b/packages/router/src/router_parts.ts
@@ -189,6 +189,7 @@
     const gauges = listGauges({
       state: this.state,
       view,
+      members: this.members,
       notices: this.notices,
       cold: this.cold,
       suspects: this.suspects,
