--- a/scripts/run_tests.mjs
+++ b/scripts/run_tests.mjs
@@ -1,7 +1,19 @@
 import {spawnSync} from 'node:child_process';
-import {existsSync, mkdirSync, readFileSync} from 'node:fs';
+import {existsSync, mkdirSync, readFileSync, rmSync} from 'node:fs';
 
-const REPORT = 'out/tests.ndjson';
+/**
+ * Scenarios with this tag measure a process of their own, which other load
+ * would disturb: they run in a second pass, one at a time.
+ */
+const ALONE_TAG = '@alone';
+/** Options and report of each pass of cucumber. */
+const PASSES = [
+  {options: ['--tags', `not ${ALONE_TAG}`], report: 'out/tests.ndjson'},
+  {
+    options: ['--tags', ALONE_TAG, '--parallel', '0'],
+    report: 'out/tests_alone.ndjson',
+  },
+];
 const KNOWN_RED = 'KNOWN-RED.txt';
 /** Of the first failed step; the last lines of a run may be all that is kept. */
 const MAX_MESSAGE_LENGTH = 1500;
@@ -21,15 +33,20 @@
   );
 }
 
-/** Reads each scenario's name and the messages of its failed steps. */
-function readResults() {
+/**
+ * Reads each scenario's name and the messages of its failed steps, and whether
+ * the run was reported to its end.
+ */
+function readResults(report) {
   const pickles = new Map();
   const cases = new Map();
   const attempts = new Map();
   const failures = new Map();
-  for (const line of readFileSync(REPORT, 'utf8').split('\n')) {
+  let isComplete = false;
+  for (const line of readFileSync(report, 'utf8').split('\n')) {
     if (line === '') continue;
     const message = JSON.parse(line);
+    if (message.testRunFinished) isComplete = true;
     if (message.pickle) pickles.set(message.pickle.id, message.pickle);
     if (message.testCase) {
       cases.set(message.testCase.id, message.testCase.pickleId);
@@ -49,7 +66,7 @@
       }
     }
   }
-  return [...attempts].map(([attempt, pickleId]) => {
+  const results = [...attempts].map(([attempt, pickleId]) => {
     const {name, uri} = pickles.get(pickleId);
     const messages = failures.get(attempt) ?? [];
     return {
@@ -58,24 +75,38 @@
       firstMessage: (messages[0] ?? '').slice(0, MAX_MESSAGE_LENGTH),
     };
   });
+  return {results, isComplete};
+}
+
+/** Runs the features once; returns the exit status and the results. */
+function runPass(features, {options, report}) {
+  // The report of an earlier run must not stand for one that was not written.
+  rmSync(report, {force: true});
+  const formats = ['--format', 'progress', '--format', `message:${report}`];
+  const {status} = spawnSync(
+    'npx',
+    ['cucumber-js', ...features, ...options, ...formats],
+    {stdio: 'inherit'},
+  );
+  if (!existsSync(report)) return {status, results: [], isComplete: false};
+  return {status, ...readResults(report)};
+}
+
+/** Returns whether a pass ended early, or failed without a failed scenario. */
+function isBroken({status, results, isComplete}) {
+  if (!isComplete) return true;
+  return status !== 0 && results.every(result => result.isPassed);
 }
 
 mkdirSync('out', {recursive: true});
 const chosen = process.argv.slice(2);
-const run = spawnSync(
-  'npx',
-  [
-    'cucumber-js',
-    ...(chosen.length === 0 ? ALL_FEATURES : chosen),
-    '--format',
-    'progress',
-    '--format',
-    `message:${REPORT}`,
-  ],
-  {stdio: 'inherit'},
-);
+const features = chosen.length === 0 ? ALL_FEATURES : chosen;
+const passes = PASSES.map(pass => runPass(features, pass));
+// All features together have scenarios for each pass; chosen ones may not.
+const isPassEmpty =
+  chosen.length === 0 && passes.some(({results}) => results.length === 0);
 const knownRed = readKnownRed();
-const results = readResults();
+const results = passes.flatMap(pass => pass.results);
 const red = results.filter(result => !result.isPassed);
 const surprising = red.filter(result => !knownRed.has(result.name));
 for (const {name, firstMessage} of red) {
@@ -85,5 +116,6 @@
 }
 const passed = results.length - red.length;
 process.stdout.write(`${passed} passed, ${surprising.length} failed\n`);
-const isBroken = run.status !== 0 && red.length === 0;
-process.exit(surprising.length > 0 || isBroken || passed === 0 ? 1 : 0);
+const isFailed =
+  surprising.length > 0 || passes.some(isBroken) || isPassEmpty || passed === 0;
+process.exit(isFailed ? 1 : 0);
