Limit the requests read ahead and the memory held by connections

Clients that sent requests ahead and read no responses took a daemon beyond the memory of its host, and it died with all of its requests.

Cause: the fiber of a connection waits until a response has been taken by the system, but Node pauses a connection only while responses wait, not while requests do, and parses a whole read of 64 KB, with up to 2,600 requests, at once. All listeners of both interfaces share this code.

Change: ReadAheadGate passes a connection's bytes to the parser in slices of 1 KB and stops reading while 8 requests wait. ConnectionLoad (decisions) owns the sum over all connections of a process: above 15% of memory_mb it closes the largest holders without progress and requests with bodies are refused with 503; above twice that the largest holders. ConnectionSlots (decisions) limits the connections of a listener to a share of limits.max_fds or the system's limit, less 200, and closes unused and idle connections for new ones. http may import decisions, as the table of layers in ARCHITECTURE.md already allowed.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -5,7 +5,7 @@
 /** Each package may import only the packages named here; see docs/ARCHITECTURE.md. */
 const ALLOWED_IMPORTS = {
   common: [],
-  http: ['common'],
+  http: ['common', 'decisions'],
   decisions: ['common'],
   platform: ['common', 'http'],
   backend: ['common', 'http'],
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -84,3 +84,5 @@
 export * from './prompts/warm_engines.js';
 export * from './prompts/engine_history.js';
 export * from './members/choose_follower.js';
+export * from './limits/connection_load.js';
+export * from './limits/connection_slots.js';
--- /dev/null
+++ b/packages/decisions/src/limits/connection_load.ts
@@ -0,0 +1,96 @@
+/** Default limit of a process on the bytes that connections hold together. */
+const DEFAULT_LIMIT_BYTES = 64 * 1024 * 1024;
+/** A client that has made no progress for this long may be closed first. */
+const MIN_STALL_MS = 2000;
+/**
+ * Share of the limit below which a stalled connection is not worth closing
+ * while a larger one makes progress.
+ */
+const MIN_CLOSED_SHARE = 0.001;
+/**
+ * Beyond this multiple of the limit, the largest connections are closed although
+ * their clients make progress: slow readers may hold too much together, too.
+ */
+const HARD_LIMIT_FACTOR = 2;
+
+/** What one connection of a client holds in this process. */
+export interface ConnectionHolding<T> {
+  readonly connection: T;
+  /** Unsent response bytes, bodies, and requests that wait, in bytes. */
+  readonly heldBytes: number;
+  /** Time for which the client has made no progress, in milliseconds. */
+  readonly stalledMs: number;
+}
+
+/**
+ * Owns the sum of the bytes that all connections of clients hold in a process,
+ * and decides which are closed when memory runs short.
+ *
+ * The load is that of clients outside of our control: many connections, each
+ * within its own limits, that send requests ahead, read no responses or read
+ * slowly. The largest holder without progress is closed first, so that ordinary
+ * clients, which hold little and only briefly, are still served.
+ */
+export class ConnectionLoad {
+  private totalBytes = 0;
+  private closures = 0;
+
+  constructor(private limitBytes = DEFAULT_LIMIT_BYTES) {}
+
+  /** Sets the limit, in bytes, for later checks. */
+  setLimit(limitBytes: number): void {
+    this.limitBytes = limitBytes;
+  }
+
+  /**
+   * Records what all connections hold, and returns those to close so that the
+   * rest is within the limit, in the order in which they are to be closed.
+   */
+  chooseClosed<T>(holdings: readonly ConnectionHolding<T>[]): T[] {
+    this.totalBytes = holdings.reduce((sum, {heldBytes}) => sum + heldBytes, 0);
+    if (this.totalBytes <= this.limitBytes) return [];
+    const bySize = [...holdings].sort((a, b) => b.heldBytes - a.heldBytes);
+    const minBytes = this.limitBytes * MIN_CLOSED_SHARE;
+    const isFirst = (holding: ConnectionHolding<T>): boolean =>
+      holding.stalledMs >= MIN_STALL_MS && holding.heldBytes >= minBytes;
+    const first = this.takeUntil(bySize.filter(isFirst), this.limitBytes);
+    const others = this.takeUntil(
+      bySize.filter(holding => !isFirst(holding)),
+      this.limitBytes * HARD_LIMIT_FACTOR,
+    );
+    return [...first, ...others];
+  }
+
+  /**
+   * Returns whether the connections held more than the limit at the last check;
+   * new bodies are then refused.
+   */
+  isFull(): boolean {
+    return this.totalBytes > this.limitBytes;
+  }
+
+  /** Returns the bytes that were held after the last check. */
+  getHeldBytes(): number {
+    return this.totalBytes;
+  }
+
+  /** Counts the connections that were chosen to be closed, since the start. */
+  countClosures(): number {
+    return this.closures;
+  }
+
+  /** Takes connections from the first on until the sum is within a limit. */
+  private takeUntil<T>(
+    holdings: readonly ConnectionHolding<T>[],
+    limitBytes: number,
+  ): T[] {
+    const taken: T[] = [];
+    for (const {connection, heldBytes} of holdings) {
+      if (this.totalBytes <= limitBytes) break;
+      this.totalBytes -= heldBytes;
+      this.closures += 1;
+      taken.push(connection);
+    }
+    return taken;
+  }
+}
--- /dev/null
+++ b/packages/decisions/src/limits/untrusted_connections.feature
@@ -0,0 +1,42 @@
+Feature: Connections of clients outside of our control share memory and descriptors
+
+  # Guards against closing ordinary clients in place of those that hold most, and
+  # against closing anyone while there is room.
+  Scenario Outline: With a limit of 1000 bytes, <closed> closed of <held>
+    Given connections that hold <held> bytes and have stalled for <stalled> ms
+    Then a limit of 1000 bytes closes <closed>
+
+    Examples:
+      | held        | stalled        | closed  |
+      | 400,300,300 | 9000,9000,9000 | none    |
+      | 400,300,301 | 9000,9000,9000 | 1       |
+      | 700,300,301 | 0,9000,9000    | 3       |
+      | 900,600,400 | 0,0,0          | none    |
+      | 900,800,400 | 0,0,0          | 1       |
+      | 900,800,400 | 0,9000,0       | 2       |
+      | 900,800,900 | 0,9000,0       | 2       |
+      | 1200,800,900 | 0,9000,0       | 2,1     |
+      | 900,800,700 | 0,9000,9000    | 2,3     |
+      | 5000,1,10   | 1900,9000,9000 | 3,2,1   |
+      | 5000,0,0    | 1900,9000,9000 | 1       |
+
+  # Guards against a listener that takes every descriptor of the process.
+  Scenario: Connections without a request are closed for new ones before idle ones
+    Given a listener with 3 connections "a,b,c" at most
+    When "a" becomes idle and "b" becomes busy
+    Then a new connection "d" closes "c"
+    And a new connection "e" closes "d"
+    When "e" becomes busy
+    Then a new connection "f" closes "a"
+    When "f" becomes busy
+    Then a new connection "g" closes "g"
+
+  Scenario Outline: A listener with a share of <share> of <descriptors> descriptors has <count> connections at most
+    Then a share of <share> of <descriptors> descriptors allows <count> connections
+
+    Examples:
+      | descriptors | share | count |
+      | 8192        | 0.5   | 3996  |
+      | 10762       | 0.5   | 5281  |
+      | 8192        | 0.05  | 399   |
+      | 100         | 0.5   | 8     |
--- a/packages/http/src/accepted_connection.ts
+++ b/packages/http/src/accepted_connection.ts
@@ -1,48 +1,91 @@
 import type {Socket} from 'node:net';
 import {Queue} from 'effect';
+import type {ConnectionHolding} from '@greengagecross/decisions';
 import type {HttpExchange} from './http_exchange.js';
+import type {HeldConnection} from './process_connections.js';
+import {ReadAheadGate, type ReadAheadLimit} from './read_ahead_gate.js';
 
 /**
  * Time that a connection stays open beyond the advertised keep-alive, so that a
  * request sent just before the keep-alive elapses is still read.
  */
 const KEEP_ALIVE_MARGIN_MS = 2000;
+/** Requests of a connection that may wait for their replies before it is read on. */
+const MAX_PENDING_REQUESTS = 8;
+/** Headers as strings take up to this many times their length on the wire. */
+const HEADER_MEMORY_FACTOR = 8;
 
 /**
  * Connection accepted by a listener, with its requests in order of receipt. The
  * other end is a caller, or a peer or operator on the control address.
  */
-export class AcceptedConnection {
-  /** Number of received requests whose replies are not complete. */
-  private pendingCount = 0;
+export class AcceptedConnection implements HeldConnection, ReadAheadLimit {
+  /** Received requests whose replies are not complete, in order. */
+  private readonly pending: HttpExchange[] = [];
+  private readonly gate: ReadAheadGate;
   /** Exchange of the latest request. */
   private latest: HttpExchange | undefined;
+  /** Length of the bytes that are being parsed. */
+  private sliceBytes = 0;
+  /** Bytes parsed since the latest request began, at most one slice more. */
+  private parsedBytes = 0;
   /** Bytes that waited to be sent at the last check for progress. */
   private unsentBytes = 0;
   /** Bytes that the system had taken at the last check for progress. */
   private flushedBytes = 0;
   private stalledSinceMs: number | undefined;
+  /** Number of replies completed since the last check for progress. */
+  private finishedCount = 0;
+  private holding: ConnectionHolding<AcceptedConnection>;
+  private idleSinceMs: number | undefined;
 
   constructor(
     readonly socket: Socket,
     readonly queue: Queue.Queue<HttpExchange>,
     private readonly getKeepAliveMs: () => number,
-  ) {}
+    private readonly onIdle: () => void,
+  ) {
+    this.holding = {connection: this, heldBytes: 0, stalledMs: 0};
+    this.gate = ReadAheadGate.open(socket, this);
+  }
 
   /** Queues an exchange whose request headers have been received. */
   add(exchange: HttpExchange): void {
-    this.pendingCount += 1;
+    this.pending.push(exchange);
     this.latest = exchange;
+    this.parsedBytes = this.sliceBytes;
     exchange.response.once('finish', () => this.onReplyFinished());
     Queue.offerUnsafe(this.queue, exchange);
   }
 
+  /** Returns whether the next request may be read, or the latest to its end. */
+  isReadAllowed(): boolean {
+    return (
+      this.pending.length < MAX_PENDING_REQUESTS ||
+      this.latest?.request.complete === false
+    );
+  }
+
+  /** Counts the bytes that the body of the latest request certainly still has. */
+  countBodyBytes(): number {
+    const request = this.latest?.request;
+    if (request === undefined || request.complete) return 0;
+    const length = Number(request.headers['content-length'] ?? 0);
+    return Math.max(0, length - this.parsedBytes) || 0;
+  }
+
+  /** Records bytes that are parsed next. */
+  onParsed(bytes: number): void {
+    this.sliceBytes = bytes;
+    this.parsedBytes += bytes;
+  }
+
   /**
    * Returns whether a reply is pending and the latest request was received
    * completely.
    */
   isReplying(): boolean {
-    return this.pendingCount > 0 && this.latest?.request.complete === true;
+    return this.pending.length > 0 && this.latest?.request.complete === true;
   }
 
   /**
@@ -50,44 +93,92 @@
    * error reply would then corrupt that reply.
    */
   hasStartedReply(): boolean {
-    if (this.pendingCount === 0) return false;
-    return this.pendingCount > 1 || this.latest?.response.headersSent === true;
+    if (this.pending.length === 0) return false;
+    return (
+      this.pending.length > 1 || this.latest?.response.headersSent === true
+    );
+  }
+
+  /** Discards what is received from now on, after input that is malformed. */
+  stopReading(): void {
+    this.gate.stop();
+  }
+
+  /** Closes the connection; its requests in progress are cancelled. */
+  close(): void {
+    this.socket.destroy();
+  }
+
+  /** Returns what the connection held at the last call of {@link observe}. */
+  getHolding(): ConnectionHolding<AcceptedConnection> {
+    return this.holding;
   }
 
   /**
-   * Closes the connection if the other end has read nothing of the unsent bytes
-   * for `timeoutMs`. Must be called repeatedly: each call compares the counts of
-   * bytes with those of the previous call.
+   * Observes what the connection holds and whether its client makes progress.
+   * Must be called repeatedly: each call compares the counts of bytes with those
+   * of the previous call.
    *
    * Node includes unsent bytes in `bytesWritten`; the difference is what the
    * system has taken. Either count shows progress: the unsent bytes may grow
    * while the other end reads.
    *
    * @param nowMs time of the monotonic clock, in milliseconds
+   * @returns how long the client has read nothing of the unsent bytes
    */
-  closeIfStalled(nowMs: number, timeoutMs: number): void {
+  observe(nowMs: number): number {
     const {writableLength, bytesWritten} = this.socket;
-    const isProgressing =
+    const isReading =
       writableLength === 0 ||
       writableLength < this.unsentBytes ||
       bytesWritten - writableLength > this.flushedBytes;
     this.unsentBytes = writableLength;
     this.flushedBytes = bytesWritten - writableLength;
-    if (isProgressing) {
-      this.stalledSinceMs = undefined;
-      return;
+    this.stalledSinceMs = isReading
+      ? undefined
+      : (this.stalledSinceMs ?? nowMs);
+    const heldBytes = this.countHeldBytes();
+    this.idleSinceMs = this.isProgressing(isReading, heldBytes)
+      ? undefined
+      : (this.idleSinceMs ?? nowMs);
+    this.finishedCount = 0;
+    const stalledMs = nowMs - (this.idleSinceMs ?? nowMs);
+    this.holding = {connection: this, heldBytes, stalledMs};
+    return nowMs - (this.stalledSinceMs ?? nowMs);
+  }
+
+  private countHeldBytes(): number {
+    const unparsedBytes = this.gate.getHeldBytes();
+    if (this.pending.length === 0) {
+      return unparsedBytes + this.parsedBytes * HEADER_MEMORY_FACTOR;
     }
-    this.stalledSinceMs ??= nowMs;
-    if (nowMs - this.stalledSinceMs >= timeoutMs) this.socket.destroy();
+    return this.pending.reduce(
+      (sum, exchange) => sum + exchange.countHeldBytes(),
+      unparsedBytes + this.unsentBytes,
+    );
+  }
+
+  /**
+   * Returns whether the client takes its replies, or waits for this process. A
+   * request that is only partly received is no progress.
+   */
+  private isProgressing(isReading: boolean, heldBytes: number): boolean {
+    if (heldBytes === 0 || this.finishedCount > 0) return true;
+    return isReading && (this.unsentBytes > 0 || this.isReplying());
   }
 
   /**
-   * Removes the finished reply from the count of pending replies. If none is
-   * pending, sets an idle timeout longer than the advertised keep-alive.
+   * Removes the finished reply from the pending ones. If none is pending, sets
+   * an idle timeout longer than the advertised keep-alive.
    */
   private onReplyFinished(): void {
-    this.pendingCount -= 1;
-    if (this.pendingCount > 0) return;
+    this.pending.shift();
+    this.finishedCount += 1;
+    this.gate.update();
+    if (this.pending.length > 0) return;
+    // What was parsed belongs to requests that have been answered.
+    if (this.latest?.request.complete === true) this.parsedBytes = 0;
+    this.onIdle();
     this.socket.setTimeout(this.getKeepAliveMs() + KEEP_ALIVE_MARGIN_MS);
   }
 }
--- a/packages/http/src/http_exchange.ts
+++ b/packages/http/src/http_exchange.ts
@@ -1,9 +1,19 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {Effect} from 'effect';
 import {finishMessage} from './finish_message.js';
-import type {HttpError} from './http_error.js';
+import {HttpError} from './http_error.js';
+import {HttpFailure} from './http_failure.js';
 import type {OutgoingHeaders} from './outgoing_request.js';
+import {processConnections} from './process_connections.js';
 import {readBody} from './read_body.js';
+import {RequestPhase} from './request_phase.js';
+
+/** Memory of a request and its reply without headers and bodies, about. */
+const EXCHANGE_BYTES = 4096;
+/** Memory of a header's name or value, about. */
+const HEADER_STRING_BYTES = 64;
+/** A chunk of one byte that is not read takes this many times its length. */
+const SMALL_CHUNK_FACTOR = 100;
 
 /** A received request and its reply. */
 export class HttpExchange {
@@ -12,6 +22,8 @@
   readonly query: URLSearchParams;
   /** When the request headers were received, in milliseconds since the epoch. */
   readonly arrivedAtMs = Date.now();
+  /** Length of the body once it has been read, in bytes. */
+  private bodyBytes = 0;
 
   constructor(
     readonly request: IncomingMessage,
@@ -36,11 +48,48 @@
   }
 
   /**
-   * Reads the complete request body; fails if it exceeds `maxBytes`. The error
+   * Reads the complete request body; fails if it exceeds `maxBytes`, and with
+   * `OVERLOADED` while the connections of the process hold too much. The error
    * names the other end `caller`, also if it is a peer or an operator.
    */
   readBody(maxBytes: number): Effect.Effect<Buffer, HttpError> {
-    return readBody(this.request, maxBytes, 'caller');
+    return Effect.suspend(() => {
+      if (processConnections.isFull() && this.hasBody()) {
+        return Effect.fail(
+          new HttpError(
+            HttpFailure.OVERLOADED,
+            RequestPhase.MAYBE_SENT,
+            'caller',
+          ),
+        );
+      }
+      return Effect.map(readBody(this.request, maxBytes, 'caller'), body => {
+        this.bodyBytes = body.length;
+        return body;
+      });
+    });
+  }
+
+  /**
+   * Counts the memory that this exchange takes, about, without unsent bytes of
+   * its reply.
+   */
+  countHeldBytes(): number {
+    const {request} = this;
+    const unreadBytes = request.readableLength;
+    const isChunked = request.headers['transfer-encoding'] !== undefined;
+    return (
+      EXCHANGE_BYTES +
+      request.rawHeaders.length * HEADER_STRING_BYTES +
+      this.bodyBytes +
+      unreadBytes * (isChunked ? SMALL_CHUNK_FACTOR : 1)
+    );
+  }
+
+  private hasBody(): boolean {
+    const {headers} = this.request;
+    const length = headers['content-length'] ?? '0';
+    return headers['transfer-encoding'] !== undefined || length !== '0';
   }
 
   /** Sends a complete reply; does nothing if headers were sent before. */
--- a/packages/http/src/http_server.ts
+++ b/packages/http/src/http_server.ts
@@ -11,10 +11,11 @@
 } from 'effect';
 import {formatAddress, Logger, type Address} from '@greengagecross/common';
 import {answerMalformed} from './answer_malformed.js';
-import {AcceptedConnection} from './accepted_connection.js';
+import type {AcceptedConnection} from './accepted_connection.js';
 import {HttpError} from './http_error.js';
 import {HttpExchange} from './http_exchange.js';
 import {HttpFailure} from './http_failure.js';
+import {ListenerConnections} from './listener_connections.js';
 import {RequestPhase} from './request_phase.js';
 import type {OutgoingHeaders} from './outgoing_request.js';
 import {SocketByteCounter} from './socket_byte_counter.js';
@@ -39,6 +40,8 @@
   readonly requestTimeoutMs: number;
   /** How long a client may read nothing of its reply, in milliseconds. */
   readonly stallTimeoutMs?: number;
+  /** Connections at a time; unlimited if absent. */
+  readonly maxConnections?: number | undefined;
   /** Builds headers of the reply to a request that cannot be parsed. */
   readonly buildMalformedHeaders?: () => OutgoingHeaders;
 }
@@ -50,6 +53,8 @@
 const DRAIN_SETTLE_MS = 1000;
 const CHECKS_PER_TIMEOUT = 4;
 const DEFAULT_STALL_TIMEOUT_MS = 60_000;
+/** Prefix of the codes of errors after which Node parses nothing more. */
+const PARSER_ERROR_PREFIX = 'HPE_';
 const MAX_HEADER_BYTES = 16 * 1024;
 const logger = new Logger('http');
 
@@ -59,7 +64,7 @@
   private readonly server: Server;
   /** Open while no exchange is in flight. */
   private readonly idle = Latch.makeUnsafe(true);
-  private readonly connections = new Map<Socket, AcceptedConnection>();
+  private readonly connections: ListenerConnections;
   /** Done once the listener and all its connections are closed. */
   private readonly closed = Deferred.makeUnsafe<void>();
   /** Number of exchanges in flight. */
@@ -72,6 +77,13 @@
     private readonly handler: ExchangeHandler,
   ) {
     this.keepAliveMs = options.keepAliveMs;
+    const {address, maxConnections} = options;
+    const stallTimeoutMs = options.stallTimeoutMs ?? DEFAULT_STALL_TIMEOUT_MS;
+    this.connections = new ListenerConnections(
+      address,
+      {maxConnections, stallTimeoutMs},
+      () => this.keepAliveMs,
+    );
     this.server = createServer({
       maxHeaderSize: MAX_HEADER_BYTES,
       keepAliveTimeout: options.keepAliveMs,
@@ -95,16 +107,16 @@
       const runFiber = yield* FiberSet.makeRuntime<never, void, never>();
       this.server.on('connection', (socket: Socket) => {
         this.bytes.add(socket);
-        runFiber(this.runConnection(socket));
+        const connection = this.connections.add(socket);
+        if (connection !== undefined) runFiber(this.runConnection(connection));
       });
       this.server.on('request', (request, response) => {
-        const exchange = new HttpExchange(request, response);
-        this.connections.get(request.socket)?.add(exchange);
+        this.connections.addExchange(new HttpExchange(request, response));
       });
       this.server.on('clientError', (error, stream) =>
         this.onMalformed(error, stream as Socket),
       );
-      yield* Effect.forkScoped(this.watchStalls());
+      yield* Effect.forkScoped(this.connections.watch());
       yield* Effect.acquireRelease(this.listen(), () => this.closeNow());
     });
   }
@@ -179,18 +191,16 @@
   }
 
   /** Serves one connection until it closes, one exchange at a time. */
-  private runConnection(socket: Socket): Effect.Effect<void> {
+  private runConnection({
+    socket,
+    queue,
+  }: AcceptedConnection): Effect.Effect<void> {
     return Effect.gen({self: this}, function* () {
-      const queue = yield* Queue.unbounded<HttpExchange>();
       const connectionClosed = yield* Deferred.make<void>();
-      this.connections.set(
-        socket,
-        new AcceptedConnection(socket, queue, () => this.keepAliveMs),
+      if (socket.destroyed) return;
+      socket.once('close', () =>
+        Deferred.doneUnsafe(connectionClosed, Effect.void),
       );
-      socket.once('close', () => {
-        this.connections.delete(socket);
-        Deferred.doneUnsafe(connectionClosed, Effect.void);
-      });
       const serve = Effect.forever(
         Effect.flatMap(Queue.take(queue), exchange => this.handle(exchange)),
       );
@@ -199,7 +209,10 @@
   }
 
   private onMalformed(error: Error, socket: Socket): void {
-    const connection = this.connections.get(socket);
+    const connection = this.connections.find(socket);
+    // After a timeout the rest of a request may still arrive.
+    const {code = ''} = error as NodeJS.ErrnoException;
+    if (code.startsWith(PARSER_ERROR_PREFIX)) connection?.stopReading();
     // The pending reply is still completed; nothing is read after it.
     if (connection?.isReplying() === true) return;
     if (connection?.hasStartedReply() === true) {
@@ -209,20 +222,6 @@
     answerMalformed(socket, error, this.options.buildMalformedHeaders?.());
   }
 
-  /** Closes connections whose other end stopped reading its replies. */
-  private watchStalls(): Effect.Effect<never> {
-    const timeoutMs = this.options.stallTimeoutMs ?? DEFAULT_STALL_TIMEOUT_MS;
-    const check = Effect.sync(() => {
-      const nowMs = performance.now();
-      for (const connection of this.connections.values()) {
-        connection.closeIfStalled(nowMs, timeoutMs);
-      }
-    });
-    return Effect.forever(
-      Effect.andThen(Effect.sleep(timeoutMs / CHECKS_PER_TIMEOUT), check),
-    );
-  }
-
   private handle(exchange: HttpExchange): Effect.Effect<void> {
     this.active += 1;
     this.idle.closeUnsafe();
--- a/packages/http/src/index.ts
+++ b/packages/http/src/index.ts
@@ -17,6 +17,8 @@
 export * from './http_server.js';
 export * from './outgoing_request.js';
 export * from './pooled_connection.js';
+export * from './process_connections.js';
 export * from './read_body.js';
+export * from './read_descriptor_limit.js';
 export * from './request_phase.js';
 export * from './socket_byte_counter.js';
--- /dev/null
+++ b/packages/http/src/listener_connections.ts
@@ -0,0 +1,105 @@
+import type {Socket} from 'node:net';
+import {Effect, Queue} from 'effect';
+import {formatAddress, type Address} from '@greengagecross/common';
+import {ConnectionSlots} from '@greengagecross/decisions';
+import {AcceptedConnection} from './accepted_connection.js';
+import type {HttpExchange} from './http_exchange.js';
+import {ClosureReason, processConnections} from './process_connections.js';
+
+const MAX_CHECK_INTERVAL_MS = 250;
+const CHECKS_PER_TIMEOUT = 4;
+
+/** Limits of the connections of a listener. */
+export interface ConnectionLimits {
+  /** Number of connections at a time; unlimited if absent. */
+  readonly maxConnections?: number | undefined;
+  /** How long a client may read nothing of its reply, in milliseconds. */
+  readonly stallTimeoutMs: number;
+}
+
+/** Connections of one listener, within its limits. */
+export class ListenerConnections {
+  private readonly connections = new Map<Socket, AcceptedConnection>();
+  private readonly slots: ConnectionSlots<AcceptedConnection>;
+  /** Connections closed for new ones that are not logged yet. */
+  private unloggedClosures = 0;
+
+  constructor(
+    private readonly address: Address,
+    private readonly limits: ConnectionLimits,
+    private readonly getKeepAliveMs: () => number,
+  ) {
+    this.slots = new ConnectionSlots(limits.maxConnections);
+  }
+
+  /**
+   * Adds a connection that was accepted; undefined if it was closed at once,
+   * since the listener has too many with requests in progress.
+   */
+  add(socket: Socket): AcceptedConnection | undefined {
+    const connection: AcceptedConnection = new AcceptedConnection(
+      socket,
+      Effect.runSync(Queue.unbounded<HttpExchange>()),
+      this.getKeepAliveMs,
+      () => this.slots.setIdle(connection),
+    );
+    const closed = this.slots.add(connection);
+    if (closed !== undefined) {
+      this.unloggedClosures += 1;
+      closed.close();
+      if (closed === connection) return undefined;
+    }
+    this.connections.set(socket, connection);
+    processConnections.add(connection);
+    socket.once('close', () => {
+      this.connections.delete(socket);
+      this.slots.remove(connection);
+      processConnections.remove(connection);
+    });
+    return connection;
+  }
+
+  /** Adds a received request to its connection. */
+  addExchange(exchange: HttpExchange): void {
+    const connection = this.connections.get(exchange.request.socket);
+    if (connection === undefined) return;
+    this.slots.setBusy(connection);
+    connection.add(exchange);
+  }
+
+  /** Finds the connection of a socket. */
+  find(socket: Socket): AcceptedConnection | undefined {
+    return this.connections.get(socket);
+  }
+
+  /**
+   * Closes connections whose other end stopped reading its replies, and those
+   * that hold most while all of the process hold too much.
+   */
+  watch(): Effect.Effect<never> {
+    const {stallTimeoutMs} = this.limits;
+    const intervalMs = Math.min(
+      MAX_CHECK_INTERVAL_MS,
+      stallTimeoutMs / CHECKS_PER_TIMEOUT,
+    );
+    const check = Effect.sync(() => this.check(performance.now()));
+    return Effect.forever(Effect.andThen(Effect.sleep(intervalMs), check));
+  }
+
+  private check(nowMs: number): void {
+    const stalled = [...this.connections.values()].filter(
+      connection => connection.observe(nowMs) >= this.limits.stallTimeoutMs,
+    );
+    for (const connection of stalled) connection.close();
+    this.report(ClosureReason.STALLED, stalled.length);
+    this.report(ClosureReason.DESCRIPTORS, this.unloggedClosures);
+    this.unloggedClosures = 0;
+    processConnections.check(nowMs);
+  }
+
+  private report(reason: ClosureReason, count: number): void {
+    if (count === 0) return;
+    const listener = formatAddress(this.address);
+    processConnections.recordClosures(reason, count, {listener});
+  }
+}
--- a/packages/router/src/model/router_settings.ts
+++ b/packages/router/src/model/router_settings.ts
@@ -15,4 +15,6 @@
   readonly retryLimits: RetryLimits;
   /** Memory that the process may use, in bytes; unlimited if absent. */
   readonly memoryBytes?: number;
+  /** File descriptors that the process may use; the system's limit if absent. */
+  readonly maxDescriptors?: number;
 }
--- a/packages/router/src/router_daemon.ts
+++ b/packages/router/src/router_daemon.ts
@@ -1,10 +1,15 @@
 import {Deferred, Effect, type Scope} from 'effect';
 import {Logger, readSteadyMs, type Address} from '@greengagecross/common';
-import {EVENT_LOOP_SAMPLE_INTERVAL_MS} from '@greengagecross/decisions';
+import {
+  computeMaxConnections,
+  EVENT_LOOP_SAMPLE_INTERVAL_MS,
+} from '@greengagecross/decisions';
 import {
   HttpServer,
   processBuffers,
+  processConnections,
   type ExchangeHandler,
+  readDescriptorLimit,
   type HttpError,
 } from '@greengagecross/http';
 import {DaemonState} from './members/heartbeat.js';
@@ -35,6 +40,19 @@
  * outgrown takes as much again until it is collected.
  */
 const BUFFERED_SHARE = 0.12;
+/**
+ * Share of the process's memory for what connections of clients hold: requests
+ * that wait, their bodies, and unsent responses. As much again is garbage that
+ * is not collected yet.
+ */
+const CONNECTIONS_SHARE = 0.15;
+/**
+ * Share of the file descriptors for connections of clients. Each may need one
+ * to a server, and all servers have fewer slots than these.
+ */
+const CLIENT_DESCRIPTOR_SHARE = 0.5;
+/** The same for each of the other four listeners. */
+const OTHER_DESCRIPTOR_SHARE = 0.05;
 /** Interval at which a stopping daemon checks for open requests. */
 const DRAIN_CHECK_MS = 100;
 const logger = new Logger('daemon');
@@ -56,10 +74,13 @@
     const {memoryBytes} = settings;
     if (memoryBytes !== undefined) {
       processBuffers.setLimit(memoryBytes * BUFFERED_SHARE);
+      processConnections.setLimit(memoryBytes * CONNECTIONS_SHARE);
     }
     this.parts = new RouterParts(settings, ports, () => this.isRefusing());
-    this.clientServer = this.makeServer(settings.self.callers, exchange =>
-      this.parts.calls.handle(exchange),
+    this.clientServer = this.makeServer(
+      settings.self.callers,
+      CLIENT_DESCRIPTOR_SHARE,
+      exchange => this.parts.calls.handle(exchange),
     );
   }
 
@@ -174,16 +195,26 @@
     address: Address,
     handler: ExchangeHandler,
   ): Effect.Effect<void, HttpError, Scope.Scope> {
-    return this.makeServer(address, handler).start();
+    return this.makeServer(address, OTHER_DESCRIPTOR_SHARE, handler).start();
   }
 
-  private makeServer(address: Address, handler: ExchangeHandler): HttpServer {
+  private makeServer(
+    address: Address,
+    descriptorShare: number,
+    handler: ExchangeHandler,
+  ): HttpServer {
+    const systemLimit = readDescriptorLimit() ?? Infinity;
+    const maxDescriptors = Math.min(
+      this.settings.maxDescriptors ?? Infinity,
+      systemLimit,
+    );
     return new HttpServer(
       {
         address,
         keepAliveMs: DEFAULT_CALLER_LIMITS.idleTimeoutMs,
         headersTimeoutMs: HEADERS_TIMEOUT_MS,
         requestTimeoutMs: REQUEST_TIMEOUT_MS,
+        maxConnections: computeMaxConnections(maxDescriptors, descriptorShare),
       },
       handler,
     );
