Return unparsed bytes to the socket so that its end is not reported early

A client that sent requests ahead and closed its half got some answers, and its connection then stayed open: Node saw the end while the gate still held bytes, took the last request for a truncated one, and nothing more was answered.

Unparsed bytes now go back into the socket's own buffer, before its end.

--- a/packages/http/src/read_ahead_gate.ts
+++ b/packages/http/src/read_ahead_gate.ts
@@ -5,7 +5,6 @@
  * of 64 KB may hold thousands of requests; this many bytes hold at most 40.
  */
 const SLICE_BYTES = 1024;
-const EMPTY = Buffer.alloc(0);
 
 /** Decides how much a connection may read. */
 export interface ReadAheadLimit {
@@ -27,11 +26,11 @@
  * Node pauses a connection only when responses wait to be sent, not when
  * requests do, and it parses a whole read at once. The gate takes the place of
  * Node's `data` listener. It respects pauses of others (Node's own, or a body
- * that is read slowly) between slices as well. What it holds back is at most
- * one read, as a paused socket is not read.
+ * that is read slowly) between slices as well. What is not parsed goes back into
+ * the socket's own buffer, so that its end is not reported before; that is at
+ * most two reads, as a paused socket is not read.
  */
 export class ReadAheadGate {
-  private held: Buffer = EMPTY;
   /** Whether this gate, not Node, has paused the socket. */
   private isHolding = false;
   private isStopped = false;
@@ -56,13 +55,12 @@
     // A further listener makes Node read the socket in JavaScript.
     socket.on('data', (chunk: Buffer) => gate.onData(chunk));
     socket.off('data', parse);
-    socket.on('resume', () => gate.parseHeld());
     return gate;
   }
 
   /** Returns the number of received bytes that are not parsed yet. */
   getHeldBytes(): number {
-    return this.held.length + this.socket.readableLength;
+    return this.socket.readableLength;
   }
 
   /** Reads on if the limit allows it again. */
@@ -75,33 +73,32 @@
   /** Discards everything that is received from now on. */
   stop(): void {
     this.isStopped = true;
-    this.held = EMPTY;
     this.isHolding = false;
     this.socket.resume();
   }
 
   private onData(chunk: Buffer): void {
-    if (this.isStopped) return;
-    this.held =
-      this.held.length === 0 ? chunk : Buffer.concat([this.held, chunk]);
-    this.parseHeld();
-  }
-
-  private parseHeld(): void {
     const {socket, limit} = this;
-    if (this.isStopped) return;
-    while (!socket.isPaused() && !socket.destroyed) {
-      if (!limit.isReadAllowed()) {
-        this.isHolding = true;
-        socket.pause();
+    let parsed = 0;
+    while (parsed < chunk.length && !this.isStopped && !socket.destroyed) {
+      this.stopAtLimit();
+      if (socket.isPaused()) {
+        socket.unshift(chunk.subarray(parsed));
         return;
       }
-      if (this.held.length === 0) return;
       const size = Math.max(SLICE_BYTES, limit.countBodyBytes());
-      const slice = this.held.subarray(0, size);
-      this.held = this.held.length <= size ? EMPTY : this.held.subarray(size);
+      const slice = chunk.subarray(parsed, parsed + size);
+      parsed += slice.length;
       limit.onParsed(slice.length);
       this.parse(slice);
     }
+    this.stopAtLimit();
+  }
+
+  private stopAtLimit(): void {
+    if (this.isStopped || this.socket.isPaused()) return;
+    if (this.limit.isReadAllowed()) return;
+    this.isHolding = true;
+    this.socket.pause();
   }
 }
