--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -94,3 +94,5 @@
 export * from './prompts/engine_history.js';
 export * from './members/choose_follower.js';
 export * from './members/known_members.js';
+export * from './limits/connection_load.js';
+export * from './limits/connection_slots.js';
