--- a/packages/http/src/read_ahead_steps.ts
+++ b/packages/http/src/read_ahead_steps.ts
@@ -17,7 +17,7 @@
   serverFiber: Fiber.Fiber<void, unknown> | undefined;
   serverPort: number;
   parsedCount: number;
-  sender: Socket | undefined;
+  readAheadSender: Socket | undefined;
   received: string;
   isClosed: boolean;
   bodies: string[];
@@ -111,7 +111,7 @@
   pieceBytes: number,
 ): Promise<Socket> {
   const socket = connect({host: HOST, port: world.serverPort});
-  world.sender = socket;
+  world.readAheadSender = socket;
   socket.setNoDelay(true);
   socket.on('error', () => undefined);
   socket.on('data', bytes => (world.received += bytes.toString('latin1')));
@@ -211,7 +211,7 @@
 );
 
 After(async function (this: ReadAheadWorld) {
-  this.sender?.destroy();
+  this.readAheadSender?.destroy();
   if (this.serverFiber === undefined) return;
   await Effect.runPromise(Fiber.interrupt(this.serverFiber));
 });
