--- a/packages/decisions/src/retries/hedge_limits.ts
+++ b/packages/decisions/src/retries/hedge_limits.ts
@@ -23,10 +23,12 @@
   BUSY = 'busy',
   /** More servers are slow than quick. */
   ALL_SLOW = 'all-slow',
-  /** No quick server with a free slot is left. */
+  /** No server with a free slot is left that is not slow. */
   NO_SERVER = 'no-server',
   /** The hedges of the route have reached their share of its requests. */
   SHARE = 'share',
+  /** A server of the service is cold, or its zone is evacuated. */
+  REDUCED = 'reduced',
   /** No retry is left in the budget of the service. */
   RETRY_BUDGET = 'retry-budget',
   /** No further attempt of the request is allowed. */
--- a/packages/router/src/calls/cold_servers.ts
+++ b/packages/router/src/calls/cold_servers.ts
@@ -153,6 +153,11 @@
     this.states.recordReachable(serverId, readSteadyMs());
   }
 
+  /** Returns whether a server counts as cold; never without a bound. */
+  isCold(serverId: string, nowMs: number): boolean {
+    return this.states.isCold(serverId, nowMs);
+  }
+
   /** Counts the servers that are cold. */
   countCold(): number {
     return this.states.listCold(readSteadyMs()).length;
--- a/packages/router/src/calls/server_chooser.ts
+++ b/packages/router/src/calls/server_chooser.ts
@@ -65,6 +65,20 @@
     return this.evacuated.has(availabilityZone, readSteadyMs());
   }
 
+  /**
+   * Returns whether a service has fewer servers than registered: one is cold, or
+   * its availability zone is evacuated.
+   */
+  isReduced({service}: CallJob): boolean {
+    const nowMs = readSteadyMs();
+    return this.backends
+      .listReady(service)
+      .some(
+        server =>
+          this.isEvacuated(server) || this.cold.isCold(server.id, nowMs),
+      );
+  }
+
   /** Lists the loads of a service's available servers, tried ones included. */
   listLoads({service}: CallJob): ServerLoad[] {
     const nowMs = readSteadyMs();
