--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -7,8 +7,10 @@
   type DaemonSettings,
   type FleetKeys,
 } from '@greengagecross/common';
+import {computeMaxConnections} from '@greengagecross/decisions';
 import {
   HttpServer,
+  readDescriptorLimit,
   type ExchangeHandler,
   type HttpError,
 } from '@greengagecross/http';
@@ -23,6 +25,9 @@
 const MIN_KEEP_ALIVE_MS = 1000;
 const CONTROL_KEEP_ALIVE_MS = 15_000;
 const HEADERS_TIMEOUT_MS = 10_000;
+/** Shares of the file descriptors; the rest is for connections of its own. */
+const CALLER_DESCRIPTOR_SHARE = 0.5;
+const CONTROL_DESCRIPTOR_SHARE = 0.15;
 const JOIN_CHECK_INTERVAL_MS = 50;
 const logger = new Logger('daemon');
 
@@ -50,12 +55,14 @@
     this.callerServer = this.makeServer(
       settings.callerListener,
       this.computeKeepAliveMs(),
+      CALLER_DESCRIPTOR_SHARE,
       exchange => callers.handle(exchange),
       () => callers.recordMalformedRequest(),
     );
     this.controlServer = this.makeServer(
       settings.controlListener,
       CONTROL_KEEP_ALIVE_MS,
+      CONTROL_DESCRIPTOR_SHARE,
       exchange => control.handle(exchange),
     );
   }
@@ -215,12 +222,15 @@
   private makeServer(
     address: Address,
     keepAliveMs: number,
+    descriptorShare: number,
     handler: ExchangeHandler,
     onMalformed = buildMalformedHeaders,
   ): HttpServer {
+    const maxDescriptors = readDescriptorLimit() ?? Infinity;
     const options = {
       address,
       keepAliveMs,
+      maxConnections: computeMaxConnections(maxDescriptors, descriptorShare),
       headersTimeoutMs: HEADERS_TIMEOUT_MS,
       requestTimeoutMs: this.parts.tuning.callerSilenceMs,
       stallTimeoutMs: this.parts.tuning.callerSilenceMs,
--- a/packages/http/src/accepted_connection.ts
+++ b/packages/http/src/accepted_connection.ts
@@ -12,6 +12,11 @@
 const KEEP_ALIVE_MARGIN_MS = 2000;
 /** Requests of a connection that may wait for their replies before it is read on. */
 const MAX_PENDING_REQUESTS = 8;
+/**
+ * Names and values of headers that such requests may have together: 8 requests
+ * with headers of 16 KB each took 1 MB of a connection and more.
+ */
+const MAX_PENDING_HEADER_STRINGS = 1000;
 /** Headers as strings take up to this many times their length on the wire. */
 const HEADER_MEMORY_FACTOR = 8;
 
@@ -22,6 +27,8 @@
 export class AcceptedConnection implements HeldConnection, ReadAheadLimit {
   /** Received requests whose replies are not complete, in order. */
   private readonly pending: HttpExchange[] = [];
+  /** Names and values of the headers of pending requests. */
+  private pendingHeaderStrings = 0;
   private readonly gate: ReadAheadGate;
   /** Exchange of the latest request. */
   private latest: HttpExchange | undefined;
@@ -52,6 +59,7 @@
   /** Queues an exchange whose request headers have been received. */
   add(exchange: HttpExchange): void {
     this.pending.push(exchange);
+    this.pendingHeaderStrings += exchange.request.rawHeaders.length;
     this.latest = exchange;
     this.parsedBytes = this.sliceBytes;
     exchange.response.once('finish', () => this.onReplyFinished());
@@ -60,9 +68,10 @@
 
   /** Returns whether the next request may be read, or the latest to its end. */
   isReadAllowed(): boolean {
+    if (this.latest?.request.complete === false) return true;
     return (
-      this.pending.length < MAX_PENDING_REQUESTS ||
-      this.latest?.request.complete === false
+      this.pending.length < MAX_PENDING_REQUESTS &&
+      this.pendingHeaderStrings < MAX_PENDING_HEADER_STRINGS
     );
   }
 
@@ -172,7 +181,8 @@
    * an idle timeout longer than the advertised keep-alive.
    */
   private onReplyFinished(): void {
-    this.pending.shift();
+    const finished = this.pending.shift();
+    this.pendingHeaderStrings -= finished?.request.rawHeaders.length ?? 0;
     this.finishedCount += 1;
     this.gate.update();
     if (this.pending.length > 0) return;
--- a/packages/router/src/router_parts.ts
+++ b/packages/router/src/router_parts.ts
@@ -24,6 +24,7 @@
 import {MemberService} from './members/member_service.js';
 import {MemberView} from './members/member_view.js';
 import {StateCatchUp} from './members/state_catch_up.js';
+import {listConnectionGauges} from './metrics/list_connection_gauges.js';
 import {RouterMetrics} from './metrics/router_metrics.js';
 import type {RouterSettings} from './model/router_settings.js';
 import type {CallCodec} from './ports/call_codec.js';
@@ -168,6 +169,7 @@
   }
 
   private addGauges(view: MemberView, guard: CrashGuard): void {
+    for (const gauge of listConnectionGauges()) this.metrics.addGauge(gauge);
     const {configuration, backends} = this.state;
     this.metrics.addGauge({
       name: 'greengagecross_configuration_version',
