--- a/packages/router/src/router_parts.ts
+++ b/packages/router/src/router_parts.ts
@@ -27,6 +27,7 @@
 import {MemberService} from './members/member_service.js';
 import {MemberView} from './members/member_view.js';
 import {StateCatchUp} from './members/state_catch_up.js';
+import {listConnectionGauges} from './metrics/list_connection_gauges.js';
 import {listGauges} from './metrics/router_gauges.js';
 import {RouterMetrics} from './metrics/router_metrics.js';
 import type {RouterSettings} from './model/router_settings.js';
@@ -196,6 +197,8 @@
       guard,
       backendClient: this.backendClient,
     });
-    for (const gauge of gauges) this.metrics.addGauge(gauge);
+    for (const gauge of [...gauges, ...listConnectionGauges()]) {
+      this.metrics.addGauge(gauge);
+    }
   }
 }
