--- a/packages/decisions/src/limits/connection_load.ts
+++ b/packages/decisions/src/limits/connection_load.ts
@@ -7,6 +7,11 @@
  * while a larger one makes progress.
  */
 const MIN_CLOSED_SHARE = 0.001;
+/**
+ * Share of the limit from which small stalled connections together are worth
+ * closing: a crowd of them would otherwise keep the process full.
+ */
+const MIN_CROWD_SHARE = 0.5;
 /**
  * Beyond this multiple of the limit, the largest connections are closed although
  * their clients make progress: slow readers may hold too much together, too.
@@ -47,15 +52,18 @@
    * rest is within the limit, in the order in which they are to be closed.
    */
   chooseClosed<T>(holdings: readonly ConnectionHolding<T>[]): T[] {
-    this.totalBytes = holdings.reduce((sum, {heldBytes}) => sum + heldBytes, 0);
+    this.totalBytes = addBytes(holdings);
     if (this.totalBytes <= this.limitBytes) return [];
     const bySize = [...holdings].sort((a, b) => b.heldBytes - a.heldBytes);
     const minBytes = this.limitBytes * MIN_CLOSED_SHARE;
-    const isFirst = (holding: ConnectionHolding<T>): boolean =>
-      holding.stalledMs >= MIN_STALL_MS && holding.heldBytes >= minBytes;
-    const first = this.takeUntil(bySize.filter(isFirst), this.limitBytes);
+    const stalled = bySize.filter(({stalledMs}) => stalledMs >= MIN_STALL_MS);
+    const large = stalled.filter(({heldBytes}) => heldBytes >= minBytes);
+    const small = stalled.filter(({heldBytes}) => heldBytes < minBytes);
+    const isCrowd = addBytes(small) > this.limitBytes * MIN_CROWD_SHARE;
+    const first = this.takeUntil(isCrowd ? stalled : large, this.limitBytes);
+    const taken = new Set(first);
     const others = this.takeUntil(
-      bySize.filter(holding => !isFirst(holding)),
+      bySize.filter(({connection}) => !taken.has(connection)),
       this.limitBytes * HARD_LIMIT_FACTOR,
     );
     return [...first, ...others];
@@ -94,3 +102,7 @@
     return taken;
   }
 }
+
+function addBytes<T>(holdings: readonly ConnectionHolding<T>[]): number {
+  return holdings.reduce((sum, {heldBytes}) => sum + heldBytes, 0);
+}
--- a/packages/decisions/src/limits/connection_slots.ts
+++ b/packages/decisions/src/limits/connection_slots.ts
@@ -2,6 +2,13 @@
 const RESERVED_DESCRIPTORS = 200;
 /** Smallest useful number of connections of a listener. */
 const MIN_CONNECTIONS = 8;
+/**
+ * A connection without a request is not closed before this age: its request may
+ * have arrived and not been read yet.
+ */
+const MIN_UNUSED_MS = 250;
+/** Excess over the limit for which younger connections may wait. */
+const BURST_FACTOR = 1.25;
 
 /**
  * Computes how many connections a listener may have, so that descriptors are
@@ -28,8 +35,8 @@
  * in progress is never closed for a new one.
  */
 export class ConnectionSlots<T> {
-  /** Connections without a request so far, in order of their start. */
-  private readonly unused = new Set<T>();
+  /** When connections without a request so far were added, in that order. */
+  private readonly unused = new Map<T, number>();
   /** Connections between two requests, in the order in which they became so. */
   private readonly idle = new Set<T>();
   private readonly busy = new Set<T>();
@@ -40,19 +47,22 @@
   /**
    * Adds a connection; returns the one that must be closed for it, if any: that
    * is the new one itself if all others have requests in progress.
+   *
+   * @param nowMs on the monotonic clock
    */
-  add(connection: T): T | undefined {
+  add(connection: T, nowMs: number): T | undefined {
     const count = this.unused.size + this.idle.size + this.busy.size;
-    if (count < this.maxConnections) {
-      this.unused.add(connection);
-      return undefined;
-    }
-    this.closures += 1;
-    const [oldest] = this.unused.size > 0 ? this.unused : this.idle;
-    if (oldest === undefined) return connection;
-    this.remove(oldest);
-    this.unused.add(connection);
-    return oldest;
+    const closed =
+      count < this.maxConnections ? undefined : this.findClosed(count, nowMs);
+    const isRefused =
+      closed === undefined &&
+      count >= this.maxConnections &&
+      this.unused.size === 0;
+    if (closed !== undefined || isRefused) this.closures += 1;
+    if (isRefused) return connection;
+    if (closed !== undefined) this.remove(closed);
+    this.unused.set(connection, nowMs);
+    return closed;
   }
 
   /** Records that a connection has a request in progress. */
@@ -74,6 +84,18 @@
     );
   }
 
+  /** Finds the connection that is closed for a new one; undefined for none. */
+  private findClosed(count: number, nowMs: number): T | undefined {
+    const [oldest] = this.unused;
+    if (oldest !== undefined && nowMs - oldest[1] >= MIN_UNUSED_MS) {
+      return oldest[0];
+    }
+    const [idle] = this.idle;
+    if (idle !== undefined) return idle;
+    const isBurst = count < this.maxConnections * BURST_FACTOR;
+    return isBurst ? undefined : oldest?.[0];
+  }
+
   /** Counts the connections closed for new ones, or refused, since the start. */
   countClosures(): number {
     return this.closures;
--- a/packages/decisions/src/limits/untrusted_connections.feature
+++ b/packages/decisions/src/limits/untrusted_connections.feature
@@ -20,17 +20,34 @@
       | 5000,1,10   | 1900,9000,9000 | 3,2,1   |
       | 5000,0,0    | 1900,9000,9000 | 1       |
 
+  # Guards against a crowd of connections that are each too small to be closed,
+  # and together keep the process full, so that every body is refused.
+  Scenario: A crowd of small stalled connections is closed down to the limit
+    Given 1200 connections that hold 900 bytes and have stalled for 9000 ms
+    Then a limit of 1000000 bytes closes 89 of them
+
   # Guards against a listener that takes every descriptor of the process.
   Scenario: Connections without a request are closed for new ones before idle ones
     Given a listener with 3 connections "a,b,c" at most
     When "a" becomes idle and "b" becomes busy
+    And 250 ms pass for the listener
     Then a new connection "d" closes "c"
-    And a new connection "e" closes "d"
+    When 250 ms pass for the listener
+    Then a new connection "e" closes "d"
     When "e" becomes busy
     Then a new connection "f" closes "a"
     When "f" becomes busy
     Then a new connection "g" closes "g"
 
+  # Guards against closing ordinary clients that connect at the same moment,
+  # before their requests are read.
+  Scenario: Connections that were accepted just now are not closed for new ones
+    Given a listener with 4 connections "a,b,c,d" at most
+    Then a new connection "e" closes none
+    And a new connection "f" closes "a"
+    When 250 ms pass for the listener
+    Then a new connection "g" closes "b"
+
   Scenario Outline: A listener with a share of <share> of <descriptors> descriptors has <count> connections at most
     Then a share of <share> of <descriptors> descriptors allows <count> connections
 
--- a/packages/decisions/src/limits/untrusted_connections_steps.ts
+++ b/packages/decisions/src/limits/untrusted_connections_steps.ts
@@ -7,6 +7,7 @@
 interface ConnectionsWorld extends World {
   holdings: ConnectionHolding<number>[];
   slots: ConnectionSlots<string>;
+  nowMs: number;
 }
 
 Given(
@@ -21,6 +22,31 @@
   },
 );
 
+Given(
+  '{int} connections that hold {int} bytes and have stalled for {int} ms',
+  function (
+    this: ConnectionsWorld,
+    count: number,
+    heldBytes: number,
+    stalledMs: number,
+  ) {
+    this.holdings = Array.from({length: count}, (_, connection) => ({
+      connection,
+      heldBytes,
+      stalledMs,
+    }));
+  },
+);
+
+Then(
+  'a limit of {int} bytes closes {int} of them',
+  function (this: ConnectionsWorld, limit: number, count: number) {
+    const load = new ConnectionLoad(limit);
+    assert.equal(load.chooseClosed(this.holdings).length, count);
+    assert.equal(load.isFull(), false);
+  },
+);
+
 Then(
   /^a limit of (\d+) bytes closes ([\d,]+|none)$/,
   function (this: ConnectionsWorld, limit: string, closed: string) {
@@ -35,8 +61,9 @@
   'a listener with {int} connections {string} at most',
   function (this: ConnectionsWorld, count: number, names: string) {
     this.slots = new ConnectionSlots(count);
+    this.nowMs = 0;
     for (const name of names.split(',')) {
-      assert.equal(this.slots.add(name), undefined);
+      assert.equal(this.slots.add(name, 0), undefined);
     }
   },
 );
@@ -50,6 +77,20 @@
   },
 );
 
+When(
+  '{int} ms pass for the listener',
+  function (this: ConnectionsWorld, ms: number) {
+    this.nowMs += ms;
+  },
+);
+
+Then(
+  'a new connection {string} closes none',
+  function (this: ConnectionsWorld, name: string) {
+    assert.equal(this.slots.add(name, this.nowMs), undefined);
+  },
+);
+
 When('{string} becomes busy', function (this: ConnectionsWorld, name: string) {
   this.slots.setBusy(name);
 });
@@ -57,7 +98,7 @@
 Then(
   'a new connection {string} closes {string}',
   function (this: ConnectionsWorld, name: string, closed: string) {
-    assert.equal(this.slots.add(name), closed);
+    assert.equal(this.slots.add(name, this.nowMs), closed);
   },
 );
 
--- a/packages/http/src/accepted_connection.ts
+++ b/packages/http/src/accepted_connection.ts
@@ -63,6 +63,7 @@
     this.latest = exchange;
     this.parsedBytes = this.sliceBytes;
     exchange.response.once('finish', () => this.onReplyFinished());
+    exchange.request.once('close', () => this.onRequestClosed(exchange));
     Queue.offerUnsafe(this.queue, exchange);
   }
 
@@ -159,7 +160,10 @@
   private countHeldBytes(): number {
     const unparsedBytes = this.gate.getHeldBytes();
     if (this.pending.length === 0) {
-      return unparsedBytes + this.parsedBytes * HEADER_MEMORY_FACTOR;
+      // The rest of the body of a request that was answered is discarded.
+      const isDiscarding = this.latest?.request.complete === false;
+      const headerBytes = isDiscarding ? 0 : this.parsedBytes;
+      return unparsedBytes + headerBytes * HEADER_MEMORY_FACTOR;
     }
     return this.pending.reduce(
       (sum, exchange) => sum + exchange.countHeldBytes(),
@@ -176,6 +180,12 @@
     return isReading && (this.unsentBytes > 0 || this.isReplying());
   }
 
+  /** Forgets the bytes of a request that ended after its reply. */
+  private onRequestClosed(exchange: HttpExchange): void {
+    if (this.pending.length > 0 || this.latest !== exchange) return;
+    this.parsedBytes = 0;
+  }
+
   /**
    * Removes the finished reply from the pending ones. If none is pending, sets
    * an idle timeout longer than the advertised keep-alive.
--- a/packages/http/src/listener_connections.ts
+++ b/packages/http/src/listener_connections.ts
@@ -43,7 +43,7 @@
       this.getKeepAliveMs,
       () => this.slots.setIdle(connection),
     );
-    const closed = this.slots.add(connection);
+    const closed = this.slots.add(connection, performance.now());
     if (closed !== undefined) {
       this.unloggedClosures += 1;
       closed.close();
--- a/packages/router/src/calls/attempt_sequence.ts
+++ b/packages/router/src/calls/attempt_sequence.ts
@@ -124,14 +124,14 @@
   }
 
   /**
-   * Replaces a reserved server whose availability zone was evacuated since; the
-   * retry that was taken for it is used for the replacement.
+   * Replaces a reserved server that gets no requests any more, or is cold now;
+   * the retry that was taken for it is used for the replacement.
    */
   private verifyReserved(reserved: ServerChoice): ServerChoice | undefined {
     const {job, tried, chooser} = this;
-    return chooser.isEvacuated(reserved.server)
-      ? chooser.choose(job, tried)
-      : reserved;
+    return chooser.isUnchanged(job, reserved.server)
+      ? reserved
+      : chooser.choose(job, tried);
   }
 
   private choose(possibleRuns: number): ServerChoice | undefined {
--- a/packages/router/src/calls/cold_servers_steps.ts
+++ b/packages/router/src/calls/cold_servers_steps.ts
@@ -57,6 +57,7 @@
     };
     const version = {era: 0, revision: 1, changeRevision: 1};
     this.state.backends.setAll([server], version, nowMs);
+    this.state.evacuated.setAll([], version, nowMs);
     this.cold = new ColdServers(
       'edge-1',
       without === ', without limits' ? undefined : LIMITS,
--- a/packages/router/src/calls/server_chooser.ts
+++ b/packages/router/src/calls/server_chooser.ts
@@ -65,6 +65,18 @@
     return this.evacuated.has(availabilityZone, readSteadyMs());
   }
 
+  /**
+   * Returns whether a server that was chosen earlier may still be used without a
+   * new choice: it is available, and needs no token of a cold server.
+   */
+  isUnchanged({service}: CallJob, {id}: BackendServer): boolean {
+    const nowMs = readSteadyMs();
+    return (
+      this.listAvailable(service, nowMs).some(server => server.id === id) &&
+      !this.cold.isCold(id, nowMs)
+    );
+  }
+
   /**
    * Returns whether a service has fewer servers than registered: one is cold, or
    * its availability zone is evacuated.
--- a/packages/router/src/members/heartbeat_socket.ts
+++ b/packages/router/src/members/heartbeat_socket.ts
@@ -10,6 +10,7 @@
 import {HeartbeatSchema, type Heartbeat} from './heartbeat.js';
 import {LoadMessageSchema, type LoadMessage} from './load_message.js';
 import {
+  PACE_COUNT,
   PACE_INTERVAL_MS,
   PacedDatagrams,
   type Datagram,
@@ -55,14 +56,17 @@
   }
 
   /**
-   * Sends a message to each address; lost datagrams are not resent. Heartbeats
-   * and load messages to many daemons are sent a few at a time.
+   * Sends a message to each address, in their order; lost datagrams are not
+   * resent. Heartbeats and load messages to many daemons are sent a few at a
+   * time.
    */
   send(message: DatagramMessage, addresses: readonly Address[]): void {
     const bytes = Buffer.from(JSON.stringify(message));
     const kind = 'kind' in message ? message.kind : 'heartbeat';
     // Several suspect messages may go to an address, and all of them are urgent.
-    if (kind === SUSPECT_MESSAGE_KIND) {
+    // Watchers must hear a heartbeat in time, and they are few.
+    const isFew = addresses.length <= PACE_COUNT;
+    if (kind === SUSPECT_MESSAGE_KIND || isFew) {
       for (const address of addresses) this.sendNow({bytes, address});
       return;
     }
--- a/packages/router/src/router_daemon.ts
+++ b/packages/router/src/router_daemon.ts
@@ -10,7 +10,6 @@
   processBuffers,
   processConnections,
   type ExchangeHandler,
-  readDescriptorLimit,
   type HttpError,
 } from '@greengagecross/http';
 import {DaemonState} from './members/heartbeat.js';
@@ -211,11 +210,9 @@
     descriptorShare: number,
     handler: ExchangeHandler,
   ): HttpServer {
-    const systemLimit = readDescriptorLimit() ?? Infinity;
-    const maxDescriptors = Math.min(
-      this.settings.maxDescriptors ?? Infinity,
-      systemLimit,
-    );
+    // The settings alone count: the limit that the system shows for this process
+    // may not be the one of its host, and a low one closed ordinary clients.
+    const {maxDescriptors = Infinity} = this.settings;
     return new HttpServer(
       {
         address,
--- a/packages/router/src/state/backend_registry.ts
+++ b/packages/router/src/state/backend_registry.ts
@@ -1,5 +1,6 @@
 import {Logger} from '@greengagecross/common';
 import type {BackendServer} from '../model/backend_server.js';
+import type {BackendEntry} from './backend_entry.js';
 import type {
   BackendChanges,
   EntryChange,
@@ -13,6 +14,7 @@
 } from './compare_servers.js';
 import {EXPIRED_GRACE_MS, ExpiryGrace} from './expiry_grace.js';
 import {listReadyByService} from './list_ready_by_service.js';
+import {logNewEra} from './log_new_era.js';
 import {RemovedServers} from './removed_servers.js';
 import {
   compareStoreVersions,
@@ -22,21 +24,13 @@
 
 const logger = new Logger('backends');
 
-interface Entry {
-  readonly server: BackendServer;
-  /** Store revision of the list when the entry last changed in this era. */
-  revision: number;
-  /** When an expired entry is removed; undefined while it is registered. */
-  removeAtMs?: number;
-}
-
 /**
  * Backend servers of all services, from the store or from peers. The list is
  * confirmed whenever an update arrives, and whenever the store, or a peer that
  * reaches the store, holds nothing newer. `nowMs` is on the monotonic clock.
  */
 export class BackendRegistry {
-  private entries = new Map<string, Entry>();
+  private entries = new Map<string, BackendEntry>();
   private readonly removed = new RemovedServers();
   private byService = new Map<string, BackendServer[]>();
   private version: ListVersion = {...NO_STORE_VERSION, changeRevision: -1};
@@ -56,11 +50,13 @@
     const order = compareStoreVersions(version, this.version);
     if (order < 0) return false;
     this.confirmedAtMs = nowMs;
-    this.setVersion(version, nowMs);
     const listed = new Set(servers.map(server => server.id));
-    for (const id of [...this.entries.keys()]) {
-      if (!listed.has(id)) this.removeEntry(id, nowMs);
-    }
+    const missing = [...this.entries.keys()].filter(id => !listed.has(id));
+    // A removal has no row whose revision would tell peers of the change.
+    const isReduced = missing.length > 0;
+    const newest = isReduced ? version.revision : version.changeRevision;
+    this.setVersion({...version, changeRevision: newest}, nowMs);
+    for (const id of missing) this.removeEntry(id, nowMs);
     for (const server of servers) this.putEntry(server);
     this.updateIndex();
     return order > 0;
@@ -80,8 +76,8 @@
     const isColdTimeOnly = changes.every(({id, server}) =>
       isColdTimeUpdate(this.entries.get(id)?.server, server),
     );
-    const changeRevision = isColdTimeOnly ? -1 : version.changeRevision;
-    this.setVersion({...version, changeRevision}, nowMs);
+    const newest = isColdTimeOnly ? -1 : version.changeRevision;
+    this.setVersion({...version, changeRevision: newest}, nowMs);
     if (changes.length === 0) return;
     for (const {id, server} of changes) {
       if (server === undefined) this.removeEntry(id, nowMs);
@@ -198,12 +194,7 @@
       : version.changeRevision;
     this.version = {era, revision, changeRevision};
     if (isSameEra || before.revision < 0) return;
-    logger.log('The list of backend servers has a new store era.', {
-      era,
-      revision,
-      eraBefore: before.era,
-      revisionBefore: before.revision,
-    });
+    logNewEra(version, before);
     for (const entry of this.entries.values()) entry.revision = revision;
     this.removed.startEra(revision);
     this.grace.start(nowMs);
@@ -258,7 +249,7 @@
 
   private setExpired(id: string, endMs: number): void {
     const entry = this.entries.get(id);
-    if (entry !== undefined) entry.removeAtMs ??= endMs;
+    if (entry) entry.removeAtMs ??= endMs;
   }
 
   private removeImmediately(server: BackendServer): void {
