--- a/packages/router/src/members/heartbeat_socket.ts
+++ b/packages/router/src/members/heartbeat_socket.ts
@@ -9,12 +9,6 @@
 } from '@greengagecross/common';
 import {HeartbeatSchema, type Heartbeat} from './heartbeat.js';
 import {LoadMessageSchema, type LoadMessage} from './load_message.js';
-import {
-  PACE_COUNT,
-  PACE_INTERVAL_MS,
-  PacedDatagrams,
-  type Datagram,
-} from './paced_datagrams.js';
 import {
   SUSPECT_MESSAGE_KIND,
   SuspectMessageSchema,
@@ -37,8 +31,6 @@
  */
 export class HeartbeatSocket {
   private socket: Socket | undefined;
-  private readonly paced = new PacedDatagrams();
-  private paceTimer: NodeJS.Timeout | undefined;
 
   constructor(
     private readonly address: Address,
@@ -51,51 +43,23 @@
   open(): Effect.Effect<void, never, Scope.Scope> {
     return Effect.acquireRelease(
       Effect.sync(() => this.listen()),
-      socket => Effect.sync(() => this.close(socket)),
+      socket => Effect.sync(() => socket.close()),
     );
   }
 
-  /**
-   * Sends a message to each address, in their order; lost datagrams are not
-   * resent. Heartbeats and load messages to many daemons are sent a few at a
-   * time.
-   */
+  /** Sends a message to each address; lost datagrams are not resent. */
   send(message: DatagramMessage, addresses: readonly Address[]): void {
+    if (addresses.length === 0) return;
     const bytes = Buffer.from(JSON.stringify(message));
-    const kind = 'kind' in message ? message.kind : 'heartbeat';
-    // Several suspect messages may go to an address, and all of them are urgent.
-    // Watchers must hear a heartbeat in time, and they are few.
-    const isFew = addresses.length <= PACE_COUNT;
-    if (kind === SUSPECT_MESSAGE_KIND || isFew) {
-      for (const address of addresses) this.sendNow({bytes, address});
-      return;
-    }
-    for (const address of addresses) this.paced.add(kind, {bytes, address});
-    if (this.paceTimer === undefined) this.sendNext();
-  }
-
-  /** Sends the next datagrams that wait, and schedules those after them. */
-  private sendNext(): void {
-    this.paceTimer = undefined;
-    for (const datagram of this.paced.takeNext()) this.sendNow(datagram);
-    if (this.paced.count() === 0) return;
-    this.paceTimer = setTimeout(() => this.sendNext(), PACE_INTERVAL_MS);
-  }
-
-  private sendNow({bytes, address: {host, port}}: Datagram): void {
-    this.socket?.send(bytes, port, host, error => {
-      if (error === null) return;
-      logger.log('A heartbeat or load message could not be sent.', {
-        host,
-        cause: error.message,
+    for (const {host, port} of addresses) {
+      this.socket?.send(bytes, port, host, error => {
+        if (error === null) return;
+        logger.log('A heartbeat or load message could not be sent.', {
+          host,
+          cause: error.message,
+        });
       });
-    });
-  }
-
-  private close(socket: Socket): void {
-    clearTimeout(this.paceTimer);
-    this.socket = undefined;
-    socket.close();
+    }
   }
 
   private listen(): Socket {
--- a/packages/router/src/members/member_service.ts
+++ b/packages/router/src/members/member_service.ts
@@ -193,13 +193,7 @@
 
   private sendHeartbeat(): void {
     const nowMs = readSteadyMs();
-    // Watchers come first: they would report a late sender as silent.
-    const watchers = new Set(this.watch.listRecipients(nowMs));
-    const targets = this.view.listHeartbeatTargets(nowMs);
-    const peers = [
-      ...targets.filter(({id}) => watchers.has(id)),
-      ...targets.filter(({id}) => !watchers.has(id)),
-    ];
+    const peers = this.view.listHeartbeatTargets(nowMs);
     const hosts = new Set(peers.map(({heartbeats}) => heartbeats.host));
     const newAddresses = this.discovery
       .listAddresses(nowMs)
