--- a/packages/router/src/calls/attempt_sequence.ts
+++ b/packages/router/src/calls/attempt_sequence.ts
@@ -129,7 +129,7 @@
    */
   private verifyReserved(reserved: ServerChoice): ServerChoice | undefined {
     const {job, tried, chooser} = this;
-    return chooser.isUnchanged(job, reserved.server)
+    return chooser.isStillUsable(job, reserved.server)
       ? reserved
       : chooser.choose(job, tried);
   }
--- a/packages/router/src/calls/server_chooser.ts
+++ b/packages/router/src/calls/server_chooser.ts
@@ -69,7 +69,7 @@
    * Returns whether a server that was chosen earlier may still be used without a
    * new choice: it is available, and needs no token of a cold server.
    */
-  isUnchanged({service}: CallJob, {id}: BackendServer): boolean {
+  isStillUsable({service}: CallJob, {id}: BackendServer): boolean {
     const nowMs = readSteadyMs();
     return (
       this.listAvailable(service, nowMs).some(server => server.id === id) &&
@@ -102,9 +102,10 @@
 
   /**
    * Computes the retry delay of a request that no server ran, in milliseconds.
-   * While all servers outside evacuated zones want a pause it is at least the time until the first takes
-   * requests, longer by up to a fifth, so that clients do not return at once.
-   * While all others are cold it is the time until one may get a request.
+   * While all servers outside evacuated zones want a pause it is at least the time
+   * until the first takes requests, longer by up to a fifth, so that clients do
+   * not return at once. While those left are cold without a token, it is the time
+   * until one may get a request.
    */
   computeRetryAfterMs({service, call}: CallJob): number {
     const nowMs = readSteadyMs();
