--- a/packages/router/src/calls/server_chooser.ts
+++ b/packages/router/src/calls/server_chooser.ts
@@ -103,9 +103,8 @@
   /**
    * Computes the retry delay of a request that no server ran, in milliseconds.
    * While all servers outside evacuated zones want a pause it is at least the time
-   * until the first takes requests, longer by up to a fifth, so that clients do
-   * not return at once. While those left are cold without a token, it is the time
-   * until one may get a request.
+   * until the first takes requests, longer by up to a fifth to spread clients, and
+   * while those left are cold the time until one may get a request.
    */
   computeRetryAfterMs({service, call}: CallJob): number {
     const nowMs = readSteadyMs();
