review: let workers of case 9 take as long as those of the deployment

With 2 ms a request, few connections to workers are in use, so that the case would depend on the speed of the machine.

--- a/review/standins-2/memory_case.mjs
+++ b/review/standins-2/memory_case.mjs
@@ -26,9 +26,16 @@
  * @param folder folder of the case, for its record
  * @param kind kind of the route
  * @param connections connections of the client
+ * @param workMs time that a worker takes for a request
  * @param makeCall makes request number N
  */
-export async function runMemoryCase({folder, kind, connections, makeCall}) {
+export async function runMemoryCase({
+  folder,
+  kind,
+  connections,
+  workMs,
+  makeCall,
+}) {
   const record = new Record(folder);
   const store = new Store();
   const workers = ['i-1', 'i-2'].map(id => new Worker(id));
@@ -37,6 +44,7 @@
   try {
     const address = await store.start();
     for (const worker of workers) {
+      worker.workMs = workMs;
       store.put('servers', worker.id, makeEntry('app', await worker.start()));
     }
     store.put('op', 'config', makeDesiredState(7, {app: kind}));
