--- a/review/trials-2/status_101/run.mjs
+++ b/review/trials-2/status_101/run.mjs
@@ -1,7 +1,6 @@
 // A faulty worker answers with status 101, which no requester asked for. The
 // requester must not get that in place of an answer.
 import {connect, createServer} from 'node:net';
-import {dirname} from 'node:path';
 import {fileURLToPath} from 'node:url';
 import {
   Daemon,
@@ -13,7 +12,9 @@
 } from '../../standins-2/fleet.mjs';
 import {Store} from '../../standins-2/store.mjs';
 
-const record = new Record(dirname(fileURLToPath(import.meta.url)));
+const record = new Record(
+  fileURLToPath(new URL('record.txt', import.meta.url)),
+);
 const status = process.env.TROUBLE === '0' ? '200 OK' : '101 Any';
 const worker = createServer(socket => {
   socket.on('error', () => undefined);
@@ -35,7 +36,7 @@
   store.put('servers', 'i-1', entry);
   store.put('op', 'config', makeDesiredState(7, {app: 'unsafe'}));
   daemon = await Daemon.start(address);
-  await daemon.waitReady();
+  await daemon.waitInTouch();
   const socket = connect(daemon.ports.front, daemon.host);
   let received = '';
   socket.on('data', bytes => (received += bytes));
