--- a/packages/standins/src/edges/unread_responses.feature
+++ b/packages/standins/src/edges/unread_responses.feature
@@ -13,3 +13,16 @@
       | listener |
       | caller   |
       | control  |
+
+  Scenario Outline: 300 clients send <requests> each to the <listener> listener and read nothing
+    Given a daemon of the own interface with a worker
+    When 300 clients each send <requests> to its <listener> listener and read nothing for 8 s
+    Then the daemon of the own interface runs and never took more than 300 MB
+    And a lookup is answered with 200 while the clients are connected
+
+    Examples:
+      | listener | requests                            |
+      | caller   | 50000 requests                      |
+      | control  | 50000 requests                      |
+      | caller   | 500 requests of many header lines   |
+      | control  | 500 requests of many header lines   |
--- a/packages/standins/src/edges/unread_responses_steps.ts
+++ b/packages/standins/src/edges/unread_responses_steps.ts
@@ -13,6 +13,7 @@
 
 const SIZE = {daemons: 1, engines: 1, workers: 1, customers: 1};
 const REQUEST = 'GET /none HTTP/1.1\r\nhost: edge\r\n\r\n';
+const MANY_LINES_REQUEST = `GET /none HTTP/1.1\r\nhost: edge\r\n${'a:b\r\n'.repeat(3100)}\r\n`;
 const REQUESTS_PER_WRITE = 500;
 const LIMIT_MS = 30_000;
 const KB_PER_MB = 1_000_000 / 1024;
@@ -22,12 +23,17 @@
   unreadSockets?: Socket[];
 }
 
-function openUnreadSender(host: string, port: number, count: number): Socket {
+function openUnreadSender(
+  host: string,
+  port: number,
+  request: string,
+  count: number,
+): Socket {
   const socket = connect({host, port});
   // A socket that is not paused reads up to its high-water mark.
   socket.pause();
   socket.on('error', () => undefined);
-  const block = Buffer.from(REQUEST.repeat(REQUESTS_PER_WRITE));
+  const block = Buffer.from(request.repeat(REQUESTS_PER_WRITE));
   let left = count;
   const send = (): void => {
     while (left > 0) {
@@ -48,11 +54,12 @@
 );
 
 When(
-  /^(\d+) clients each send (\d+) requests to its (caller|control) listener and read nothing for (\d+) s$/,
+  /^(\d+) clients each send (\d+) requests( of many header lines)? to its (caller|control) listener and read nothing for (\d+) s$/,
   async function (
     this: UnreadWorld,
     clients: string,
     requests: string,
+    manyLines: string | null,
     listener: 'caller' | 'control',
     seconds: string,
   ) {
@@ -60,7 +67,12 @@
     assert.ok(daemon !== undefined);
     const {host, port} = daemon[listener];
     this.unreadSockets = Array.from({length: Number(clients)}, () =>
-      openUnreadSender(host, port, Number(requests)),
+      openUnreadSender(
+        host,
+        port,
+        manyLines === null ? REQUEST : MANY_LINES_REQUEST,
+        Number(requests),
+      ),
     );
     await new Promise(resolve => setTimeout(resolve, Number(seconds) * 1000));
   },
