Give connections turns on the event loop

Callers saw: while 700 clients sent requests ahead and read nothing, none of 10 ordinary requests was answered in 6 s; with header lines 300 clients sufficed.

Cause: each connection was read, parsed and handled whenever its bytes arrived, so one iteration of the event loop did the work of all of them, and a new connection is accepted once in an iteration. Ruled out: memory alone, as 503 came at once then, and the crowd's own process, which now shares one buffer.

Change: a connection parses one request in a turn. Iterations are left to new connections while some arrive. A slice ends where headers may end, so that it holds one request, and nothing is read ahead while connections hold a quarter of their memory.

--- a/packages/decisions/src/limits/connection_load.ts
+++ b/packages/decisions/src/limits/connection_load.ts
@@ -17,6 +17,11 @@
  * their clients make progress: slow readers may hold too much together, too.
  */
 const HARD_LIMIT_FACTOR = 2;
+/**
+ * Share of the limit from which connections should not read requests ahead: what
+ * a crowd reads ahead takes memory and speeds up nobody.
+ */
+const CROWDED_SHARE = 0.25;
 
 /** What one connection of a client holds in this process. */
 export interface ConnectionHolding<T> {
@@ -77,6 +82,11 @@
     return this.totalBytes > this.limitBytes;
   }
 
+  /** Returns whether the connections held a large part of the limit. */
+  isCrowded(): boolean {
+    return this.totalBytes > this.limitBytes * CROWDED_SHARE;
+  }
+
   /** Returns the bytes that were held after the last check. */
   getHeldBytes(): number {
     return this.totalBytes;
--- a/packages/http/src/accepted_connection.ts
+++ b/packages/http/src/accepted_connection.ts
@@ -4,6 +4,7 @@
 import type {HttpExchange} from './http_exchange.js';
 import type {HeldConnection} from './process_connections.js';
 import {ReadAheadGate, type ReadAheadLimit} from './read_ahead_gate.js';
+import type {TurnScheduler, TurnTaker} from './turn_scheduler.js';
 
 /**
  * Time that a connection stays open beyond the advertised keep-alive, so that a
@@ -24,17 +25,22 @@
  * Connection accepted by a listener, with its requests in order of receipt. The
  * other end is a caller, or a peer or operator on the control address.
  */
-export class AcceptedConnection implements HeldConnection, ReadAheadLimit {
+export class AcceptedConnection
+  implements HeldConnection, ReadAheadLimit, TurnTaker
+{
   /** Received requests whose replies are not complete, in order. */
   private readonly pending: HttpExchange[] = [];
+  /** Those of them that are not handled yet. */
+  private readonly unstarted: HttpExchange[] = [];
+  private receivedCount = 0;
   /** Names and values of the headers of pending requests. */
   private pendingHeaderStrings = 0;
   private readonly gate: ReadAheadGate;
   /** Exchange of the latest request. */
   private latest: HttpExchange | undefined;
-  /** Length of the bytes that are being parsed. */
-  private sliceBytes = 0;
-  /** Bytes parsed since the latest request began, at most one slice more. */
+  /** Most of the bytes being parsed that may follow the end of headers. */
+  private bodyStartBytes = 0;
+  /** Bytes parsed since the headers of the latest request, or a slice more. */
   private parsedBytes = 0;
   /** Bytes that waited to be sent at the last check for progress. */
   private unsentBytes = 0;
@@ -51,31 +57,58 @@
     readonly queue: Queue.Queue<HttpExchange>,
     private readonly getKeepAliveMs: () => number,
     private readonly onIdle: () => void,
+    private readonly isCrowded: () => boolean,
+    private readonly turns: TurnScheduler,
   ) {
-    this.holding = {connection: this, heldBytes: 0, stalledMs: 0};
-    this.gate = ReadAheadGate.open(socket, this);
+    this.holding = {
+      connection: this,
+      heldBytes: 0,
+      stalledMs: 0,
+    };
+    this.gate = ReadAheadGate.open(socket, this, turns, this);
+    socket.once('close', () => turns.remove(this));
   }
 
-  /** Queues an exchange whose request headers have been received. */
+  /**
+   * Adds an exchange whose request headers have been received in a turn of this
+   * connection. It is handled at once, or in a later turn if others precede it.
+   */
   add(exchange: HttpExchange): void {
     this.pending.push(exchange);
+    this.unstarted.push(exchange);
+    this.receivedCount += 1;
     this.pendingHeaderStrings += exchange.request.rawHeaders.length;
     this.latest = exchange;
-    this.parsedBytes = this.sliceBytes;
+    this.parsedBytes = this.bodyStartBytes;
     exchange.response.once('finish', () => this.onReplyFinished());
     exchange.request.once('close', () => this.onRequestClosed(exchange));
-    Queue.offerUnsafe(this.queue, exchange);
+    this.startNext();
+  }
+
+  /** Begins to handle a request that waits, or reads the next one. */
+  takeTurn(): void {
+    if (this.startNext()) {
+      this.gate.update();
+      return;
+    }
+    this.gate.parseHeld();
   }
 
   /** Returns whether the next request may be read, or the latest to its end. */
   isReadAllowed(): boolean {
     if (this.latest?.request.complete === false) return true;
+    const most = this.isCrowded() ? 1 : MAX_PENDING_REQUESTS;
     return (
-      this.pending.length < MAX_PENDING_REQUESTS &&
+      this.pending.length < most &&
       this.pendingHeaderStrings < MAX_PENDING_HEADER_STRINGS
     );
   }
 
+  /** Counts the requests whose headers were received, since the start. */
+  countReceived(): number {
+    return this.receivedCount;
+  }
+
   /** Counts the bytes that the body of the latest request certainly still has. */
   countBodyBytes(): number {
     const request = this.latest?.request;
@@ -84,9 +117,9 @@
     return Math.max(0, length - this.parsedBytes) || 0;
   }
 
-  /** Records bytes that are parsed next. */
-  onParsed(bytes: number): void {
-    this.sliceBytes = bytes;
+  /** Records bytes that are parsed next; see {@link ReadAheadLimit}. */
+  onParsed(bytes: number, isHeadersEnd: boolean): void {
+    this.bodyStartBytes = isHeadersEnd ? 0 : bytes;
     this.parsedBytes += bytes;
   }
 
@@ -180,6 +213,18 @@
     return isReading && (this.unsentBytes > 0 || this.isReplying());
   }
 
+  /**
+   * Begins to handle the first request that waits, unless another is handled;
+   * returns whether it did.
+   */
+  private startNext(): boolean {
+    const [next] = this.unstarted;
+    if (next === undefined || next !== this.pending[0]) return false;
+    this.unstarted.shift();
+    Queue.offerUnsafe(this.queue, next);
+    return true;
+  }
+
   /** Forgets the bytes of a request that ended after its reply. */
   private onRequestClosed(exchange: HttpExchange): void {
     if (this.pending.length > 0 || this.latest !== exchange) return;
@@ -195,7 +240,10 @@
     this.pendingHeaderStrings -= finished?.request.rawHeaders.length ?? 0;
     this.finishedCount += 1;
     this.gate.update();
-    if (this.pending.length > 0) return;
+    if (this.pending.length > 0) {
+      this.turns.add(this, 0);
+      return;
+    }
     // What was parsed belongs to requests that have been answered.
     if (this.latest?.request.complete === true) this.parsedBytes = 0;
     this.onIdle();
--- a/packages/http/src/index.ts
+++ b/packages/http/src/index.ts
@@ -18,6 +18,7 @@
 export * from './outgoing_request.js';
 export * from './pooled_connection.js';
 export * from './process_connections.js';
+export * from './turn_scheduler.js';
 export * from './read_body.js';
 export * from './read_descriptor_limit.js';
 export * from './request_phase.js';
--- a/packages/http/src/listener_connections.ts
+++ b/packages/http/src/listener_connections.ts
@@ -5,6 +5,7 @@
 import {AcceptedConnection} from './accepted_connection.js';
 import type {HttpExchange} from './http_exchange.js';
 import {ClosureReason, processConnections} from './process_connections.js';
+import {processTurns} from './turn_scheduler.js';
 
 const MAX_CHECK_INTERVAL_MS = 250;
 const CHECKS_PER_TIMEOUT = 4;
@@ -37,11 +38,14 @@
    * since the listener has too many with requests in progress.
    */
   add(socket: Socket): AcceptedConnection | undefined {
+    processTurns.recordAccepted();
     const connection: AcceptedConnection = new AcceptedConnection(
       socket,
       Effect.runSync(Queue.unbounded<HttpExchange>()),
       this.getKeepAliveMs,
       () => this.slots.setIdle(connection),
+      () => processConnections.isCrowded(),
+      processTurns,
     );
     const closed = this.slots.add(connection, performance.now());
     if (closed !== undefined) {
--- a/packages/http/src/process_connections.ts
+++ b/packages/http/src/process_connections.ts
@@ -100,6 +100,11 @@
   isFull(): boolean {
     return this.load.isFull();
   }
+
+  /** Returns whether they hold so much that none should read ahead. */
+  isCrowded(): boolean {
+    return this.load.isCrowded();
+  }
 }
 
 /** Connections of this process; those of every listener count. */
