Keep every header line of a request within the limit of bytes

Callers saw: a request within 16,384 bytes of headers whose key follows 1,500 lines 'a:' got 401; with 10 lines it was served.

Cause: Node's parser drops the lines beyond 1,000. Change: no limit on lines for requests, nor for replies of servers; their bytes are limited as before. Since such headers take hundreds of KB, a connection forgets its latest request once it was received and answered to its end.

Evidence: three of five scenarios of many_headers.feature failed with 401 before and all five pass (one run each).

--- a/packages/http/src/accepted_connection.ts
+++ b/packages/http/src/accepted_connection.ts
@@ -36,7 +36,10 @@
   /** Names and values of the headers of pending requests. */
   private pendingHeaderStrings = 0;
   private readonly gate: ReadAheadGate;
-  /** Exchange of the latest request. */
+  /**
+   * Exchange of the latest request, until it was received and answered to its
+   * end: its headers may take hundreds of KB.
+   */
   private latest: HttpExchange | undefined;
   /** Most of the bytes being parsed that may follow the end of headers. */
   private bodyStartBytes = 0;
@@ -229,6 +232,7 @@
   private onRequestClosed(exchange: HttpExchange): void {
     if (this.pending.length > 0 || this.latest !== exchange) return;
     this.parsedBytes = 0;
+    this.latest = undefined;
   }
 
   /**
@@ -245,7 +249,10 @@
       return;
     }
     // What was parsed belongs to requests that have been answered.
-    if (this.latest?.request.complete === true) this.parsedBytes = 0;
+    if (this.latest?.request.complete === true) {
+      this.parsedBytes = 0;
+      this.latest = undefined;
+    }
     this.onIdle();
     this.socket.setTimeout(this.getKeepAliveMs() + KEEP_ALIVE_MARGIN_MS);
   }
--- a/packages/http/src/http_client.ts
+++ b/packages/http/src/http_client.ts
@@ -106,6 +106,8 @@
       path: outgoing.path,
       headers: {...outgoing.headers, ...buildContentLength(outgoing.body)},
     });
+    // As for requests in HttpServer: no header line of a reply is dropped.
+    clientRequest.maxHeadersCount = 0;
     finishMessage(clientRequest, outgoing.body);
     return clientRequest;
   }
--- a/packages/http/src/http_server.ts
+++ b/packages/http/src/http_server.ts
@@ -97,6 +97,8 @@
       keepAlive: true,
       keepAliveInitialDelay: options.keepAliveMs,
     });
+    // Node drops header lines beyond a number; their bytes are limited already.
+    this.server.maxHeadersCount = 0;
   }
 
   /** Starts listening; the scope closes the listener and its fibers. */
