Serve ordinary bodies while a crowd holds memory, and close who sends ahead

Callers saw: ordinary requests with small bodies got 503, ten of ten, while 300 clients held 15% of the memory and more with requests that they had sent ahead.

Cause: above that limit every body was refused, and clients that take their responses were closed only above twice the limit, so that a crowd kept the process full. Change: bodies of up to 64 KiB are read up to twice the limit; above the limit, connections with more than 16 KiB sent ahead are closed, largest first, after those that stall. Bytes of a body are not sent ahead. A request that is not handled yet when its connection is closed never runs.

Evidence: rows of untrusted_connections.feature.

--- a/packages/decisions/src/limits/connection_load.ts
+++ b/packages/decisions/src/limits/connection_load.ts
@@ -17,6 +17,16 @@
  * their clients make progress: slow readers may hold too much together, too.
  */
 const HARD_LIMIT_FACTOR = 2;
+/**
+ * Requests that a client has sent ahead are worth closing its connection from
+ * this length: it is that of the longest headers, and one request may wait.
+ */
+const MIN_AHEAD_BYTES = 16 * 1024;
+/**
+ * Bodies up to this length are still read while the connections hold too much:
+ * those of ordinary clients take little, and are refused for what others hold.
+ */
+const SMALL_BODY_BYTES = 64 * 1024;
 /**
  * Share of the limit from which connections should not read requests ahead: what
  * a crowd reads ahead takes memory and speeds up nobody.
@@ -28,6 +38,8 @@
   readonly connection: T;
   /** Unsent response bytes, bodies, and requests that wait, in bytes. */
   readonly heldBytes: number;
+  /** Those of the bytes that were sent ahead of the requests in progress. */
+  readonly aheadBytes: number;
   /** Time for which the client has made no progress, in milliseconds. */
   readonly stalledMs: number;
 }
@@ -38,8 +50,9 @@
  *
  * The load is that of clients outside of our control: many connections, each
  * within its own limits, that send requests ahead, read no responses or read
- * slowly. The largest holder without progress is closed first, so that ordinary
- * clients, which hold little and only briefly, are still served.
+ * slowly. The largest holder without progress is closed first, then those that
+ * send ahead, so that ordinary clients, which hold little and only briefly, are
+ * still served.
  */
 export class ConnectionLoad {
   private totalBytes = 0;
@@ -66,22 +79,32 @@
     const small = stalled.filter(({heldBytes}) => heldBytes < minBytes);
     const isCrowd = addBytes(small) > this.limitBytes * MIN_CROWD_SHARE;
     const first = this.takeUntil(isCrowd ? stalled : large, this.limitBytes);
-    const taken = new Set(first);
+    const ahead = bySize.filter(({aheadBytes}) => aheadBytes > MIN_AHEAD_BYTES);
+    const second = this.takeUntil(keepOthers(ahead, first), this.limitBytes);
+    const taken = [...first, ...second];
     const others = this.takeUntil(
-      bySize.filter(({connection}) => !taken.has(connection)),
+      keepOthers(bySize, taken),
       this.limitBytes * HARD_LIMIT_FACTOR,
     );
-    return [...first, ...others];
+    return [...taken, ...others];
   }
 
-  /**
-   * Returns whether the connections held more than the limit at the last check;
-   * new bodies are then refused.
-   */
+  /** Returns whether the connections held more than the limit at the last check. */
   isFull(): boolean {
     return this.totalBytes > this.limitBytes;
   }
 
+  /**
+   * Returns whether a new body is refused.
+   *
+   * @param bytes length of the body; undefined for an unknown one
+   */
+  isBodyRefused(bytes: number | undefined): boolean {
+    if (!this.isFull() || bytes === 0) return false;
+    if (bytes === undefined || bytes > SMALL_BODY_BYTES) return true;
+    return this.totalBytes > this.limitBytes * HARD_LIMIT_FACTOR;
+  }
+
   /** Returns whether the connections held a large part of the limit. */
   isCrowded(): boolean {
     return this.totalBytes > this.limitBytes * CROWDED_SHARE;
@@ -116,3 +139,11 @@
 function addBytes<T>(holdings: readonly ConnectionHolding<T>[]): number {
   return holdings.reduce((sum, {heldBytes}) => sum + heldBytes, 0);
 }
+
+function keepOthers<T>(
+  holdings: readonly ConnectionHolding<T>[],
+  taken: readonly T[],
+): ConnectionHolding<T>[] {
+  const excluded = new Set(taken);
+  return holdings.filter(({connection}) => !excluded.has(connection));
+}
--- a/packages/decisions/src/limits/untrusted_connections.feature
+++ b/packages/decisions/src/limits/untrusted_connections.feature
@@ -58,3 +58,31 @@
       | 10762       | 0.5   | 5281  |
       | 8192        | 0.05  | 399   |
       | 100         | 0.5   | 8     |
+
+  # Guards against a crowd that sends requests ahead and takes their responses:
+  # it makes progress, and keeps the process full for everyone else.
+  Scenario Outline: With a limit of 100000 bytes, <closed> closed of <held> with <ahead> sent ahead
+    Given connections that hold <held> bytes, <ahead> of them sent ahead
+    Then a limit of 100000 bytes closes <closed>
+
+    Examples:
+      | held              | ahead         | closed |
+      | 60000,30000,9000  | 60000,30000,0 | none   |
+      | 60000,30000,20000 | 0,30000,20000 | 2      |
+      | 60000,30000,20000 | 16384,0,0     | none   |
+      | 90000,40000,30000 | 0,40000,30000 | 2,3    |
+      | 90000,90000,90000 | 0,0,0         | 1      |
+
+  # Guards against refusing ordinary bodies for what other clients hold.
+  Scenario Outline: With connections that hold <held> bytes, a body of <bytes> bytes is <result>
+    Given connections that hold <held> bytes, 0 of them sent ahead
+    Then with a limit of 100000 bytes, a body of <bytes> bytes is <result>
+
+    Examples:
+      | held          | bytes   | result  |
+      | 100000        | 4000000 | read    |
+      | 100001        | 0       | read    |
+      | 100001        | 65536   | read    |
+      | 100001        | 65537   | refused |
+      | 100001        | unknown | refused |
+      | 100001,100000 | 100     | read    |
--- a/packages/decisions/src/limits/untrusted_connections_steps.ts
+++ b/packages/decisions/src/limits/untrusted_connections_steps.ts
@@ -17,6 +17,7 @@
     this.holdings = held.split(',').map((bytes, index) => ({
       connection: index + 1,
       heldBytes: Number(bytes),
+      aheadBytes: 0,
       stalledMs: stalledMs[index] ?? 0,
     }));
   },
@@ -33,11 +34,40 @@
     this.holdings = Array.from({length: count}, (_, connection) => ({
       connection,
       heldBytes,
+      aheadBytes: 0,
       stalledMs,
     }));
   },
 );
 
+Given(
+  /^connections that hold ([\d,]+) bytes, ([\d,]+) of them sent ahead$/,
+  function (this: ConnectionsWorld, held: string, ahead: string) {
+    const aheadBytes = ahead.split(',').map(Number);
+    this.holdings = held.split(',').map((bytes, index) => ({
+      connection: index + 1,
+      heldBytes: Number(bytes),
+      aheadBytes: aheadBytes[index] ?? 0,
+      stalledMs: 0,
+    }));
+  },
+);
+
+Then(
+  /^with a limit of (\d+) bytes, a body of (\d+|unknown) bytes is (refused|read)$/,
+  function (
+    this: ConnectionsWorld,
+    limit: string,
+    bytes: string,
+    result: string,
+  ) {
+    const load = new ConnectionLoad(Number(limit));
+    load.chooseClosed(this.holdings);
+    const length = bytes === 'unknown' ? undefined : Number(bytes);
+    assert.equal(load.isBodyRefused(length), result === 'refused');
+  },
+);
+
 Then(
   'a limit of {int} bytes closes {int} of them',
   function (this: ConnectionsWorld, limit: number, count: number) {
--- a/packages/http/src/accepted_connection.ts
+++ b/packages/http/src/accepted_connection.ts
@@ -66,6 +66,7 @@
     this.holding = {
       connection: this,
       heldBytes: 0,
+      aheadBytes: 0,
       stalledMs: 0,
     };
     this.gate = ReadAheadGate.open(socket, this, turns, this);
@@ -189,7 +190,11 @@
       : (this.idleSinceMs ?? nowMs);
     this.finishedCount = 0;
     const stalledMs = nowMs - (this.idleSinceMs ?? nowMs);
-    this.holding = {connection: this, heldBytes, stalledMs};
+    const aheadBytes = Math.max(
+      0,
+      this.gate.getHeldBytes() - this.countBodyBytes(),
+    );
+    this.holding = {connection: this, heldBytes, aheadBytes, stalledMs};
     return nowMs - (this.stalledSinceMs ?? nowMs);
   }
 
--- a/packages/http/src/http_exchange.ts
+++ b/packages/http/src/http_exchange.ts
@@ -49,12 +49,12 @@
 
   /**
    * Reads the complete request body; fails if it exceeds `maxBytes`, and with
-   * `OVERLOADED` while the connections of the process hold too much. The error
+   * `OVERLOADED` while the connections of the process hold too much for it. The error
    * names the other end `caller`, also if it is a peer or an operator.
    */
   readBody(maxBytes: number): Effect.Effect<Buffer, HttpError> {
     return Effect.suspend(() => {
-      if (processConnections.isFull() && this.hasBody()) {
+      if (processConnections.isBodyRefused(this.getBodyLength())) {
         return Effect.fail(
           new HttpError(
             HttpFailure.OVERLOADED,
@@ -86,10 +86,11 @@
     );
   }
 
-  private hasBody(): boolean {
+  /** Returns the length of the body; undefined if it is sent in chunks. */
+  private getBodyLength(): number | undefined {
     const {headers} = this.request;
-    const length = headers['content-length'] ?? '0';
-    return headers['transfer-encoding'] !== undefined || length !== '0';
+    if (headers['transfer-encoding'] !== undefined) return undefined;
+    return Number(headers['content-length'] ?? 0);
   }
 
   /** Sends a complete reply; does nothing if headers were sent before. */
--- a/packages/http/src/process_connections.ts
+++ b/packages/http/src/process_connections.ts
@@ -96,9 +96,13 @@
     return this.load.getHeldBytes();
   }
 
-  /** Returns whether the connections hold more than they may. */
-  isFull(): boolean {
-    return this.load.isFull();
+  /**
+   * Returns whether a new body is refused, as the connections hold too much.
+   *
+   * @param bytes length of the body; undefined for an unknown one
+   */
+  isBodyRefused(bytes: number | undefined): boolean {
+    return this.load.isBodyRefused(bytes);
   }
 
   /** Returns whether they hold so much that none should read ahead. */
