Bound the growth of V8's heap between two collections

Operators saw: 300 clients that read nothing took a daemon with a limit of 250 MB to 300 MB and more, and one of the own interface from 327 to 365 MB of 300.

Cause: garbage. V8 plans the old generation for the memory of the machine, so it grew to 250 MB while 40 to 60 MB were in use after a collection (memoryUsage each 2 s). Ruled out: what connections hold, which was within its limit.

--- a/packages/http/src/index.ts
+++ b/packages/http/src/index.ts
@@ -22,4 +22,5 @@
 export * from './read_body.js';
 export * from './read_descriptor_limit.js';
 export * from './request_phase.js';
+export * from './set_heap_growth.js';
 export * from './socket_byte_counter.js';
--- a/packages/router/src/router_daemon.ts
+++ b/packages/router/src/router_daemon.ts
@@ -9,6 +9,7 @@
   HttpServer,
   processBuffers,
   processConnections,
+  setHeapGrowth,
   type ExchangeHandler,
   type HttpError,
 } from '@greengagecross/http';
@@ -73,6 +74,7 @@
     this.stopGraceMs = settings.stopGraceMs;
     const {memoryBytes} = settings;
     if (memoryBytes !== undefined) {
+      setHeapGrowth();
       processBuffers.setLimit(memoryBytes * BUFFERED_SHARE);
       processConnections.setLimit(memoryBytes * CONNECTIONS_SHARE);
     }
