Decode a request only once it is admitted

Cause: the whole head was decoded first. Change: the codec decodes what admission needs, and the rest for an admitted request. Recording a crash also searched the position of each part among all parts of its prompt; it is passed on instead.

--- a/packages/decisions/src/suspects/crash_suspects.ts
+++ b/packages/decisions/src/suspects/crash_suspects.ts
@@ -53,10 +53,10 @@
    * @return the ids of the parts that this crash makes suspects, or more suspect
    */
   recordCrash(parts: readonly PositionedPart[], crash: ServerCrash): string[] {
-    const blamed = parts.filter(({id}) => {
+    const blamed = parts.filter(({id, position}) => {
       const answeredAtMs = this.answeredAtMs.get(id) ?? -Infinity;
       if (crash.atMs - answeredAtMs < RECENT_ANSWER_MS) return false;
-      return this.addCrash(this.getSuspect(id, parts), crash);
+      return this.addCrash(this.getSuspect(id, position), crash);
     });
     if (blamed.length > 0) this.updateCondemned(crash.atMs);
     return blamed.map(({id}) => id);
@@ -83,7 +83,7 @@
   /** Merges what another daemon reports. */
   merge(reports: readonly CrashReport[], nowMs: number): void {
     for (const {id, position, crashes, clearedAgeMs} of reports) {
-      const suspect = this.getSuspect(id, [{id, position}]);
+      const suspect = this.getSuspect(id, position);
       if (clearedAgeMs !== undefined) {
         removeCrashes(suspect, nowMs - clearedAgeMs);
       }
@@ -190,10 +190,9 @@
     if (oldest !== undefined) this.answeredAtMs.delete(oldest);
   }
 
-  private getSuspect(id: string, parts: readonly PositionedPart[]): Suspect {
+  private getSuspect(id: string, position: number): Suspect {
     const known = this.suspects.get(id);
     if (known !== undefined) return known;
-    const position = parts.find(part => part.id === id)?.position ?? 0;
     const suspect = {id, position, crashes: [], clearedAtMs: -Infinity};
     if (this.suspects.size >= MAX_SUSPECTS) this.removeOldest();
     this.suspects.set(id, suspect);
--- a/packages/router/src/calls/call_handler.ts
+++ b/packages/router/src/calls/call_handler.ts
@@ -8,7 +8,7 @@
 import {HttpFailure, type HttpExchange} from '@greengagecross/http';
 import type {RouterMetrics} from '../metrics/router_metrics.js';
 import {CallKind} from '../model/call_kind.js';
-import type {ClientCall} from '../model/client_call.js';
+import type {CallAddress, ClientCall} from '../model/client_call.js';
 import type {CallCodec} from '../ports/call_codec.js';
 import type {FleetState} from '../state/fleet_state.js';
 import type {ConfigurationView} from '../state/current_configuration.js';
@@ -64,21 +64,26 @@
   handle(exchange: HttpExchange): Effect.Effect<void> {
     return Effect.gen({self: this}, function* () {
       const startedAtMs = readSteadyMs();
-      const call = this.codec.decodeCall(exchange);
+      const address = this.codec.decodeAddress(exchange);
       if (!this.state.isComplete()) {
         yield* this.state.waitUntilComplete(START_WAIT_MS);
       }
       const view = this.state.configuration.getView();
       if (view === undefined || !this.state.isComplete()) {
-        return yield* this.refuse(exchange, call, CallOutcome.NO_CONFIGURATION);
+        return yield* this.refuse(
+          exchange,
+          address,
+          CallOutcome.NO_CONFIGURATION,
+        );
       }
       if (this.isRefusing()) {
-        return yield* this.refuse(exchange, call, CallOutcome.STOPPING);
+        return yield* this.refuse(exchange, address, CallOutcome.STOPPING);
       }
-      const admitted = chooseAdmission(view, call);
+      const admitted = chooseAdmission(view, address);
       if (typeof admitted === 'string') {
-        return yield* this.refuse(exchange, call, admitted);
+        return yield* this.refuse(exchange, address, admitted);
       }
+      const call = this.codec.decodeCall(exchange, address);
       const {timeoutMs} = admitted.route;
       const budgetMs = Math.min(call.timeoutMs ?? timeoutMs, timeoutMs);
       if (this.eventLoopDelay.isTooLate(budgetMs)) {
@@ -185,7 +190,7 @@
 
   private refuse(
     exchange: HttpExchange,
-    call: ClientCall,
+    call: CallAddress,
     outcome: CallOutcome,
   ): Effect.Effect<void> {
     return Effect.sync(() => {
--- a/packages/router/src/calls/choose_admission.ts
+++ b/packages/router/src/calls/choose_admission.ts
@@ -1,4 +1,4 @@
-import type {ClientCall} from '../model/client_call.js';
+import type {CallAddress} from '../model/client_call.js';
 import type {Route} from '../model/route.js';
 import {chooseService} from '../routing/choose_service.js';
 import type {ConfigurationView} from '../state/current_configuration.js';
@@ -23,7 +23,7 @@
 /** Finds the route and customer of a request, or the reason to refuse it. */
 export function chooseAdmission(
   view: ConfigurationView,
-  call: ClientCall,
+  call: CallAddress,
 ): AdmittedRequest | CallOutcome {
   const route = view.routes.find(call.host, call.path);
   if (route === undefined) return CallOutcome.NO_ROUTE;
--- a/packages/router/src/calls/local_answers.ts
+++ b/packages/router/src/calls/local_answers.ts
@@ -1,4 +1,4 @@
-import type {ClientCall} from '../model/client_call.js';
+import type {CallAddress} from '../model/client_call.js';
 import type {CallCodec} from '../ports/call_codec.js';
 import {CallOutcome, type CallAnswer} from './call_answer.js';
 
@@ -29,7 +29,7 @@
   /** @param retryAfterMs retry delay for the client; undefined for none */
   make(
     outcome: CallOutcome,
-    call: ClientCall | undefined,
+    call: CallAddress | undefined,
     retryAfterMs?: number,
   ): CallAnswer {
     return {
--- a/packages/router/src/ports/call_codec.ts
+++ b/packages/router/src/ports/call_codec.ts
@@ -6,13 +6,16 @@
   ReplyId,
 } from '@greengagecross/http';
 import type {BackendReplyHead} from '../model/backend_reply_head.js';
-import type {ClientCall} from '../model/client_call.js';
+import type {CallAddress, ClientCall} from '../model/client_call.js';
 import type {DispatchFields} from '../model/dispatch_fields.js';
 
 /** Translates requests, replies and answers between wire format and model. */
 export abstract class CallCodec {
-  /** Decodes the head of a client request. */
-  abstract decodeCall(exchange: HttpExchange): ClientCall;
+  /** Decodes what decides whether a client request is admitted. */
+  abstract decodeAddress(exchange: HttpExchange): CallAddress;
+
+  /** Decodes the rest of the head of a request that was admitted. */
+  abstract decodeCall(exchange: HttpExchange, address: CallAddress): ClientCall;
 
   /** Builds all headers of a request to a backend server. */
   abstract buildBackendHeaders(
@@ -39,7 +42,7 @@
    * @param retryAfterMs delay before the client may retry; undefined for none
    */
   abstract buildLocalAnswerHeaders(
-    call: ClientCall | undefined,
+    call: CallAddress | undefined,
     retryAfterMs: number | undefined,
   ): OutgoingHeaders;
 
