Keep long ids as digests

Cause: tables with a bounded number of entries (subjects of prompts, suspects, ids of the requests of a connection) kept keys of any length. Shorter ones are copied, since V8 keeps the whole header for a part of it.

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -3,6 +3,7 @@
 export * from './schema/problem.js';
 export * from './schema/validation_error.js';
 export * from './schema/decode.js';
+export * from './ids/bounded_id.js';
 export * from './ids/hash.js';
 export * from './ids/rendezvous.js';
 export * from './ids/request_id.js';
--- a/packages/http/src/late_reply_filter.ts
+++ b/packages/http/src/late_reply_filter.ts
@@ -1,4 +1,5 @@
 import type {Socket} from 'node:net';
+import {makeBoundedId} from '@greengagecross/common';
 import {makeBodySkipper, type BodySkipper} from './body_skipper.js';
 import {ByteCollector} from './byte_collector.js';
 import type {OutgoingRequest, ReplyId} from './outgoing_request.js';
@@ -38,7 +39,7 @@
  * what follows.
  */
 export class LateReplyFilter {
-  /** By id, whether the reply has no body whatever its head says. */
+  /** By bounded id, whether the reply has no body whatever its head says. */
   private readonly sentIds = new Map<string, boolean>();
   private readonly held = new ByteCollector();
   private readonly pushToReader: Socket['push'];
@@ -73,7 +74,7 @@
 
   /** Returns whether a request with this id was sent on the connection. */
   hasSent(id: string): boolean {
-    return this.sentIds.has(id);
+    return this.sentIds.has(makeBoundedId(id));
   }
 
   /** Records that a request is about to be sent. */
@@ -82,7 +83,7 @@
     this.current = replyId;
     if (replyId === undefined) return;
     this.header = replyId.header;
-    this.sentIds.set(replyId.value, method === 'HEAD');
+    this.sentIds.set(makeBoundedId(replyId.value), method === 'HEAD');
   }
 
   /** Records that the reply is complete and that no request is waiting. */
@@ -162,7 +163,7 @@
     if (isUnnamed || head.status === 0) return undefined;
     const id = head.findHeader(this.header);
     if (id === undefined || id === this.current?.value) return undefined;
-    return this.sentIds.has(id) ? id : undefined;
+    return this.hasSent(id) ? id : undefined;
   }
 
   private makeLateBody(
@@ -170,7 +171,7 @@
     head: ReplyHeadText,
   ): BodySkipper | undefined {
     if (id === undefined) return undefined;
-    const isBodiless = this.sentIds.get(id) === true;
+    const isBodiless = this.sentIds.get(makeBoundedId(id)) === true;
     return makeBodySkipper(head, isBodiless, MAX_LATE_BODY_BYTES);
   }
 
