Bound the log lines of refused requests, and the length of their fields

Operators saw: a crowd whose requests are refused had a line written for each, with ids of any length; beyond 256 KB in 50 ms lines of other requests were lost.

Cause: lines were formatted and only then dropped. A text in a field is cut after 2,000 characters. The query of a request is parsed only where it is used.

--- a/packages/common/src/logging/logger.ts
+++ b/packages/common/src/logging/logger.ts
@@ -5,6 +5,9 @@
 
 if (process.env['DEBUG'] === undefined) debug.enable(`${ROOT_NAMESPACE}:*`);
 
+/** A longer text in a field, such as an id that a client chose, is cut. */
+const MAX_FIELD_LENGTH = 2000;
+
 /** Fields of a log line; must not hold text of customers or secrets. */
 export type LogFields = Readonly<
   Record<string, string | number | boolean | undefined>
@@ -36,7 +39,8 @@
   }
 
   /** Logs a sentence; fields that are undefined are omitted. */
-  log(sentence: string, fields: LogFields = {}): void {
+  log(sentence: string, allFields: LogFields = {}): void {
+    const fields = keepLength(allFields);
     if (Logger.sink !== undefined) {
       const at = new Date().toISOString();
       Logger.sink(JSON.stringify({at, part: this.part, sentence, ...fields}));
@@ -55,6 +59,19 @@
   }
 }
 
+/** Cuts texts of fields; returns the same fields if none is too long. */
+function keepLength(fields: LogFields): LogFields {
+  const isLong = (value: unknown): value is string =>
+    typeof value === 'string' && value.length > MAX_FIELD_LENGTH;
+  if (!Object.values(fields).some(isLong)) return fields;
+  return Object.fromEntries(
+    Object.entries(fields).map(([name, value]) => [
+      name,
+      isLong(value) ? `${value.slice(0, MAX_FIELD_LENGTH)}...` : value,
+    ]),
+  );
+}
+
 function writeRaw(line: string): void {
   process.stderr.write(`${line}\n`);
 }
--- a/packages/http/src/http_exchange.ts
+++ b/packages/http/src/http_exchange.ts
@@ -19,11 +19,12 @@
 export class HttpExchange {
   readonly method: string;
   readonly path: string;
-  readonly query: URLSearchParams;
   /** When the request headers were received, in milliseconds since the epoch. */
   readonly arrivedAtMs = Date.now();
   /** Length of the body once it has been read, in bytes. */
   private bodyBytes = 0;
+  private readonly queryText: string;
+  private parsedQuery: URLSearchParams | undefined;
 
   constructor(
     readonly request: IncomingMessage,
@@ -33,9 +34,13 @@
     const queryIndex = url.indexOf('?');
     this.method = request.method ?? 'GET';
     this.path = queryIndex < 0 ? url : url.slice(0, queryIndex);
-    this.query = new URLSearchParams(
-      queryIndex < 0 ? '' : url.slice(queryIndex + 1),
-    );
+    this.queryText = queryIndex < 0 ? '' : url.slice(queryIndex + 1);
+  }
+
+  /** The query, which most requests need not have parsed. */
+  get query(): URLSearchParams {
+    this.parsedQuery ??= new URLSearchParams(this.queryText);
+    return this.parsedQuery;
   }
 
   /**
--- a/packages/router/src/calls/call_handler.ts
+++ b/packages/router/src/calls/call_handler.ts
@@ -24,6 +24,7 @@
 import {chooseAdmission, type AdmittedRequest} from './choose_admission.js';
 import type {LocalAnswers} from './local_answers.js';
 import {makeFingerprint} from './make_fingerprint.js';
+import type {RefusalLog} from './refusal_log.js';
 import type {ServiceDispatcher} from './service_dispatcher.js';
 
 /**
@@ -57,6 +58,7 @@
     private readonly eventLoopDelay: EventLoopDelay,
     private readonly answers: LocalAnswers,
     private readonly metrics: RouterMetrics,
+    private readonly refusals: RefusalLog,
     private readonly isRefusing: () => boolean,
   ) {}
 
@@ -200,13 +202,13 @@
       const answer = this.answers.make(outcome, call, retryAfterMs);
       sendAnswer(exchange, answer);
       this.metrics.recordCall('none', outcome, 0, 0);
-      logger.log('A request was refused.', {
+      const nowMs = readSteadyMs();
+      this.refusals.record(outcome, nowMs, () => ({
         request: call.id,
-        outcome,
         status: answer.status,
         ownDelayMs: Math.round(this.eventLoopDelay.getDelayMs()),
-        ...this.state.describe(readSteadyMs()),
-      });
+        ...this.state.describe(nowMs),
+      }));
     });
   }
 
--- a/packages/router/src/router_daemon.ts
+++ b/packages/router/src/router_daemon.ts
@@ -151,7 +151,7 @@
 
   /** Applies configuration changes and removes expired entries periodically. */
   private runUpdates(): Effect.Effect<never> {
-    const {state, health, cold} = this.parts;
+    const {state, health, cold, refusals} = this.parts;
     const update = Effect.sync(() => {
       const view = state.configuration.getView();
       const limits = view?.configuration.limits ?? DEFAULT_CALLER_LIMITS;
@@ -159,6 +159,7 @@
       state.update(readSteadyMs());
       health.removeAllBut(state.backends.listIds());
       cold.update();
+      refusals.update(readSteadyMs());
     });
     return Effect.forever(
       Effect.andThen(update, Effect.sleep(UPDATE_INTERVAL_MS)),
--- a/packages/router/src/router_parts.ts
+++ b/packages/router/src/router_parts.ts
@@ -20,6 +20,7 @@
 import {HedgedAttempts} from './calls/hedged_attempts.js';
 import {InFlightCounter} from './calls/in_flight_counter.js';
 import {LocalAnswers} from './calls/local_answers.js';
+import {RefusalLog} from './calls/refusal_log.js';
 import {ColdServers} from './calls/cold_servers.js';
 import {ServerChooser} from './calls/server_chooser.js';
 import {ServiceDispatcher} from './calls/service_dispatcher.js';
@@ -68,6 +69,7 @@
   readonly cold: ColdServers;
   readonly eventLoopDelay = new EventLoopDelay();
   readonly endedEngines: EndedEnginesPersister;
+  readonly refusals = new RefusalLog();
   private readonly inFlight = new InFlightCounter();
   private readonly suspects = new CrashSuspects();
   private readonly notices = new ServerNotices();
@@ -148,6 +150,7 @@
       this.eventLoopDelay,
       answers,
       this.metrics,
+      this.refusals,
       isRefusing,
     );
     const peers = new PeerClient(this.peerClient, PEER_KEY, PEER_TIMEOUT_MS);
