Give connections with unfinished or unread exchanges to new clients

Cause: a connection counted as in use from the headers of its request on, until the time-outs for requests (30 s) or unread responses (60 s). Change: one whose request is not received to its end, or whose client has read nothing for 2 s, gives way to a new connection: first those without progress for 1 s, then idle ones, then the others. An unfinished request has not run; it is answered with 503 and Retry-After. The ready address answers 503 while every connection has a request in progress. AcceptedConnection is divided (PendingRequests, UnsentBytes).

--- a/packages/decisions/src/limits/connection_slots.ts
+++ b/packages/decisions/src/limits/connection_slots.ts
@@ -22,21 +22,29 @@
   return Math.max(MIN_CONNECTIONS, Math.floor(available * share));
 }
 
+/** A client that sends a body makes progress more often than this. */
+const MIN_RECEIVING_MS = 1000;
+
 /**
  * Limits the connections of one listener, and decides which one is closed for a
  * new one.
  *
  * The load is that of clients that open connections without end, or keep many
- * without using them. Closed first is the oldest connection that has sent no
- * request, then the one that has been idle longest. A connection with a request
- * in progress is never closed for a new one.
+ * without using them: without a request, with a body that stops halfway, or with
+ * a response that they do not read. These are closed first, then those that are
+ * idle. A connection whose request is handled is never closed for a new one
+ * while its client reads.
  */
 export class ConnectionSlots<T> {
   /** When connections without a request so far were added, in that order. */
   private readonly unused = new Map<T, number>();
+  /** When the last bytes of unfinished requests came, in that order. */
+  private readonly receiving = new Map<T, number>();
   /** Connections between two requests, in the order in which they became so. */
   private readonly idle = new Set<T>();
   private readonly busy = new Set<T>();
+  /** Those of the busy ones whose clients do not read. */
+  private readonly stalled = new Set<T>();
   private closures = 0;
 
   constructor(private readonly maxConnections = Infinity) {}
@@ -48,8 +56,7 @@
    * @param nowMs on the monotonic clock
    */
   add(connection: T, nowMs: number): T | undefined {
-    const count = this.unused.size + this.idle.size + this.busy.size;
-    if (count < this.maxConnections) {
+    if (this.count() < this.maxConnections) {
       this.unused.set(connection, nowMs);
       return undefined;
     }
@@ -61,11 +68,26 @@
     return closed;
   }
 
+  /**
+   * Records that bytes of an unfinished request came, which is not handled
+   * before its end.
+   */
+  setReceiving(connection: T, nowMs: number): void {
+    if (this.remove(connection)) this.receiving.set(connection, nowMs);
+  }
+
   /** Records that a connection has a request in progress. */
   setBusy(connection: T): void {
+    if (this.busy.has(connection)) return;
     if (this.remove(connection)) this.busy.add(connection);
   }
 
+  /** Records whether the client of a connection has stopped to read. */
+  setStalled(connection: T, isStalled: boolean): void {
+    if (isStalled && this.busy.has(connection)) this.stalled.add(connection);
+    else this.stalled.delete(connection);
+  }
+
   /** Records that a connection has no request in progress any more. */
   setIdle(connection: T): void {
     if (this.remove(connection)) this.idle.add(connection);
@@ -73,23 +95,43 @@
 
   /** Removes a connection; returns whether it had a slot. */
   remove(connection: T): boolean {
+    this.stalled.delete(connection);
     return (
       this.unused.delete(connection) ||
+      this.receiving.delete(connection) ||
       this.idle.delete(connection) ||
       this.busy.delete(connection)
     );
   }
 
-  /** Finds the connection that is closed for a new one; undefined for none. */
-  private findClosed(nowMs: number): T | undefined {
-    const [oldest] = this.unused;
-    const [idle] = this.idle;
-    const isYoung = oldest !== undefined && nowMs - oldest[1] < MIN_UNUSED_MS;
-    return isYoung ? (idle ?? oldest[0]) : (oldest?.[0] ?? idle);
+  /** Returns whether a new connection would be refused. */
+  isFull(nowMs: number): boolean {
+    if (this.count() < this.maxConnections) return false;
+    return this.findClosed(nowMs) === undefined;
   }
 
   /** Counts the connections closed for new ones, or refused, since the start. */
   countClosures(): number {
     return this.closures;
   }
+
+  private count(): number {
+    const {unused, receiving, idle, busy} = this;
+    return unused.size + receiving.size + idle.size + busy.size;
+  }
+
+  /** Finds the connection that is closed for a new one; undefined for none. */
+  private findClosed(nowMs: number): T | undefined {
+    const [unused] = this.unused;
+    const [receiving] = this.receiving;
+    const [idle] = this.idle;
+    const [stalled] = this.stalled;
+    if (isOlder(unused, nowMs - MIN_UNUSED_MS)) return unused?.[0];
+    if (isOlder(receiving, nowMs - MIN_RECEIVING_MS)) return receiving?.[0];
+    return idle ?? stalled ?? unused?.[0] ?? receiving?.[0];
+  }
+}
+
+function isOlder<T>(entry: [T, number] | undefined, atMs: number): boolean {
+  return entry !== undefined && entry[1] <= atMs;
 }
--- a/packages/decisions/src/limits/untrusted_connections.feature
+++ b/packages/decisions/src/limits/untrusted_connections.feature
@@ -49,6 +49,44 @@
     When 250 ms pass for the listener
     Then a new connection "f" closes "d"
 
+  # Guards against clients that keep every connection with unfinished requests or
+  # responses that they do not read, so that no new client gets in.
+  Scenario: Unfinished requests and unread responses lose their connections first
+    Given a listener with 4 connections "a,b,c,d" at most
+    When "a,b,c,d" become busy
+    Then a new connection "e" closes "e"
+    And the listener is full
+    When "a" receives a part of a request
+    And the client of "b" stops reading
+    Then the listener is not full
+    And a new connection "f" closes "b"
+    When 1000 ms pass for the listener
+    And "f" becomes busy
+    And the client of "c" stops reading
+    Then a new connection "g" closes "a"
+    And a new connection "h" closes "c"
+
+  Scenario: A connection that receives a request is closed later than an idle one
+    Given a listener with 2 connections "a,b" at most
+    When "a" receives a part of a request
+    And "b" becomes idle
+    And 999 ms pass for the listener
+    Then a new connection "c" closes "b"
+    When "c" becomes busy
+    Then a new connection "d" closes "a"
+
+  Scenario: A client that reads again, or sends again, keeps its connection
+    Given a listener with 3 connections "a,b,c" at most
+    When "a,b,c" become busy
+    And the client of "a" stops reading
+    And the client of "a" reads again
+    Then a new connection "d" closes "d"
+    When "b" receives a part of a request
+    And "c" receives a part of a request
+    And 1000 ms pass for the listener
+    And "b" receives a part of a request
+    Then a new connection "e" closes "c"
+
   Scenario Outline: A listener with a share of <share> of <descriptors> descriptors has <count> connections at most
     Then a share of <share> of <descriptors> descriptors allows <count> connections
 
--- a/packages/decisions/src/limits/untrusted_connections_steps.ts
+++ b/packages/decisions/src/limits/untrusted_connections_steps.ts
@@ -114,10 +114,40 @@
   },
 );
 
+When('{string} becomes idle', function (this: ConnectionsWorld, name: string) {
+  this.slots.setBusy(name);
+  this.slots.setIdle(name);
+});
+
 When('{string} becomes busy', function (this: ConnectionsWorld, name: string) {
   this.slots.setBusy(name);
 });
 
+When('{string} become busy', function (this: ConnectionsWorld, names: string) {
+  for (const name of names.split(',')) this.slots.setBusy(name);
+});
+
+When(
+  '{string} receives a part of a request',
+  function (this: ConnectionsWorld, name: string) {
+    this.slots.setReceiving(name, this.nowMs);
+  },
+);
+
+When(
+  /^the client of "(\w+)" (stops reading|reads again)$/,
+  function (this: ConnectionsWorld, name: string, what: string) {
+    this.slots.setStalled(name, what === 'stops reading');
+  },
+);
+
+Then(
+  /^the listener is (not )?full$/,
+  function (this: ConnectionsWorld, not: string | null) {
+    assert.equal(this.slots.isFull(this.nowMs), not === null);
+  },
+);
+
 Then(
   'a new connection {string} closes {string}',
   function (this: ConnectionsWorld, name: string, closed: string) {
--- a/packages/http/src/accepted_connection.ts
+++ b/packages/http/src/accepted_connection.ts
@@ -1,10 +1,14 @@
 import type {Socket} from 'node:net';
 import {Queue} from 'effect';
 import type {ConnectionHolding} from '@greengagecross/decisions';
+import {answerUnread} from './answer_malformed.js';
+import {ConnectionState} from './connection_state.js';
 import type {HttpExchange} from './http_exchange.js';
+import {PendingRequests} from './pending_requests.js';
 import type {HeldConnection} from './process_connections.js';
 import {ReadAheadGate, type ReadAheadLimit} from './read_ahead_gate.js';
 import type {TurnScheduler, TurnTaker} from './turn_scheduler.js';
+import {UnsentBytes} from './unsent_bytes.js';
 
 /**
  * Time that a connection stays open beyond the advertised keep-alive, so that a
@@ -18,6 +22,9 @@
  * with headers of 16 KB each took 1 MB of a connection and more.
  */
 const MAX_PENDING_HEADER_STRINGS = 1000;
+/** Status and delay for a client whose unfinished request is given up. */
+const UNAVAILABLE_STATUS = 503;
+const RETRY_AFTER_S = 1;
 /** Headers as strings take up to this many times their length on the wire. */
 const HEADER_MEMORY_FACTOR = 8;
 
@@ -28,13 +35,8 @@
 export class AcceptedConnection
   implements HeldConnection, ReadAheadLimit, TurnTaker
 {
-  /** Received requests whose replies are not complete, in order. */
-  private readonly pending: HttpExchange[] = [];
-  /** Those of them that are not handled yet. */
-  private readonly unstarted: HttpExchange[] = [];
+  private readonly pending = new PendingRequests();
   private receivedCount = 0;
-  /** Names and values of the headers of pending requests. */
-  private pendingHeaderStrings = 0;
   private readonly gate: ReadAheadGate;
   /**
    * Exchange of the latest request, until it was received and answered to its
@@ -45,11 +47,7 @@
   private bodyStartBytes = 0;
   /** Bytes parsed since the headers of the latest request, or a slice more. */
   private parsedBytes = 0;
-  /** Bytes that waited to be sent at the last check for progress. */
-  private unsentBytes = 0;
-  /** Bytes that the system had taken at the last check for progress. */
-  private flushedBytes = 0;
-  private stalledSinceMs: number | undefined;
+  private readonly unsent: UnsentBytes;
   /** Number of replies completed since the last check for progress. */
   private finishedCount = 0;
   private holding: ConnectionHolding<AcceptedConnection>;
@@ -59,7 +57,7 @@
     readonly socket: Socket,
     readonly queue: Queue.Queue<HttpExchange>,
     private readonly getKeepAliveMs: () => number,
-    private readonly onIdle: () => void,
+    private readonly onState: (state: ConnectionState) => void,
     private readonly isCrowded: () => boolean,
     private readonly turns: TurnScheduler,
   ) {
@@ -69,6 +67,7 @@
       aheadBytes: 0,
       stalledMs: 0,
     };
+    this.unsent = new UnsentBytes(socket);
     this.gate = ReadAheadGate.open(socket, this, turns, this);
     socket.once('close', () => turns.remove(this));
   }
@@ -78,10 +77,8 @@
    * connection. It is handled at once, or in a later turn if others precede it.
    */
   add(exchange: HttpExchange): void {
-    this.pending.push(exchange);
-    this.unstarted.push(exchange);
+    this.pending.add(exchange);
     this.receivedCount += 1;
-    this.pendingHeaderStrings += exchange.request.rawHeaders.length;
     this.latest = exchange;
     this.parsedBytes = this.bodyStartBytes;
     exchange.response.once('finish', () => this.onReplyFinished());
@@ -103,8 +100,16 @@
     if (this.latest?.request.complete === false) return true;
     const most = this.isCrowded() ? 1 : MAX_PENDING_REQUESTS;
     return (
-      this.pending.length < most &&
-      this.pendingHeaderStrings < MAX_PENDING_HEADER_STRINGS
+      this.pending.count() < most &&
+      this.pending.countHeaderStrings() < MAX_PENDING_HEADER_STRINGS
+    );
+  }
+
+  /** Reports what the connection waits for after bytes were parsed. */
+  onTurnEnd(): void {
+    if (this.pending.count() === 0) return;
+    this.onState(
+      this.isReceiving() ? ConnectionState.RECEIVING : ConnectionState.BUSY,
     );
   }
 
@@ -127,12 +132,9 @@
     this.parsedBytes += bytes;
   }
 
-  /**
-   * Returns whether a reply is pending and the latest request was received
-   * completely.
-   */
+  /** Returns whether a reply is pending, and no request is being received. */
   isReplying(): boolean {
-    return this.pending.length > 0 && this.latest?.request.complete === true;
+    return this.pending.count() > 0 && this.latest?.request.complete === true;
   }
 
   /**
@@ -140,9 +142,9 @@
    * error reply would then corrupt that reply.
    */
   hasStartedReply(): boolean {
-    if (this.pending.length === 0) return false;
+    if (this.pending.count() === 0) return false;
     return (
-      this.pending.length > 1 || this.latest?.response.headersSent === true
+      this.pending.count() > 1 || this.latest?.response.headersSent === true
     );
   }
 
@@ -156,6 +158,20 @@
     this.socket.destroy();
   }
 
+  /**
+   * Closes the connection for another one. A request that is not received to its
+   * end is answered before: it has not run, and never will.
+   */
+  release(): void {
+    if (!this.isReceiving()) {
+      this.close();
+      return;
+    }
+    this.stopReading();
+    const headers = {'retry-after': String(RETRY_AFTER_S)};
+    answerUnread(this.socket, UNAVAILABLE_STATUS, headers);
+  }
+
   /** Returns what the connection held at the last call of {@link observe}. */
   getHolding(): ConnectionHolding<AcceptedConnection> {
     return this.holding;
@@ -166,59 +182,51 @@
    * Must be called repeatedly: each call compares the counts of bytes with those
    * of the previous call.
    *
-   * Node includes unsent bytes in `bytesWritten`; the difference is what the
-   * system has taken. Either count shows progress: the unsent bytes may grow
-   * while the other end reads.
-   *
    * @param nowMs time of the monotonic clock, in milliseconds
    * @returns how long the client has read nothing of the unsent bytes
    */
   observe(nowMs: number): number {
-    const {writableLength, bytesWritten} = this.socket;
-    const isReading =
-      writableLength === 0 ||
-      writableLength < this.unsentBytes ||
-      bytesWritten - writableLength > this.flushedBytes;
-    this.unsentBytes = writableLength;
-    this.flushedBytes = bytesWritten - writableLength;
-    this.stalledSinceMs = isReading
-      ? undefined
-      : (this.stalledSinceMs ?? nowMs);
+    const unreadMs = this.unsent.observe(nowMs);
     const heldBytes = this.countHeldBytes();
-    this.idleSinceMs = this.isProgressing(isReading, heldBytes)
+    this.idleSinceMs = this.isProgressing(heldBytes)
       ? undefined
       : (this.idleSinceMs ?? nowMs);
     this.finishedCount = 0;
-    const stalledMs = nowMs - (this.idleSinceMs ?? nowMs);
     const aheadBytes = Math.max(
       0,
       this.gate.getHeldBytes() - this.countBodyBytes(),
     );
+    const stalledMs = nowMs - (this.idleSinceMs ?? nowMs);
     this.holding = {connection: this, heldBytes, aheadBytes, stalledMs};
-    return nowMs - (this.stalledSinceMs ?? nowMs);
+    return unreadMs;
   }
 
   private countHeldBytes(): number {
     const unparsedBytes = this.gate.getHeldBytes();
-    if (this.pending.length === 0) {
+    if (this.pending.count() === 0) {
       // The rest of the body of a request that was answered is discarded.
       const isDiscarding = this.latest?.request.complete === false;
       const headerBytes = isDiscarding ? 0 : this.parsedBytes;
       return unparsedBytes + headerBytes * HEADER_MEMORY_FACTOR;
     }
-    return this.pending.reduce(
-      (sum, exchange) => sum + exchange.countHeldBytes(),
-      unparsedBytes + this.unsentBytes,
-    );
+    return unparsedBytes + this.unsent.get() + this.pending.countHeldBytes();
+  }
+
+  /** Returns whether the only request is not received to its end. */
+  private isReceiving(): boolean {
+    if (this.pending.count() !== 1 || this.latest === undefined) return false;
+    const {request, response} = this.latest;
+    return !request.complete && !response.headersSent;
   }
 
   /**
    * Returns whether the client takes its replies, or waits for this process. A
    * request that is only partly received is no progress.
    */
-  private isProgressing(isReading: boolean, heldBytes: number): boolean {
+  private isProgressing(heldBytes: number): boolean {
     if (heldBytes === 0 || this.finishedCount > 0) return true;
-    return isReading && (this.unsentBytes > 0 || this.isReplying());
+    if (!this.unsent.isRead()) return false;
+    return this.unsent.get() > 0 || this.isReplying();
   }
 
   /**
@@ -226,16 +234,15 @@
    * returns whether it did.
    */
   private startNext(): boolean {
-    const [next] = this.unstarted;
-    if (next === undefined || next !== this.pending[0]) return false;
-    this.unstarted.shift();
+    const next = this.pending.takeNext();
+    if (next === undefined) return false;
     Queue.offerUnsafe(this.queue, next);
     return true;
   }
 
   /** Forgets the bytes of a request that ended after its reply. */
   private onRequestClosed(exchange: HttpExchange): void {
-    if (this.pending.length > 0 || this.latest !== exchange) return;
+    if (this.pending.count() > 0 || this.latest !== exchange) return;
     this.parsedBytes = 0;
     this.latest = undefined;
   }
@@ -245,12 +252,12 @@
    * an idle timeout longer than the advertised keep-alive.
    */
   private onReplyFinished(): void {
-    const finished = this.pending.shift();
-    this.pendingHeaderStrings -= finished?.request.rawHeaders.length ?? 0;
+    this.pending.removeFirst();
     this.finishedCount += 1;
     this.gate.update();
-    if (this.pending.length > 0) {
+    if (this.pending.count() > 0) {
       this.turns.add(this, 0);
+      this.onTurnEnd();
       return;
     }
     // What was parsed belongs to requests that have been answered.
@@ -258,7 +265,7 @@
       this.parsedBytes = 0;
       this.latest = undefined;
     }
-    this.onIdle();
+    this.onState(ConnectionState.IDLE);
     this.socket.setTimeout(this.getKeepAliveMs() + KEEP_ALIVE_MARGIN_MS);
   }
 }
--- a/packages/http/src/answer_malformed.ts
+++ b/packages/http/src/answer_malformed.ts
@@ -17,12 +17,24 @@
   socket: Socket,
   error: Error & {readonly code?: string},
   headers: OutgoingHeaders = {},
+): void {
+  const status = STATUS_BY_ERROR_CODE[error.code ?? ''] ?? DEFAULT_STATUS;
+  answerUnread(socket, status, headers);
+}
+
+/**
+ * Sends a reply to a request that is not read to its end, then closes the
+ * connection. Nothing of another reply may have been written.
+ */
+export function answerUnread(
+  socket: Socket,
+  status: number,
+  headers: OutgoingHeaders = {},
 ): void {
   if (!socket.writable || socket.destroyed) {
     socket.destroy();
     return;
   }
-  const status = STATUS_BY_ERROR_CODE[error.code ?? ''] ?? DEFAULT_STATUS;
   const reason = STATUS_CODES[status] ?? '';
   const body = JSON.stringify({error: {message: reason}});
   const lines = [
--- a/packages/http/src/http_server.ts
+++ b/packages/http/src/http_server.ts
@@ -161,6 +161,11 @@
     return this.server.listening;
   }
 
+  /** Returns whether a new connection would be refused: all are in use. */
+  isFull(): boolean {
+    return this.connections.isFull();
+  }
+
   /** Counts the exchanges in flight. */
   countActive(): number {
     return this.active;
--- a/packages/http/src/listener_connections.ts
+++ b/packages/http/src/listener_connections.ts
@@ -3,12 +3,15 @@
 import {formatAddress, type Address} from '@greengagecross/common';
 import {ConnectionSlots} from '@greengagecross/decisions';
 import {AcceptedConnection} from './accepted_connection.js';
+import {ConnectionState} from './connection_state.js';
 import type {HttpExchange} from './http_exchange.js';
 import {ClosureReason, processConnections} from './process_connections.js';
 import {processTurns} from './turn_scheduler.js';
 
 const MAX_CHECK_INTERVAL_MS = 250;
 const CHECKS_PER_TIMEOUT = 4;
+/** A client that has read nothing for this long may lose its connection. */
+const MIN_STALLED_MS = 2000;
 
 /** Limits of the connections of a listener. */
 export interface ConnectionLimits {
@@ -43,14 +46,14 @@
       socket,
       Effect.runSync(Queue.unbounded<HttpExchange>()),
       this.getKeepAliveMs,
-      () => this.slots.setIdle(connection),
+      state => this.setState(connection, state),
       () => processConnections.isCrowded(),
       processTurns,
     );
     const closed = this.slots.add(connection, performance.now());
     if (closed !== undefined) {
       this.unloggedClosures += 1;
-      closed.close();
+      closed.release();
       if (closed === connection) return undefined;
     }
     this.connections.set(socket, connection);
@@ -66,9 +69,12 @@
   /** Adds a received request to its connection. */
   addExchange(exchange: HttpExchange): void {
     const connection = this.connections.get(exchange.request.socket);
-    if (connection === undefined) return;
-    this.slots.setBusy(connection);
-    connection.add(exchange);
+    connection?.add(exchange);
+  }
+
+  /** Returns whether a new connection would be refused. */
+  isFull(): boolean {
+    return this.slots.isFull(performance.now());
   }
 
   /** Finds the connection of a socket. */
@@ -91,9 +97,11 @@
   }
 
   private check(nowMs: number): void {
-    const stalled = [...this.connections.values()].filter(
-      connection => connection.observe(nowMs) >= this.limits.stallTimeoutMs,
-    );
+    const stalled = [...this.connections.values()].filter(connection => {
+      const stalledMs = connection.observe(nowMs);
+      this.slots.setStalled(connection, stalledMs >= MIN_STALLED_MS);
+      return stalledMs >= this.limits.stallTimeoutMs;
+    });
     for (const connection of stalled) connection.close();
     this.report(ClosureReason.STALLED, stalled.length);
     this.report(ClosureReason.DESCRIPTORS, this.unloggedClosures);
@@ -101,6 +109,22 @@
     processConnections.check(nowMs);
   }
 
+  private setState(
+    connection: AcceptedConnection,
+    state: ConnectionState,
+  ): void {
+    switch (state) {
+      case ConnectionState.RECEIVING:
+        this.slots.setReceiving(connection, performance.now());
+        return;
+      case ConnectionState.BUSY:
+        this.slots.setBusy(connection);
+        return;
+      case ConnectionState.IDLE:
+        this.slots.setIdle(connection);
+    }
+  }
+
   private report(reason: ClosureReason, count: number): void {
     if (count === 0) return;
     const listener = formatAddress(this.address);
--- a/packages/http/src/read_ahead_gate.ts
+++ b/packages/http/src/read_ahead_gate.ts
@@ -27,6 +27,8 @@
    * @param isHeadersEnd whether headers may end with the last of them
    */
   onParsed(bytes: number, isHeadersEnd: boolean): void;
+  /** Called when no more is parsed for now. */
+  onTurnEnd(): void;
 }
 
 /**
@@ -121,6 +123,7 @@
     this.isHolding = false;
     if (this.isInTurn || this.turns.tryAcquire()) {
       this.parseChunk(chunk);
+      this.limit.onTurnEnd();
       return;
     }
     this.startHolding();
--- a/packages/router/src/operational_endpoints.ts
+++ b/packages/router/src/operational_endpoints.ts
@@ -20,13 +20,16 @@
     private readonly view: MemberView,
     private readonly peerServer: PeerServer,
     private readonly metrics: RouterMetrics,
+    private readonly isFull: () => boolean,
   ) {}
 
   /** Answers 200 while this daemon accepts new clients, 503 otherwise. */
   readonly answerReady: ExchangeHandler = exchange =>
     Effect.sync(() => {
       const state = this.members.getState();
-      exchange.sendJson(state === DaemonState.READY ? 200 : 503, {state});
+      const isFull = this.isFull();
+      const isReady = state === DaemonState.READY && !isFull;
+      exchange.sendJson(isReady ? 200 : 503, {state, isFull});
     });
 
   /** Answers with the daemons to connect to; 503 when none is ready. */
--- a/packages/router/src/router_daemon.ts
+++ b/packages/router/src/router_daemon.ts
@@ -78,7 +78,12 @@
       processBuffers.setLimit(memoryBytes * BUFFERED_SHARE);
       processConnections.setLimit(memoryBytes * CONNECTIONS_SHARE);
     }
-    this.parts = new RouterParts(settings, ports, () => this.isRefusing());
+    this.parts = new RouterParts(
+      settings,
+      ports,
+      () => this.isRefusing(),
+      () => this.clientServer.isFull(),
+    );
     this.clientServer = this.makeServer(
       settings.self.callers,
       CLIENT_DESCRIPTOR_SHARE,
--- a/packages/router/src/router_parts.ts
+++ b/packages/router/src/router_parts.ts
@@ -81,6 +81,7 @@
     settings: RouterSettings,
     readonly ports: RouterPorts,
     isRefusing: () => boolean,
+    isFull: () => boolean,
   ) {
     const {self} = settings;
     const incarnation = readNowMs();
@@ -189,6 +190,7 @@
       view,
       peerServer,
       this.metrics,
+      isFull,
     );
     const gauges = listGauges({
       state: this.state,
