Make the digest of a request's id once, not for each idle connection

Cause: choosing a connection to a server compared the id with those of up to 64 idle connections, and made its bounded form for each.

Evidence: late_replies.feature, bounded_id.feature and decoding.feature pass.

--- a/packages/http/src/connection_pool.ts
+++ b/packages/http/src/connection_pool.ts
@@ -1,7 +1,7 @@
 import {Agent, type ClientRequest, type ClientRequestArgs} from 'node:http';
 import {Socket} from 'node:net';
 import type {Duplex} from 'node:stream';
-import {Logger, type Address} from '@greengagecross/common';
+import {Logger, makeBoundedId, type Address} from '@greengagecross/common';
 import type {FilteredRequest} from './late_reply_filter.js';
 import type {ReplyId} from './outgoing_request.js';
 import {PooledConnection, type ConnectionUse} from './pooled_connection.js';
@@ -76,9 +76,10 @@
   /** Closes the idle connections to an address that may not carry a request. */
   closeUnusable({host, port}: Address, replyId: ReplyId | undefined): void {
     const idle = this.freeSockets[this.getName({host, port})] ?? [];
+    const boundedId = replyId && makeBoundedId(replyId.value);
     for (const socket of [...idle]) {
       const isUsable =
-        this.connections.get(socket)?.isUsableFor(replyId) ?? true;
+        this.connections.get(socket)?.isUsableFor(boundedId) ?? true;
       if (socket.destroyed || !isUsable) closeAtOnce(socket);
     }
   }
--- a/packages/http/src/late_reply_filter.ts
+++ b/packages/http/src/late_reply_filter.ts
@@ -72,9 +72,9 @@
     return !isInBody && this.held.getLength() === 0;
   }
 
-  /** Returns whether a request with this id was sent on the connection. */
-  hasSent(id: string): boolean {
-    return this.sentIds.has(makeBoundedId(id));
+  /** Returns whether a request with this bounded id was sent on the connection. */
+  hasSent(boundedId: string): boolean {
+    return this.sentIds.has(boundedId);
   }
 
   /** Records that a request is about to be sent. */
@@ -163,7 +163,7 @@
     if (isUnnamed || head.status === 0) return undefined;
     const id = head.findHeader(this.header);
     if (id === undefined || id === this.current?.value) return undefined;
-    return this.hasSent(id) ? id : undefined;
+    return this.hasSent(makeBoundedId(id)) ? id : undefined;
   }
 
   private makeLateBody(
--- a/packages/http/src/pooled_connection.ts
+++ b/packages/http/src/pooled_connection.ts
@@ -1,11 +1,11 @@
 import {Socket} from 'node:net';
 import type {Duplex} from 'node:stream';
+import {makeBoundedId} from '@greengagecross/common';
 import {
   LateReplyFilter,
   type FilteredRequest,
   type OnLateReply,
 } from './late_reply_filter.js';
-import type {ReplyId} from './outgoing_request.js';
 
 /** Which connection carried a request, and what it had carried before. */
 export interface ConnectionUse {
@@ -41,7 +41,7 @@
     const use = {
       connection: this.number,
       requestsBefore: this.requests,
-      wasSentBefore: this.hasSent(replyId),
+      wasSentBefore: this.hasSent(replyId && makeBoundedId(replyId.value)),
     };
     this.requests += 1;
     this.filter?.startRequest(request);
@@ -57,17 +57,17 @@
    * Returns whether the idle connection may carry a request. It may not if it
    * carried one with the same id: a late copy of the reply to that one could not
    * be told from the reply to this one.
+   *
+   * @param boundedId of the request; undefined if it has no id
    */
-  isUsableFor(replyId: ReplyId | undefined): boolean {
+  isUsableFor(boundedId: string | undefined): boolean {
     const {filter} = this;
     if (filter === undefined) return true;
     const isFull = filter.countSent() >= MAX_REQUESTS;
-    return !isFull && filter.isBetweenReplies() && !this.hasSent(replyId);
+    return !isFull && filter.isBetweenReplies() && !this.hasSent(boundedId);
   }
 
-  private hasSent(replyId: ReplyId | undefined): boolean {
-    return (
-      replyId !== undefined && this.filter?.hasSent(replyId.value) === true
-    );
+  private hasSent(boundedId: string | undefined): boolean {
+    return boundedId !== undefined && this.filter?.hasSent(boundedId) === true;
   }
 }
--- a/packages/http/src/turn_scheduler.ts
+++ b/packages/http/src/turn_scheduler.ts
@@ -24,9 +24,11 @@
   /** Returns whether a turn may be taken at once, and counts it if so. */
   tryAcquire(): boolean {
     if (this.queue.countWaiting() > 0) return false;
-    if (!this.isScheduled) this.iterationStartMs = performance.now();
-    const elapsedMs = performance.now() - this.iterationStartMs;
-    if (this.budget.isUsedUp(this.taken, elapsedMs)) return false;
+    const nowMs = performance.now();
+    if (!this.isScheduled) this.iterationStartMs = nowMs;
+    if (this.budget.isUsedUp(this.taken, nowMs - this.iterationStartMs)) {
+      return false;
+    }
     this.taken += 1;
     this.schedule();
     return true;
