--- a/packages/router/src/metrics/list_connection_gauges.ts
+++ b/packages/router/src/metrics/list_connection_gauges.ts
@@ -1,4 +1,8 @@
-import {ClosureReason, processConnections} from '@greengagecross/http';
+import {
+  ClosureReason,
+  processConnections,
+  processTurns,
+} from '@greengagecross/http';
 import type {GaugeReader} from './router_metrics.js';
 
 /** Lists the gauges of the connections that clients opened to this process. */
@@ -14,6 +18,11 @@
       help: 'Memory that connections of clients hold, about, in bytes.',
       read: () => processConnections.getHeldBytes(),
     },
+    {
+      name: 'greengagecross_connections_waiting',
+      help: 'Connections whose requests wait for a turn of the event loop.',
+      read: () => processTurns.countWaiting(),
+    },
     {
       name: 'greengagecross_clients_closed_memory',
       help: 'Connections closed since all of them held too much memory.',
