Close connections with a late reply that is malformed

Seen: on a kept connection, a worker's answer to an earlier request came again before the one that was due, with a broken head or chunk. The client of the due request got 200 with a body that was not its own.

Cause: LateReplyFilter found the end of such a copy by rules of its own, looser than those of Node's parser: any line with a colon at the right place was a header, the first of two lengths or codings counted, a coding went before a length, a chunk's line needed only a hexadecimal beginning, the two bytes after its data and all trailers were not looked at. Bytes whose end is not known were skipped, and what followed was read as the due reply.

A reply that fails, or whose end cannot be known, closes its connection; the request that waits fails as one that may have run. The connection's close is logged with its cause and counted by the gauge greengagecross_malformed_replies. Such failures count as broken replies, not as cut connections, since the server did answer.

--- a/packages/backend/src/to_backend_error.ts
+++ b/packages/backend/src/to_backend_error.ts
@@ -30,6 +30,7 @@
     case HttpFailure.SILENT:
       return BackendFailure.SILENT;
     case HttpFailure.INVALID_STATUS:
+    case HttpFailure.MALFORMED:
       return BackendFailure.INVALID_REPLY;
     default:
       return BackendFailure.DISCONNECTED;
--- a/packages/http/src/connection_pool.ts
+++ b/packages/http/src/connection_pool.ts
@@ -2,9 +2,10 @@
 import {Socket} from 'node:net';
 import type {Duplex} from 'node:stream';
 import {Logger, makeBoundedId, type Address} from '@greengagecross/common';
-import type {FilteredRequest} from './late_reply_filter.js';
 import type {ReplyId} from './outgoing_request.js';
 import {PooledConnection, type ConnectionUse} from './pooled_connection.js';
+import type {FilteredRequest} from './reply_filter.js';
+import {ReplyFilterListener} from './reply_filter_listener.js';
 import {SocketByteCounter} from './socket_byte_counter.js';
 
 const MAX_IDLE_SOCKETS_PER_ORIGIN = 64;
@@ -19,14 +20,13 @@
  * Keep-alive connections to other processes, with a count of their bytes.
  *
  * A faulty server may send a reply once more. A copy that names its request is
- * discarded. Any other bytes that arrive on an idle connection belong to no
- * request: the connection is closed, because Node would drop them, or pass the
- * part that arrives later to the next request.
+ * discarded. Any other bytes without a request, and bytes that are no reply,
+ * close their connection.
  */
 export class ConnectionPool extends Agent {
   readonly bytes = new SocketByteCounter();
   private readonly connections = new WeakMap<Duplex, PooledConnection>();
-  private lateReplies = 0;
+  private readonly counter = new ReplyCounter();
 
   constructor() {
     super({
@@ -51,9 +51,7 @@
   startRequest(stream: Duplex, request: FilteredRequest): ConnectionUse {
     let connection = this.connections.get(stream);
     if (connection === undefined) {
-      connection = new PooledConnection(stream, (id, status) =>
-        this.recordLateReply(id, status),
-      );
+      connection = new PooledConnection(stream, this.counter);
       this.connections.set(stream, connection);
     }
     return connection.startRequest(request);
@@ -61,7 +59,7 @@
 
   /** Node calls this when a connection becomes idle. */
   override keepSocketAlive(stream: Duplex): boolean {
-    this.connections.get(stream)?.finishRequest();
+    if (this.connections.get(stream)?.finishRequest() === false) return false;
     stream.once('data', closeOnData);
     // Node returns whether the connection may be kept; its types say void.
     return super.keepSocketAlive(stream) as unknown as boolean;
@@ -95,12 +93,12 @@
 
   /** Counts the late replies that were discarded. */
   countLateReplies(): number {
-    return this.lateReplies;
+    return this.counter.lateReplies;
   }
 
-  private recordLateReply(request: string, status: number): void {
-    this.lateReplies += 1;
-    logger.log('A late copy of a reply was discarded.', {request, status});
+  /** Counts the connections that were closed for bytes that are no reply. */
+  countMalformedReplies(): number {
+    return this.counter.malformedReplies;
   }
 }
 
@@ -108,6 +106,25 @@
   closeAtOnce(this);
 }
 
+/** Counts and logs the replies that were not passed on. */
+class ReplyCounter extends ReplyFilterListener {
+  lateReplies = 0;
+  malformedReplies = 0;
+
+  override onLateReply(request: string, status: number): void {
+    this.lateReplies += 1;
+    logger.log('A late copy of a reply was discarded.', {request, status});
+  }
+
+  override onMalformedReply(cause: string, request: string | undefined): void {
+    this.malformedReplies += 1;
+    logger.log('A connection is closed: its bytes are no reply.', {
+      request,
+      cause,
+    });
+  }
+}
+
 /**
  * Closes an idle connection and removes it from its pool, which otherwise could
  * still give it to a request before the close is noticed.
--- a/packages/http/src/http_client.ts
+++ b/packages/http/src/http_client.ts
@@ -7,6 +7,7 @@
 import {HttpError} from './http_error.js';
 import {HttpFailure} from './http_failure.js';
 import type {HttpReply, OpenReply} from './http_reply.js';
+import {isMalformedReply} from './malformed_reply_error.js';
 import type {OutgoingHeaders, OutgoingRequest} from './outgoing_request.js';
 import type {ConnectionUse} from './pooled_connection.js';
 import {readBody} from './read_body.js';
@@ -187,7 +188,9 @@
 
   makeError(cause?: Error): HttpError {
     const target = formatAddress(this.outgoing.address);
-    return new HttpError(this.failure, this.phase, target, cause);
+    const isMalformed = cause !== undefined && isMalformedReply(cause);
+    const failure = isMalformed ? HttpFailure.MALFORMED : this.failure;
+    return new HttpError(failure, this.phase, target, cause);
   }
 
   /** Makes the error for a reply whose status is not valid. */
--- a/packages/http/src/http_failure.ts
+++ b/packages/http/src/http_failure.ts
@@ -8,6 +8,8 @@
   CLOSED = 'closed',
   /** The reply has a status outside 100 to 599. */
   INVALID_STATUS = 'invalid-status',
+  /** The received bytes are not a reply in HTTP/1.0 or HTTP/1.1. */
+  MALFORMED = 'malformed-reply',
   /** The body exceeded its size limit. */
   TOO_LARGE = 'too-large',
   /** The process held too many bytes of bodies; this one was the largest. */
--- a/packages/http/src/pooled_connection.ts
+++ b/packages/http/src/pooled_connection.ts
@@ -1,11 +1,8 @@
 import {Socket} from 'node:net';
 import type {Duplex} from 'node:stream';
 import {makeBoundedId} from '@greengagecross/common';
-import {
-  LateReplyFilter,
-  type FilteredRequest,
-  type OnLateReply,
-} from './late_reply_filter.js';
+import {ReplyFilter, type FilteredRequest} from './reply_filter.js';
+import type {ReplyFilterListener} from './reply_filter_listener.js';
 
 /** Which connection carried a request, and what it had carried before. */
 export interface ConnectionUse {
@@ -27,12 +24,12 @@
 /** One connection to another process, with the ids of its requests. */
 export class PooledConnection {
   private readonly number = (lastNumber += 1);
-  private readonly filter: LateReplyFilter | undefined;
+  private readonly filter: ReplyFilter | undefined;
   private requests = 0;
 
-  constructor(stream: Duplex, onLateReply: OnLateReply) {
+  constructor(stream: Duplex, listener: ReplyFilterListener) {
     if (!(stream instanceof Socket)) return;
-    this.filter = new LateReplyFilter(stream, onLateReply);
+    this.filter = new ReplyFilter(stream, listener);
   }
 
   /** Records that a request is about to be sent. */
@@ -48,9 +45,13 @@
     return use;
   }
 
-  /** Records that the reply is complete and that no request is waiting. */
-  finishRequest(): void {
+  /**
+   * Records that the reply is complete and that no request is waiting. Returns
+   * whether the connection may be kept.
+   */
+  finishRequest(): boolean {
     this.filter?.finishRequest();
+    return this.filter?.isRejected() !== true;
   }
 
   /**
--- a/packages/http/src/read_body.ts
+++ b/packages/http/src/read_body.ts
@@ -4,11 +4,12 @@
 import {ByteCollector} from './byte_collector.js';
 import {HttpError} from './http_error.js';
 import {HttpFailure} from './http_failure.js';
+import {isMalformedReply} from './malformed_reply_error.js';
 import {RequestPhase} from './request_phase.js';
 
 /**
  * Reads a body to its end. Fails with `CLOSED` if the body is truncated, with
- * `TOO_LARGE` if it exceeds `maxBytes`, and with `OVERLOADED` if it is the
+ * `MALFORMED` if the chunks of a reply are malformed, with `TOO_LARGE` if it exceeds `maxBytes`, and with `OVERLOADED` if it is the
  * largest when the bodies that are being read exceed the budget.
  *
  * @param target names the other end in the error.
@@ -46,7 +47,10 @@
       release();
       resume(Effect.succeed(collector.take()));
     });
-    stream.once('error', error => stop(HttpFailure.CLOSED, error));
+    stream.once('error', error => {
+      const isMalformed = isMalformedReply(error);
+      stop(isMalformed ? HttpFailure.MALFORMED : HttpFailure.CLOSED, error);
+    });
     stream.once('close', () => {
       if (!stream.complete) stop(HttpFailure.CLOSED);
     });
--- a/packages/router/src/calls/backend_attempts.ts
+++ b/packages/router/src/calls/backend_attempts.ts
@@ -216,6 +216,7 @@
     case HttpFailure.SILENT:
       return AttemptFailureKind.SILENT;
     case HttpFailure.INVALID_STATUS:
+    case HttpFailure.MALFORMED:
       return AttemptFailureKind.INVALID_REPLY;
     default:
       return AttemptFailureKind.DISCONNECTED;
--- a/packages/router/src/metrics/router_gauges.ts
+++ b/packages/router/src/metrics/router_gauges.ts
@@ -101,6 +101,11 @@
       help: 'Late copies of replies of backend servers that were discarded.',
       read: () => backendClient.pool.countLateReplies(),
     },
+    {
+      name: 'greengagecross_malformed_replies',
+      help: 'Connections to backend servers closed for bytes that are no reply.',
+      read: () => backendClient.pool.countMalformedReplies(),
+    },
     {
       name: 'greengagecross_store_reached',
       help: '1 if the last call to the store succeeded, otherwise 0.',
--- a/packages/router/src/streams/event_relay.ts
+++ b/packages/router/src/streams/event_relay.ts
@@ -1,7 +1,11 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {Effect} from 'effect';
 import {readSteadyMs} from '@greengagecross/common';
-import {processBuffers, type OutgoingHeaders} from '@greengagecross/http';
+import {
+  isMalformedReply,
+  processBuffers,
+  type OutgoingHeaders,
+} from '@greengagecross/http';
 import type {BackendReplyHead} from '../model/backend_reply_head.js';
 import {AttemptFailure, AttemptFailureKind} from '../calls/attempt_failure.js';
 import {EventSplitter} from './event_splitter.js';
@@ -129,9 +133,12 @@
           stream.complete && !isEmpty && !splitter.hasIncompleteEvent();
         end(isComplete ? undefined : AttemptFailureKind.DISCONNECTED);
       });
-      stream.once('error', error =>
-        end(AttemptFailureKind.DISCONNECTED, error),
-      );
+      stream.once('error', error => {
+        const kind = isMalformedReply(error)
+          ? AttemptFailureKind.INVALID_REPLY
+          : AttemptFailureKind.DISCONNECTED;
+        end(kind, error);
+      });
       stream.once('close', () => end(AttemptFailureKind.DISCONNECTED));
       return Effect.sync(() => {
         isEnded = true;
