Let only well-formed replies reach Node's parser

Seen: answers in no protocol of ours were passed on as answers: status 101, a status line of another protocol or version, a control byte in the reason, chunks coded twice, after another coding or in HTTP/1.0, a coding in trailers. A complete answer with other bytes right behind it was lost.

Cause: the first reply on a connection, and the body of each, were read by Node's parser alone. What it accepts differs between its releases, and it reports bytes behind a complete reply as an error of that reply.

Change: ReplyFilter reads every reply on every connection of HttpClient, from its first byte to the end of its body, and Node's parser gets only what was found to be well-formed. That covers backend servers on both interfaces, the store, the platform's services, peers, resumed streams and the operators' client; liveness checks read no bytes. A malformed reply fails its request as one that may have run and closes the connection at once. Bytes behind a complete reply close the connection only. The check of the status in HttpClient is part of this now, so HttpFailure.INVALID_STATUS is gone.

--- a/packages/backend/src/to_backend_error.ts
+++ b/packages/backend/src/to_backend_error.ts
@@ -29,7 +29,6 @@
   switch (failure) {
     case HttpFailure.SILENT:
       return BackendFailure.SILENT;
-    case HttpFailure.INVALID_STATUS:
     case HttpFailure.MALFORMED:
       return BackendFailure.INVALID_REPLY;
     default:
--- a/packages/http/src/connection_pool.ts
+++ b/packages/http/src/connection_pool.ts
@@ -1,4 +1,4 @@
-import {Agent, type ClientRequest, type ClientRequestArgs} from 'node:http';
+import {Agent, type ClientRequestArgs} from 'node:http';
 import {Socket} from 'node:net';
 import type {Duplex} from 'node:stream';
 import {Logger, makeBoundedId, type Address} from '@greengagecross/common';
@@ -60,17 +60,10 @@
   /** Node calls this when a connection becomes idle. */
   override keepSocketAlive(stream: Duplex): boolean {
     if (this.connections.get(stream)?.finishRequest() === false) return false;
-    stream.once('data', closeOnData);
     // Node returns whether the connection may be kept; its types say void.
     return super.keepSocketAlive(stream) as unknown as boolean;
   }
 
-  /** Node calls this when an idle connection gets its next request. */
-  override reuseSocket(stream: Duplex, request: ClientRequest): void {
-    stream.off('data', closeOnData);
-    super.reuseSocket(stream, request);
-  }
-
   /** Closes the idle connections to an address that may not carry a request. */
   closeUnusable({host, port}: Address, replyId: ReplyId | undefined): void {
     const idle = this.freeSockets[this.getName({host, port})] ?? [];
@@ -102,10 +95,6 @@
   }
 }
 
-function closeOnData(this: Duplex): void {
-  closeAtOnce(this);
-}
-
 /** Counts and logs the replies that were not passed on. */
 class ReplyCounter extends ReplyFilterListener {
   lateReplies = 0;
--- a/packages/http/src/http_client.ts
+++ b/packages/http/src/http_client.ts
@@ -21,9 +21,6 @@
  * well.
  */
 const LONG_WAIT_SHARE = 0.5;
-/** Statuses that HTTP defines; Node also accepts 000 to 099 and 600 to 999. */
-const MIN_STATUS = 100;
-const MAX_STATUS = 599;
 /** Use of a request that no connection was assigned to yet. */
 const UNUSED_CONNECTION: ConnectionUse = {
   connection: 0,
@@ -64,15 +61,9 @@
       const tracker = new PhaseTracker(clientRequest, outgoing, this.pool);
       clientRequest.once('response', stream => {
         watchReset(clientRequest, stream);
-        const status = stream.statusCode ?? 0;
-        if (status < MIN_STATUS || status > MAX_STATUS) {
-          resume(Effect.fail(tracker.makeStatusError(status)));
-          clientRequest.destroy();
-          return;
-        }
         resume(
           Effect.succeed({
-            status,
+            status: stream.statusCode ?? 0,
             headers: stream.headers,
             stream,
             connectionUse: tracker.getConnectionUse(),
@@ -193,12 +184,6 @@
     return new HttpError(failure, this.phase, target, cause);
   }
 
-  /** Makes the error for a reply whose status is not valid. */
-  makeStatusError(status: number): HttpError {
-    this.failure = HttpFailure.INVALID_STATUS;
-    return this.makeError(new Error(`the reply has status ${status}`));
-  }
-
   /**
    * Cancels the request. After a long wait without a reply, the idle
    * connections to the same address are closed too, as they may be dead as well.
--- a/packages/http/src/http_failure.ts
+++ b/packages/http/src/http_failure.ts
@@ -6,8 +6,6 @@
   SILENT = 'silent',
   /** The connection closed before the exchange was complete. */
   CLOSED = 'closed',
-  /** The reply has a status outside 100 to 599. */
-  INVALID_STATUS = 'invalid-status',
   /** The received bytes are not a reply in HTTP/1.0 or HTTP/1.1. */
   MALFORMED = 'malformed-reply',
   /** The body exceeded its size limit. */
--- a/packages/http/src/malformed_replies_steps.ts
+++ b/packages/http/src/malformed_replies_steps.ts
@@ -66,8 +66,7 @@
 When(
   /^replies with each malformed (.+) answer requests, whole and in pieces$/,
   async function (this: ShapeWorld, part: string) {
-    const forged = makeOwnReply(FIRST_ID, 'forged');
-    await runAll(this, planFirst(MALFORMED_SHAPES[part] ?? {}, forged));
+    await runAll(this, planFirst(MALFORMED_SHAPES[part] ?? {}, ''));
   },
 );
 
--- a/packages/http/src/reply_filter.ts
+++ b/packages/http/src/reply_filter.ts
@@ -27,7 +27,11 @@
 export type FilteredRequest = Pick<OutgoingRequest, 'method' | 'replyId'>;
 
 /**
- * Discards late replies on a keep-alive connection: replies that name a request which was sent on the
+ * Reads the replies on a connection before Node's parser, which gets only what
+ * was found to be well-formed. What Node accepts differs between its releases,
+ * and some of it has an end that others read differently.
+ *
+ * Late replies are discarded: replies that name a request which was sent on the
  * connection earlier and is answered already. Node would take such a reply for
  * the answer to the current request. This relies on each id being sent at most
  * once on a connection. A copy may be cut short; what follows then must not be
@@ -42,13 +46,14 @@
   /** The part of a head that was received before. */
   private readonly held = new ByteCollector();
   private readonly pushToReader: Socket['push'];
-  private state = FilterState.BODY;
+  private state = FilterState.HEAD;
   private head: ReplyHeadReader | undefined;
   private body: ReplyBody | undefined;
   /** Whether the reply that is being read is forwarded to the parser. */
-  private isForwarded = true;
+  private isForwarded = false;
   private header = '';
   private current: ReplyId | undefined;
+  private isCurrentBodiless = false;
   /** Whether the current request waits for its reply, or for the rest of it. */
   private isDue = false;
   private isIdle = true;
@@ -92,18 +97,19 @@
     this.isIdle = false;
     this.isDue = true;
     this.current = replyId;
+    this.isCurrentBodiless = method === 'HEAD';
     if (replyId === undefined) return;
     this.header = replyId.header;
-    this.sentIds.set(makeBoundedId(replyId.value), method === 'HEAD');
+    this.sentIds.set(makeBoundedId(replyId.value), this.isCurrentBodiless);
   }
 
   /** Records that the reply is complete and that no request is waiting. */
   finishRequest(): void {
     this.isIdle = true;
-    this.isDue = false;
     this.current = undefined;
-    if (this.sentIds.size === 0 || !this.isForwarded) return;
-    if (this.state === FilterState.BODY) this.finishReply();
+    if (!this.isDue) return;
+    this.state = FilterState.REJECTED;
+    this.listener.onMalformedReply('its parser found another end', undefined);
   }
 
   private receive(chunk: unknown): boolean {
@@ -114,6 +120,7 @@
       this.forwardBytes(bytes),
     );
     try {
+      this.checkExpected();
       let at = 0;
       while (at < chunk.length) at = this.readNext(chunk, at, forwarded);
     } catch (error) {
@@ -178,8 +185,7 @@
     if (head.isInformational()) return;
     this.state = FilterState.BODY;
     if (id === undefined) {
-      // Node finds the end of a reply that is forwarded.
-      this.body = undefined;
+      this.body = makeReplyBody(head, this.isCurrentBodiless);
       return;
     }
     const isBodiless = this.sentIds.get(makeBoundedId(id)) === true;
@@ -203,6 +209,13 @@
     this.body = undefined;
     this.state = FilterState.HEAD;
     this.mayRepeat = this.sentIds.size > 0;
+    if (this.isForwarded) this.isDue = false;
+  }
+
+  /** Without ids no reply can be late, so that no byte is allowed while idle. */
+  private checkExpected(): void {
+    if (!this.isIdle || this.sentIds.size > 0) return;
+    throw new MalformedReplyError('bytes without a request');
   }
 
   private countLateBody(bytes: number): void {
--- a/packages/router/src/calls/backend_attempts.ts
+++ b/packages/router/src/calls/backend_attempts.ts
@@ -215,7 +215,6 @@
   switch (failure) {
     case HttpFailure.SILENT:
       return AttemptFailureKind.SILENT;
-    case HttpFailure.INVALID_STATUS:
     case HttpFailure.MALFORMED:
       return AttemptFailureKind.INVALID_REPLY;
     default:
