Do not trust an answer with two signatures

Seen: a 200 whose seal came twice was passed on as signed, with both values joined by a comma: a seal that its worker never made.

Cause: the codec asked whether the header is present in Node's headers, which join repeated fields.

Change: OpenReply also gives the fields as received, and a reply is signed only by exactly one signature. With two it is broken like an unsigned one: 502, the connection is closed, and the request may have run.

--- a/packages/http/src/http_client.ts
+++ b/packages/http/src/http_client.ts
@@ -65,6 +65,7 @@
           Effect.succeed({
             status: stream.statusCode ?? 0,
             headers: stream.headers,
+            rawHeaders: stream.rawHeaders,
             stream,
             connectionUse: tracker.getConnectionUse(),
           }),
--- a/packages/http/src/http_reply.ts
+++ b/packages/http/src/http_reply.ts
@@ -12,7 +12,22 @@
 export interface OpenReply {
   readonly status: number;
   readonly headers: IncomingHttpHeaders;
+  /** Names and values in turn, as received; `headers` joins repeated fields. */
+  readonly rawHeaders: readonly string[];
   readonly stream: IncomingMessage;
   /** The connection that the reply came on. */
   readonly connectionUse: ConnectionUse;
 }
+
+/** Counts the fields with a name, given in lower case. */
+export function countHeaders(
+  rawHeaders: readonly string[],
+  name: string,
+): number {
+  return rawHeaders.filter(
+    (text, at) =>
+      at % 2 === 0 &&
+      text.length === name.length &&
+      text.toLowerCase() === name,
+  ).length;
+}
--- a/packages/router/src/model/backend_reply_head.ts
+++ b/packages/router/src/model/backend_reply_head.ts
@@ -23,7 +23,7 @@
   /** Whether the server states that it did not run the request. */
   readonly isNotRun: boolean;
   /**
-   * Whether the reply carries the server's signature and no content encoding,
+   * Whether the reply carries one signature of the server and no content encoding,
    * which only an intermediary would add.
    */
   readonly isSigned: boolean;
--- a/packages/router/src/ports/call_codec.ts
+++ b/packages/router/src/ports/call_codec.ts
@@ -32,7 +32,7 @@
    */
   abstract decodeReply(
     call: ClientCall,
-    reply: Pick<OpenReply, 'status' | 'headers' | 'connectionUse'>,
+    reply: Omit<OpenReply, 'stream'>,
   ): BackendReplyHead;
 
   /**
--- a/packages/standins/src/contracts/memory_backends.ts
+++ b/packages/standins/src/contracts/memory_backends.ts
@@ -115,7 +115,8 @@
     requestsBefore: 0,
     wasSentBefore: false,
   };
-  return {status: 200, headers, stream, connectionUse};
+  const rawHeaders = Object.entries(headers).flat();
+  return {status: 200, headers, rawHeaders, stream, connectionUse};
 }
 
 function finishReply(stream: IncomingMessage, text: string): void {
