Show broken replies on the daemon's own interface

Backend servers of the own interface sent status 101, status lines of other protocols, codings in trailers, broken names and lengths, and refusals again with a broken line before the answer that was due.

--- a/packages/standins/src/promises/failing_backend.ts
+++ b/packages/standins/src/promises/failing_backend.ts
@@ -15,6 +15,21 @@
   'resets in the middle of a chunk': `${CHUNK_HEAD}ff\r\nid: 0\nda`,
 };
 
+/** Head lines and body of a reply that is none in HTTP, by fault. */
+const BROKEN_REPLIES: Readonly<Record<string, string>> = {
+  'answers with a blank in a name': 'a b: c\r\ncontent-length: 4\r\n\r\ndone',
+  'answers with a control byte in a name':
+    'a\x02b: c\r\ncontent-length: 4\r\n\r\ndone',
+  'answers with a folded line': 'a: b\r\n c\r\ncontent-length: 4\r\n\r\ndone',
+  'answers with two lengths':
+    'content-length: 4\r\ncontent-length: 9\r\n\r\ndone',
+  'answers with chunks coded twice':
+    'transfer-encoding: chunked, chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n',
+  'answers with a coding in trailers':
+    'transfer-encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\ntransfer-encoding: chunked\r\n\r\n',
+};
+const OWN_STATUS_LINE = /^answers with the status line (.+)$/;
+
 /** Stand-in of a backend server on a raw TCP server, with one fault. */
 export class FailingBackend {
   /** Number of calls received, without those that resume or cancel a stream. */
@@ -70,6 +85,13 @@
       socket.write(`HTTP/1.1 ${status} X\r\n${ownHead}${body}`);
       return;
     }
+    const statusLine = OWN_STATUS_LINE.exec(this.fault)?.[1];
+    const broken = BROKEN_REPLIES[this.fault];
+    if (statusLine !== undefined || broken !== undefined) {
+      const rest = broken ?? 'content-length: 4\r\n\r\ndone';
+      socket.write(`${statusLine ?? 'HTTP/1.1 200 OK'}\r\n${ownHead}${rest}`);
+      return;
+    }
     const rest = RESET_REPLIES[this.fault];
     if (rest === undefined) throw new Error(`no fault ${this.fault}`);
     socket.write(`HTTP/1.1 200 OK\r\n${ownHead}${rest}`, () =>
--- a/packages/standins/src/promises/repeated_refusals.feature
+++ b/packages/standins/src/promises/repeated_refusals.feature
@@ -76,3 +76,19 @@
       | repeatable call   | some milliseconds later |
       | at-most-once call | before its next answer  |
       | at-most-once call | some milliseconds later |
+
+  # Guards against a copy whose end is found at the wrong byte, so that what
+  # follows is taken for the answer.
+  Scenario Outline: No <kind> gets another's answer at a backend server that repeats refusals in a broken way
+    Given the path of <kind>s in front of a backend server that repeats refusals before its next answer in a broken way
+    When callers send 300 <kind>s, 10 at a time
+    Then no request was answered with the answer to another one
+    And no request that was told not-run ran
+    And no request that may run at most once ran twice
+
+    Examples:
+      | kind              |
+      | streamed chat     |
+      | non-streamed chat |
+      | repeatable call   |
+      | at-most-once call |
--- a/packages/standins/src/promises/repeating_backend.ts
+++ b/packages/standins/src/promises/repeating_backend.ts
@@ -14,6 +14,8 @@
   WITH_NEXT_REPLY = 'before its next answer',
   /** The same, in two writes. */
   IN_HALVES = 'before its next answer in two pieces',
+  /** The same with a malformed head and another answer behind it. */
+  BROKEN = 'before its next answer in a broken way',
   /** Some milliseconds after the refusal, whatever is under way by then. */
   SOON = 'some milliseconds later',
 }
@@ -120,7 +122,12 @@
     }
     this.runs.push(request.attemptId);
     const answer = makeAnswer(request, this.namesAttempts);
-    this.writeRepeated(connection, '', () =>
+    const isForged =
+      this.moment === RepeatMoment.BROKEN && connection.repeated !== '';
+    const forged = isForged
+      ? makeReply('200 OK', request.attemptId, 'forged')
+      : '';
+    this.writeRepeated(connection, forged, () =>
       setTimeout(() => socket.write(answer), WORK_MS),
     );
   }
@@ -139,6 +146,9 @@
         this.repeats += 1;
         setTimeout(() => socket.write(refusal), SOON_MS);
         return;
+      case RepeatMoment.BROKEN:
+        connection.repeated = refusal.replace('\r\n', '\r\na b: c\r\n');
+        return;
       case RepeatMoment.WITH_NEXT_REPLY:
       case RepeatMoment.IN_HALVES:
         connection.repeated = refusal;
