Play malformed replies to requests without ids too

The store, the platform's services and peers name no requests in their answers, so that no late copy can be told there; any byte without a request closes the connection.

--- a/packages/http/src/malformed_replies.feature
+++ b/packages/http/src/malformed_replies.feature
@@ -1,7 +1,7 @@
 Feature: Bytes that are no reply are not taken for one
 
   # Guards against replies that Node's parser passes on, or reads differently in
-  # another release.
+  # another release. Requests are sent with and without ids, as to the store.
   Scenario Outline: A reply with a malformed <part> fails its request
     When replies with each malformed <part> answer requests, whole and in pieces
     Then each of these requests failed as malformed within 500 ms
--- a/packages/http/src/malformed_replies_steps.ts
+++ b/packages/http/src/malformed_replies_steps.ts
@@ -37,12 +37,15 @@
   pieces = [WHOLE, PIECE_BYTES],
 ): ShapePlan[] {
   return pieces.flatMap(pieceBytes =>
-    Object.entries(shapes).map(([name, make]) => ({
-      name: `${name}, ${pieceBytes}`,
-      replies: [make(makeIds(FIRST_ID), after)],
-      body: 'full',
-      pieceBytes,
-    })),
+    Object.entries(shapes).flatMap(([name, make]) =>
+      [false, true].map(isUnnamed => ({
+        name: `${name}, ${pieceBytes}${isUnnamed ? ', without ids' : ''}`,
+        replies: [make(makeIds(FIRST_ID), after)],
+        body: 'full',
+        pieceBytes,
+        isUnnamed,
+      })),
+    ),
   );
 }
 
--- a/packages/http/src/shape_run.ts
+++ b/packages/http/src/shape_run.ts
@@ -29,7 +29,10 @@
   /** Body of the reply to the last of these requests. */
   readonly body: string;
   readonly pieceBytes: number;
+  /** Whether the server closes the connection after the last reply. */
   readonly isLast?: boolean;
+  /** Whether the client does not know how replies name their requests. */
+  readonly isUnnamed?: boolean;
 }
 
 /** Makes the header lines that name a request. */
@@ -59,6 +62,7 @@
   port: number,
   id: string,
   body: string,
+  isUnnamed = false,
 ): Promise<string> {
   const result = await Effect.runPromise(
     Effect.result(
@@ -66,7 +70,7 @@
         address: {host: '127.0.0.1', port},
         method: 'POST',
         path: '/',
-        replyId: {header: 'x-id', value: id},
+        ...(isUnnamed ? {} : {replyId: {header: 'x-id', value: id}}),
         connectTimeoutMs: TIMEOUT_MS,
         silenceMs: TIMEOUT_MS,
       }),
@@ -107,11 +111,14 @@
     startedAtMs = performance.now();
     const id = at === 0 ? FIRST_ID : SECOND_ID;
     const isTested = at === plan.replies.length - 1;
-    got = await sendId(client, port, id, isTested ? plan.body : OWN_BODY);
+    const body = isTested ? plan.body : OWN_BODY;
+    got = await sendId(client, port, id, body, plan.isUnnamed);
   }
   const afterMs = performance.now() - startedAtMs;
   const {length} = requests;
-  if (plan.isLast !== true) await sendId(client, port, 'next', OWN_BODY);
+  if (plan.isLast !== true) {
+    await sendId(client, port, 'next', OWN_BODY, plan.isUnnamed);
+  }
   client.close();
   for (const socket of sockets) socket.destroy();
   server.close();
