Tell whether a reply about the operator's table is arriving

FleetStateSource.isReceiving() is true from the head of such a reply on until its end or failure. Other parts can then tell a transfer under way from a source that has nothing newer.

--- a/packages/http/src/http_client.ts
+++ b/packages/http/src/http_client.ts
@@ -39,16 +39,17 @@
   send(outgoing: OutgoingRequest): Effect.Effect<HttpReply, HttpError> {
     const limit = outgoing.maxReplyBytes ?? DEFAULT_MAX_REPLY_BYTES;
     const target = formatAddress(outgoing.address);
-    return Effect.flatMap(this.open(outgoing), reply =>
-      readBody(reply.stream, limit, target).pipe(
+    return Effect.flatMap(this.open(outgoing), reply => {
+      outgoing.onHead?.();
+      return readBody(reply.stream, limit, target).pipe(
         Effect.map(body => ({
           status: reply.status,
           headers: reply.headers,
           body,
         })),
         Effect.onError(() => Effect.sync(() => reply.stream.destroy())),
-      ),
-    );
+      );
+    });
   }
 
   /**
--- a/packages/http/src/outgoing_request.ts
+++ b/packages/http/src/outgoing_request.ts
@@ -29,6 +29,8 @@
    * request goes on while it returns false. By default it ends.
    */
   readonly mayEndSilent?: () => boolean;
+  /** Called by `send` once the head of the reply is complete. */
+  readonly onHead?: () => void;
   /** Largest reply body that `send` reads, in bytes. */
   readonly maxReplyBytes?: number;
 }
--- a/packages/router/src/members/cold_state_steps.ts
+++ b/packages/router/src/members/cold_state_steps.ts
@@ -37,6 +37,10 @@
     return false;
   }
 
+  override isReceiving(): boolean {
+    return false;
+  }
+
   override readConfiguration(): Effect.Effect<void> {
     return Effect.void;
   }
--- a/packages/router/src/members/state_catch_up_steps.ts
+++ b/packages/router/src/members/state_catch_up_steps.ts
@@ -24,6 +24,10 @@
     return false;
   }
 
+  override isReceiving(): boolean {
+    return false;
+  }
+
   override readConfiguration(): Effect.Effect<void> {
     return Effect.void;
   }
--- a/packages/router/src/ports/fleet_state_source.ts
+++ b/packages/router/src/ports/fleet_state_source.ts
@@ -15,6 +15,12 @@
   /** Returns whether this daemon follows changes in the store. */
   abstract isFollowing(): boolean;
 
+  /**
+   * Returns whether a reply about the operator's table has begun and is still
+   * arriving.
+   */
+  abstract isReceiving(): boolean;
+
   /** Reads the configuration once; a failure is logged, not returned. */
   abstract readConfiguration(state: FleetState): Effect.Effect<void>;
 }
--- a/packages/router/src/state/evacuated_zones_steps.ts
+++ b/packages/router/src/state/evacuated_zones_steps.ts
@@ -33,6 +33,10 @@
     return false;
   }
 
+  override isReceiving(): boolean {
+    return false;
+  }
+
   override readConfiguration(): Effect.Effect<void> {
     return Effect.void;
   }
