Measure the growth of decoding over sixteen times the input

Cause: the small input takes some 10 ms, and the ratio of one step varies with what else uses the processor's caches. Measured at 8,000, 32,000 and 128,000 fields, five times beside load 10: 4.7 to 6.7 for the first step, 4.3 to 6.5 for the second, 23 to 40 over both, so that the time does grow in proportion. Change: sixteen times the input must take less than 64 times the time: the same exponent of 1.5, at which work that grows with the square takes 256 times.

--- a/packages/common/src/schema/decode_growth.feature
+++ b/packages/common/src/schema/decode_growth.feature
@@ -5,8 +5,8 @@
   # its end from each quote on.
   Scenario Outline: <text> takes time in proportion to its size
     Given the work of decoding <text>
-    When its processor time is measured for 8000 and for 32000 repetitions
-    Then four times the input takes less than 8 times the processor time
+    When its processor time is measured for 8000 and for 128000 repetitions
+    Then sixteen times the input takes less than 64 times the processor time
 
     Examples:
       | text                                   |
--- a/packages/common/src/schema/decode_growth_steps.ts
+++ b/packages/common/src/schema/decode_growth_steps.ts
@@ -100,9 +100,9 @@
 );
 
 Then(
-  'four times the input takes less than {int} times the processor time',
-  function (this: GrowthWorld, bound: number) {
-    assert.ok(this.ratio < bound, `${this.ratio.toFixed(1)} times`);
+  /^(?:four|sixteen) times the input takes less than (\d+) times the processor time$/,
+  function (this: GrowthWorld, bound: string) {
+    assert.ok(this.ratio < Number(bound), `${this.ratio.toFixed(1)} times`);
   },
 );
 
