Fetch a configuration once, compressed, from peers that hold it

Cause: a daemon that heard of a newer version read the whole row from the store and then asked the peer for the configuration and the servers in one reply, up to three times at once over the same link; each of these ended by its timeout and began anew. Change: servers are fetched apart and never wait for a configuration. The configuration is fetched by a class of its own, once at a time, as deflated JSON by the new call configuration.fetch, from a peer that holds it. Peers send it within half of their link (limits.link_mbps, else 10 Mbit/s) and refer others to daemons that they have served. The store is read after two failed peers, or if no peer offers the call; peers of earlier releases are then asked as before. A follower of the store leaves a reply that is arriving 1.5 s before it asks peers.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -97,4 +97,5 @@
 export * from './limits/connection_load.js';
 export * from './limits/connection_slots.js';
 export * from './limits/turn_budget.js';
+export * from './limits/upload_budget.js';
 export * from './limits/turn_queue.js';
--- a/packages/peers/src/peer_method.ts
+++ b/packages/peers/src/peer_method.ts
@@ -14,4 +14,6 @@
   RELEASE_TRIAL = 'trial.release',
   /** Used only by the package router, which defines the messages as well. */
   FETCH_FLEET_STATE = 'state.fetch',
+  /** As above. */
+  FETCH_CONFIGURATION = 'configuration.fetch',
 }
--- a/packages/router/src/members/cold_state_steps.ts
+++ b/packages/router/src/members/cold_state_steps.ts
@@ -1,13 +1,16 @@
 import assert from 'node:assert/strict';
 import {Given, Then, When, World} from '@cucumber/cucumber';
 import {Effect, Schema} from 'effect';
-import {readSteadyMs, type Address} from '@greengagecross/common';
+import {readSteadyMs, SeededRandom, type Address} from '@greengagecross/common';
 import {PeerRpc, type PeerError, type PeerMethod} from '@greengagecross/peers';
 import type {BackendServer} from '../model/backend_server.js';
 import {DEFAULT_CALLER_LIMITS} from '../model/caller_limits.js';
 import {FleetStateSource} from '../ports/fleet_state_source.js';
 import {FleetState} from '../state/fleet_state.js';
 import type {FleetStateResult} from './fleet_state_message.js';
+import {RouterMetrics} from '../metrics/router_metrics.js';
+import {ConfigurationCatchUp} from './configuration_catch_up.js';
+import {ConfigurationDocuments} from './configuration_documents.js';
 import {DaemonState, type Heartbeat} from './heartbeat.js';
 import {StateCatchUp} from './state_catch_up.js';
 
@@ -131,7 +134,19 @@
     crashes: {},
   };
   const catchUp = makeCatchUp(world.peer, world.rpc);
+  const configurationCatchUp = new ConfigurationCatchUp(
+    heartbeat,
+    world.peer,
+    new UnusedSource(),
+    world.rpc,
+    () => [heartbeat],
+    new ConfigurationDocuments(world.peer),
+    catchUp,
+    new SeededRandom(1),
+    new RouterMetrics(),
+  );
   await Effect.runPromise(catchUp.run(heartbeat));
+  await Effect.runPromise(configurationCatchUp.run(heartbeat));
 }
 
 function computeRemainingMs(state: FleetState, nowMs: number): number {
--- a/packages/router/src/members/fleet_state_message.ts
+++ b/packages/router/src/members/fleet_state_message.ts
@@ -25,7 +25,8 @@
   priority: Schema.optionalKey(Schema.Number),
 });
 
-const ConfigurationSchema = Schema.Struct({
+/** A configuration in messages between daemons. */
+export const ConfigurationSchema = Schema.Struct({
   version: Schema.Number,
   routes: Schema.Array(RouteSchema),
   services: Schema.Array(Schema.String),
--- a/packages/router/src/members/heartbeat.ts
+++ b/packages/router/src/members/heartbeat.ts
@@ -77,6 +77,11 @@
    * the sender's configuration has no service with a bound for them.
    */
   isColdStateKnown: Schema.optionalKey(Schema.Boolean),
+  /**
+   * Whether the sender answers `PeerMethod.FETCH_CONFIGURATION`. Absent in
+   * heartbeats of earlier releases.
+   */
+  isConfigurationServed: Schema.optionalKey(Schema.Boolean),
   /** Always empty; daemons of earlier releases need the field. */
   crashes: Schema.Record(Schema.String, Schema.Number),
 });
--- a/packages/router/src/members/member_service.ts
+++ b/packages/router/src/members/member_service.ts
@@ -25,6 +25,7 @@
 import {PeerDiscovery} from './peer_discovery.js';
 import {StoreFollowing} from './store_following.js';
 import {SuspicionLog} from './suspicion_log.js';
+import type {ConfigurationCatchUp} from './configuration_catch_up.js';
 import type {StateCatchUp} from './state_catch_up.js';
 
 /** Maximum number of crash reports in a heartbeat. */
@@ -59,6 +60,7 @@
     registry: MemberRegistry,
     private readonly source: FleetStateSource,
     private readonly catchUp: StateCatchUp,
+    private readonly configurationCatchUp: ConfigurationCatchUp,
     private readonly watch: FleetWatch,
     private readonly sums: LoadSums,
     private readonly incarnation: number,
@@ -225,6 +227,7 @@
       silent: this.watch.getSilent(),
       suspects: this.suspects.listReports(MAX_SUSPECTS, nowMs),
       ...(hasColdServices ? {isColdStateKnown: true} : {}),
+      isConfigurationServed: true,
       crashes: {},
     };
   }
@@ -248,9 +251,12 @@
     }
     this.guard.merge(heartbeat.suspects ?? [], nowMs);
     this.catchUp.applyEvacuated(heartbeat, nowMs);
-    if (this.catchUp.isBehind(heartbeat)) {
-      this.runFiber?.(this.catchUp.run(heartbeat));
-    } else if (heartbeat.isStoreReached) {
+    const {catchUp, configurationCatchUp} = this;
+    const behind = [catchUp, configurationCatchUp].filter(part =>
+      part.isBehind(heartbeat),
+    );
+    for (const part of behind) this.runFiber?.(part.run(heartbeat));
+    if (behind.length === 0 && heartbeat.isStoreReached) {
       this.state.recordConfirmed(nowMs);
     }
   }
--- a/packages/router/src/members/member_view.ts
+++ b/packages/router/src/members/member_view.ts
@@ -104,6 +104,12 @@
     );
   }
 
+  /** Lists the running peers that their watchers do not suspect. */
+  listUnsuspected(nowMs: number): Heartbeat[] {
+    const suspected = new Set(this.listSuspected(nowMs));
+    return this.listRunning(nowMs).filter(({id}) => !suspected.has(id));
+  }
+
   /** Removes silent peers and lists the others, to send heartbeats to them. */
   listHeartbeatTargets(nowMs: number): Heartbeat[] {
     for (const [id, peer] of this.peers) {
--- a/packages/router/src/members/state_catch_up.ts
+++ b/packages/router/src/members/state_catch_up.ts
@@ -1,6 +1,6 @@
 import {Effect} from 'effect';
 import {Logger, readSteadyMs} from '@greengagecross/common';
-import {PeerMethod, type PeerRpc} from '@greengagecross/peers';
+import {PeerMethod, type PeerError, type PeerRpc} from '@greengagecross/peers';
 import type {RoutingConfiguration} from '../model/routing_configuration.js';
 import type {FleetStateSource} from '../ports/fleet_state_source.js';
 import type {FleetState} from '../state/fleet_state.js';
@@ -14,7 +14,7 @@
 import {DaemonState, type Heartbeat} from './heartbeat.js';
 
 /** Time for the store to deliver an advertised update to its followers. */
-const STORE_DELIVERY_MS = 100;
+export const STORE_DELIVERY_MS = 100;
 /**
  * Time for a pending fetch to deliver an advertised update before it is also
  * fetched from another peer. All followers of the store advertise an update at
@@ -34,12 +34,9 @@
 const logger = new Logger('state');
 
 /**
- * Updates the state of a daemon when a peer advertises newer state.
- *
- * Changes of the list of backend servers are fetched from the peer. The
- * configuration is read from the store, because it may be too large for a few
- * daemons to send to all others; it is fetched from the peer only if the store
- * read gives no newer version.
+ * Updates the list of backend servers of a daemon when a peer advertises a newer
+ * one. A configuration that is being fetched delays nothing here, see
+ * `ConfigurationCatchUp`.
  */
 export class StateCatchUp {
   /** Ids of the peers with a pending fetch. */
@@ -51,15 +48,10 @@
     private readonly peers: PeerRpc,
   ) {}
 
-  /** Returns whether a peer advertises newer state than this daemon holds. */
-  isBehind(heartbeat: Heartbeat): boolean {
-    return (
-      this.isConfigurationBehind(heartbeat) ||
-      compareStoreVersions(
-        {era: heartbeat.storeEra ?? 0, revision: heartbeat.backendsChange},
-        this.state.backends.getVersion(),
-      ) > 0
-    );
+  /** Returns whether a peer advertises a newer list than this daemon holds. */
+  isBehind({storeEra: era = 0, backendsChange: revision}: Heartbeat): boolean {
+    const held = this.state.backends.getVersion();
+    return compareStoreVersions({era, revision}, held) > 0;
   }
 
   /** Adopts the evacuated availability zones of a heartbeat if newer. */
@@ -73,8 +65,8 @@
   }
 
   /**
-   * Fetches newer state from a peer, unless this daemon follows the store and
-   * the store delivers that state first, or a pending fetch does.
+   * Fetches a newer list from a peer, unless this daemon follows the store and
+   * the store delivers it first, or a pending fetch does.
    *
    * Does nothing while a fetch from this peer or too many fetches are pending;
    * a failure is logged.
@@ -94,17 +86,7 @@
       if (isStoreFirst) yield* Effect.sleep(STORE_DELIVERY_MS);
       else if (hasPending) yield* Effect.sleep(PENDING_FETCH_MS);
       if (!this.isBehind(heartbeat)) return;
-      if (this.isConfigurationBehind(heartbeat)) {
-        yield* this.source.readConfiguration(this.state);
-      }
-      const result = yield* this.peers.send(
-        heartbeat.peers,
-        PeerMethod.FETCH_FLEET_STATE,
-        this.makeQuery(heartbeat),
-        FleetStateResultSchema,
-        FETCH_TIMEOUT_MS,
-      );
-      this.apply(result, id);
+      yield* this.fetch(heartbeat, false);
     }).pipe(
       Effect.catch(error =>
         Effect.sync(() =>
@@ -122,6 +104,26 @@
     );
   }
 
+  /**
+   * Fetches the changes of the list of backend servers from a peer, and its
+   * configuration if wanted, and applies them.
+   */
+  fetch(
+    heartbeat: Heartbeat,
+    isConfigurationWanted: boolean,
+  ): Effect.Effect<void, PeerError> {
+    const query = this.makeQuery(heartbeat, isConfigurationWanted);
+    return this.peers
+      .send(
+        heartbeat.peers,
+        PeerMethod.FETCH_FLEET_STATE,
+        query,
+        FleetStateResultSchema,
+        FETCH_TIMEOUT_MS,
+      )
+      .pipe(Effect.map(result => this.apply(result, heartbeat.id)));
+  }
+
   /** Makes the result of a query: the state that the peer lacks. */
   makeResult(query: FleetStateQuery): FleetStateResult {
     const {configuration, backends} = this.state;
@@ -149,22 +151,19 @@
     };
   }
 
-  private makeQuery(heartbeat: Heartbeat): FleetStateQuery {
+  private makeQuery(
+    {storeEra, isColdStateKnown}: Heartbeat,
+    isConfigurationWanted: boolean,
+  ): FleetStateQuery {
     const {era, revision} = this.state.backends.getVersion();
-    const {storeEra, isColdStateKnown} = heartbeat;
     return {
-      isConfigurationWanted: this.isConfigurationBehind(heartbeat),
+      isConfigurationWanted,
       backendsRevision: revision,
       ...(storeEra === undefined ? {} : {storeEra: era}),
       ...(isColdStateKnown === true ? {isColdStateWanted: true} : {}),
     };
   }
 
-  private isConfigurationBehind(heartbeat: Heartbeat): boolean {
-    const {configuration} = this.state;
-    return heartbeat.configurationVersion > configuration.getVersion();
-  }
-
   private apply(result: FleetStateResult, peer: string): void {
     const nowMs = readSteadyMs();
     const {configuration, backends, storeEra: era = 0} = result;
--- a/packages/router/src/metrics/router_metrics.ts
+++ b/packages/router/src/metrics/router_metrics.ts
@@ -3,6 +3,8 @@
 import type {AttemptFailureKind} from '../calls/attempt_failure.js';
 import type {CallOutcome} from '../calls/call_answer.js';
 import type {CallKind} from '../model/call_kind.js';
+import type {ConfigurationSource} from './configuration_source.js';
+import type {TransferOutcome} from './transfer_outcome.js';
 
 /**
  * Upper limits of the histogram's buckets, in seconds: around the latency
@@ -82,6 +84,22 @@
     labelNames: ['reason'],
     registers: [this.registry],
   });
+  private readonly configurationTransfers = new Counter({
+    name: 'greengagecross_configuration_transfers_total',
+    help: 'Attempts to get a newer configuration, by where from and by outcome.',
+    labelNames: ['source', 'outcome'],
+    registers: [this.registry],
+  });
+  private readonly configurationSentBytes = new Counter({
+    name: 'greengagecross_configuration_sent_bytes_total',
+    help: 'Bytes of configurations that were sent to other daemons, compressed.',
+    registers: [this.registry],
+  });
+  private readonly configurationBusy = new Counter({
+    name: 'greengagecross_configuration_busy_total',
+    help: 'Daemons that were referred to others as the upload budget was used.',
+    registers: [this.registry],
+  });
 
   /** Registers a gauge that is read when metrics are collected. */
   addGauge({name, help, read}: GaugeReader): void {
@@ -149,6 +167,24 @@
     this.heldBack.inc({result: hasOtherServer ? 'other-server' : 'no-server'});
   }
 
+  /** Records the end of an attempt to get a newer configuration. */
+  recordConfigurationTransfer(
+    source: ConfigurationSource,
+    outcome: TransferOutcome,
+  ): void {
+    this.configurationTransfers.inc({source, outcome});
+  }
+
+  /** Records the bytes of a configuration that is sent to another daemon. */
+  recordConfigurationSent(bytes: number): void {
+    this.configurationSentBytes.inc(bytes);
+  }
+
+  /** Records that a daemon was referred to others. */
+  recordConfigurationBusy(): void {
+    this.configurationBusy.inc();
+  }
+
   /** Formats all metrics in the Prometheus text format. */
   format(): Promise<string> {
     return this.registry.metrics();
--- a/packages/router/src/model/router_settings.ts
+++ b/packages/router/src/model/router_settings.ts
@@ -20,6 +20,8 @@
   readonly coldLimits?: ColdLimits;
   /** Memory that the process may use, in bytes; unlimited if absent. */
   readonly memoryBytes?: number;
+  /** Bandwidth of the host's link, in bytes a second; unknown if absent. */
+  readonly linkBytesPerSecond?: number;
   /** File descriptors that the process may use; the system's limit if absent. */
   readonly maxDescriptors?: number;
 }
--- a/packages/router/src/router_parts.ts
+++ b/packages/router/src/router_parts.ts
@@ -7,8 +7,14 @@
   LoadSums,
   ServerHealth,
   ServerNotices,
+  UploadBudget,
 } from '@greengagecross/decisions';
-import {readNowMs, readSteadyMs} from '@greengagecross/common';
+import {
+  hash32,
+  readNowMs,
+  readSteadyMs,
+  SeededRandom,
+} from '@greengagecross/common';
 import {HttpClient} from '@greengagecross/http';
 import {PeerClient, PeerMethod, PeerServer} from '@greengagecross/peers';
 import {Effect} from 'effect';
@@ -24,6 +30,11 @@
 import {ColdServers} from './calls/cold_servers.js';
 import {ServerChooser} from './calls/server_chooser.js';
 import {ServiceDispatcher} from './calls/service_dispatcher.js';
+import {computeUploadRate} from './members/compute_upload_rate.js';
+import {ConfigurationCatchUp} from './members/configuration_catch_up.js';
+import {ConfigurationDocuments} from './members/configuration_documents.js';
+import {ConfigurationQuerySchema} from './members/configuration_message.js';
+import {ConfigurationSender} from './members/configuration_sender.js';
 import {FleetStateQuerySchema} from './members/fleet_state_message.js';
 import {MemberService} from './members/member_service.js';
 import {MemberView} from './members/member_view.js';
@@ -156,6 +167,27 @@
     );
     const peers = new PeerClient(this.peerClient, PEER_KEY, PEER_TIMEOUT_MS);
     const catchUp = new StateCatchUp(this.state, ports.source, peers);
+    const random = new SeededRandom(
+      hash32(`configuration ${self.id} ${incarnation}`),
+    );
+    const documents = new ConfigurationDocuments(this.state);
+    const sender = new ConfigurationSender(
+      documents,
+      new UploadBudget(computeUploadRate(settings)),
+      random,
+      this.metrics,
+    );
+    const configurationCatchUp = new ConfigurationCatchUp(
+      self,
+      this.state,
+      ports.source,
+      peers,
+      () => view.listUnsuspected(readSteadyMs()),
+      documents,
+      catchUp,
+      random,
+      this.metrics,
+    );
     this.members = new MemberService(
       settings,
       this.state,
@@ -166,6 +198,7 @@
       ports.registry,
       ports.source,
       catchUp,
+      configurationCatchUp,
       watch,
       sums,
       incarnation,
@@ -183,6 +216,11 @@
       FleetStateQuerySchema,
       query => Effect.sync(() => catchUp.makeResult(query)),
     );
+    peerServer.addMethod(
+      PeerMethod.FETCH_CONFIGURATION,
+      ConfigurationQuerySchema,
+      query => Effect.sync(() => sender.answer(query, readSteadyMs())),
+    );
     this.endpoints = new OperationalEndpoints(
       self,
       ports.codec,
