Show how long a daemon's configuration has been outdated

Callers of a daemon that lacked the newest configuration got 404 for seconds while its lines said configurationAgeMs=31: each read of the operator's table and each heartbeat of a peer that lacked the configuration too confirmed the old one.

AdvertisedVersions keeps the newer versions that running peers advertise, and when each was first heard of. Nothing confirms the configuration while there is one, and a peer confirms only the version that it holds itself. Lines gain newerConfiguration and configurationLagMs, activations lagMs; metrics gain the lag, the time to activation, refusals by status and by whether the daemon was behind, and requests refused unread (400, 408, 413, 431; one line a second for each status). No request is answered differently.

--- a/packages/http/src/answer_malformed.ts
+++ b/packages/http/src/answer_malformed.ts
@@ -1,5 +1,6 @@
 import {STATUS_CODES} from 'node:http';
 import type {Socket} from 'node:net';
+import {processMalformedRequests} from './malformed_requests.js';
 import type {OutgoingHeaders} from './outgoing_request.js';
 
 const STATUS_BY_ERROR_CODE: Readonly<Record<string, number>> = {
@@ -19,6 +20,7 @@
   headers: OutgoingHeaders = {},
 ): void {
   const status = STATUS_BY_ERROR_CODE[error.code ?? ''] ?? DEFAULT_STATUS;
+  processMalformedRequests.record(status, error.code ?? error.message);
   answerUnread(socket, status, headers);
 }
 
--- a/packages/http/src/index.ts
+++ b/packages/http/src/index.ts
@@ -8,6 +8,7 @@
 export * from './connection_pool.js';
 export * from './discard_body.js';
 export * from './free_ports.js';
+export * from './malformed_requests.js';
 export {isMalformedReply} from './malformed_reply_error.js';
 export * from './liveness_connection.js';
 export * from './heap_growth.js';
--- a/packages/router/src/calls/call_handler.ts
+++ b/packages/router/src/calls/call_handler.ts
@@ -202,6 +202,8 @@
       const answer = this.answers.make(outcome, call, retryAfterMs);
       sendAnswer(exchange, answer);
       this.metrics.recordCall('none', outcome, 0, 0);
+      const isOutdated = this.state.configuration.advertised.isBehind();
+      this.metrics.recordRefusal(answer.status, isOutdated);
       const nowMs = readSteadyMs();
       this.refusals.record(outcome, nowMs, () => ({
         request: call.id,
--- a/packages/router/src/members/member_service.ts
+++ b/packages/router/src/members/member_service.ts
@@ -137,6 +137,8 @@
     const toleranceMs = MIN_FLEET_HEARTBEAT_MS / 2;
     const intervalMs = this.computeIntervalMs();
     const watched = this.view.listWatched(nowMs);
+    const versions = this.view.listVersions(nowMs);
+    this.state.configuration.advertised.keepAdvertised(versions, nowMs);
     const isUrgent = this.watch.update(watched, intervalMs, nowMs);
     this.suspicionLog.update(this.view.listSuspected(nowMs));
     if (isUrgent || this.isHeartbeatDue()) {
@@ -247,11 +249,13 @@
       this.counts.send(this.makeHeartbeat(), [heartbeat]);
     }
     this.guard.merge(heartbeat.suspects ?? [], nowMs);
+    const {configurationVersion} = heartbeat;
+    this.state.configuration.advertised.record(configurationVersion, nowMs);
     this.catchUp.applyEvacuated(heartbeat, nowMs);
     if (this.catchUp.isBehind(heartbeat)) {
       this.runFiber?.(this.catchUp.run(heartbeat));
     } else if (heartbeat.isStoreReached) {
-      this.state.recordConfirmed(nowMs);
+      this.state.recordConfirmed(configurationVersion, nowMs);
     }
   }
 }
--- a/packages/router/src/members/member_view.ts
+++ b/packages/router/src/members/member_view.ts
@@ -89,6 +89,13 @@
       .map(({id}) => id);
   }
 
+  /** Lists the configuration versions of running peers that are not suspected. */
+  listVersions(nowMs: number): number[] {
+    return this.listPeersSeenWithin(computeLiveAgeMs, nowMs)
+      .filter(peer => !this.watch.isSuspected(toWatchedDaemon(peer)))
+      .map(({heartbeat}) => heartbeat.configurationVersion);
+  }
+
   /** Finds the last heartbeats of some daemons; unknown ones are omitted. */
   findHeartbeats(ids: readonly string[]): Heartbeat[] {
     return ids.flatMap(id => this.peers.get(id)?.heartbeat ?? []);
--- a/packages/router/src/metrics/list_connection_gauges.ts
+++ b/packages/router/src/metrics/list_connection_gauges.ts
@@ -1,6 +1,7 @@
 import {
   ClosureReason,
   processConnections,
+  processMalformedRequests,
   processTurns,
 } from '@greengagecross/http';
 import type {GaugeReader} from './router_metrics.js';
@@ -23,6 +24,23 @@
       help: 'Connections whose requests wait for a turn of the event loop.',
       read: () => processTurns.countWaiting(),
     },
+    {
+      name: 'greengagecross_requests_malformed',
+      help: 'Requests refused unread with 400 or 413, since they are not valid HTTP.',
+      read: () =>
+        processMalformedRequests.count(400) +
+        processMalformedRequests.count(413),
+    },
+    {
+      name: 'greengagecross_requests_timed_out',
+      help: 'Requests refused unread with 408, since they did not arrive in time.',
+      read: () => processMalformedRequests.count(408),
+    },
+    {
+      name: 'greengagecross_requests_oversized_headers',
+      help: 'Requests refused unread with 431, since their headers are too large.',
+      read: () => processMalformedRequests.count(431),
+    },
     {
       name: 'greengagecross_clients_closed_memory',
       help: 'Connections closed since all of them held too much memory.',
--- a/packages/router/src/metrics/router_gauges.ts
+++ b/packages/router/src/metrics/router_gauges.ts
@@ -31,6 +31,11 @@
       help: 'Version of the active configuration; -1 before the first.',
       read: () => configuration.getVersion(),
     },
+    {
+      name: 'greengagecross_configuration_lag_seconds',
+      help: 'Time since running peers first advertised a newer configuration; 0 if none does.',
+      read: () => configuration.advertised.computeLagMs(readSteadyMs()) / 1000,
+    },
     {
       name: 'greengagecross_backends_revision',
       help: 'Store revision of the backend server list; -1 before the first.',
--- a/packages/router/src/metrics/router_metrics.ts
+++ b/packages/router/src/metrics/router_metrics.ts
@@ -63,6 +63,18 @@
     registers: [this.registry],
   });
 
+  private readonly activationSeconds = new Histogram({
+    name: 'greengagecross_configuration_activation_seconds',
+    help: 'Time from when peers first advertised a newer configuration to its activation; 0 if no peer did before.',
+    buckets: SECONDS_BUCKETS,
+    registers: [this.registry],
+  });
+  private readonly refusals = new Counter({
+    name: 'greengagecross_refusals_total',
+    help: 'Requests refused before dispatch, by status and by whether peers advertised a newer configuration.',
+    labelNames: ['status', 'outdated'],
+    registers: [this.registry],
+  });
   private readonly idempotentSeconds = new Histogram({
     name: 'greengagecross_idempotent_call_seconds',
     help: 'Time from an idempotent request to the end of its answer, in seconds, by whether hedging was on.',
@@ -119,6 +131,16 @@
     this.idempotentSeconds.observe({hedging}, seconds);
   }
 
+  /** Records a request refused before dispatch. */
+  recordRefusal(status: number, isOutdated: boolean): void {
+    this.refusals.inc({status, outdated: String(isOutdated)});
+  }
+
+  /** Records that a configuration became active. */
+  recordActivation(lagMs: number): void {
+    this.activationSeconds.observe(lagMs / 1000);
+  }
+
   /** Records an attempt that gave no complete reply. */
   recordAttemptFailure(failure: AttemptFailureKind, hadEvent: boolean): void {
     this.attemptFailures.inc({failure, had_event: String(hadEvent)});
--- a/packages/router/src/router_parts.ts
+++ b/packages/router/src/router_parts.ts
@@ -59,7 +59,9 @@
 
 /** Creates and connects all parts of a router daemon. */
 export class RouterParts {
-  readonly state = new FleetState();
+  readonly state = new FleetState(lagMs =>
+    this.metrics.recordActivation(lagMs),
+  );
   readonly health = new ServerHealth();
   readonly calls: CallHandler;
   readonly members: MemberService;
--- a/packages/router/src/state/current_configuration.ts
+++ b/packages/router/src/state/current_configuration.ts
@@ -2,6 +2,7 @@
 import type {RoutingConfiguration} from '../model/routing_configuration.js';
 import {CustomerTable} from '../routing/customer_table.js';
 import {RouteTable} from '../routing/route_table.js';
+import {AdvertisedVersions} from './advertised_versions.js';
 
 const logger = new Logger('configuration');
 
@@ -16,13 +17,19 @@
 /**
  * Holds the active configuration; never replaces it by an older version. The
  * configuration is confirmed whenever a version arrives, and whenever the store,
- * or a peer that reaches the store, holds nothing newer. Each `nowMs` is a time
- * on the monotonic clock.
+ * or a peer that reaches the store, holds the active one; never while running
+ * peers advertise a newer one. Each `nowMs` is a time on the monotonic clock.
  */
 export class CurrentConfiguration {
+  readonly advertised = new AdvertisedVersions();
   private view: ConfigurationView | undefined;
   private confirmedAtMs = 0;
 
+  /** @param onActivated called with the lag that an activation ended or reduced */
+  constructor(
+    private readonly onActivated: (lagMs: number) => void = () => undefined,
+  ) {}
+
   /**
    * Activates a configuration if its version is newer. Records a confirmation,
    * whatever the version.
@@ -30,15 +37,22 @@
    * @return whether the configuration became active
    */
   set(configuration: RoutingConfiguration, nowMs: number): boolean {
-    this.confirmedAtMs = nowMs;
     const current = this.view?.configuration.version;
-    if (current !== undefined && configuration.version <= current) return false;
+    if (current !== undefined && configuration.version <= current) {
+      this.recordConfirmed(nowMs);
+      return false;
+    }
     this.view = makeView(configuration);
+    const lagMs = this.advertised.computeLagMs(nowMs);
+    this.advertised.setActive(configuration.version);
+    this.recordConfirmed(nowMs);
     logger.log('A configuration became active.', {
       version: configuration.version,
       before: current,
       routes: configuration.routes.length,
+      lagMs,
     });
+    this.onActivated(lagMs);
     return true;
   }
 
@@ -57,9 +71,9 @@
     return Math.round(nowMs - this.confirmedAtMs);
   }
 
-  /** Records a confirmation of the configuration. */
+  /** Records a confirmation, unless running peers advertise a newer version. */
   recordConfirmed(nowMs: number): void {
-    this.confirmedAtMs = nowMs;
+    if (!this.advertised.isBehind()) this.confirmedAtMs = nowMs;
   }
 }
 
--- a/packages/router/src/state/fleet_state.ts
+++ b/packages/router/src/state/fleet_state.ts
@@ -11,7 +11,7 @@
  * evacuated availability zones. Each `nowMs` is a time on the monotonic clock.
  */
 export class FleetState {
-  readonly configuration = new CurrentConfiguration();
+  readonly configuration: CurrentConfiguration;
   readonly backends = new BackendRegistry();
   readonly evacuated = new EvacuatedZones();
   private readonly completeLatch = Latch.makeUnsafe(false);
@@ -19,14 +19,26 @@
   /** The zones that were last checked for zones without servers. */
   private checkedZones: readonly string[] = [];
 
+  /** @param onActivated called when a configuration becomes active */
+  constructor(onActivated?: (lagMs: number) => void) {
+    this.configuration = new CurrentConfiguration(onActivated);
+  }
+
   /** Records an update; resumes waiting requests once the state is complete. */
   recordUpdate(): void {
     if (this.isComplete()) this.completeLatch.openUnsafe();
   }
 
-  /** Records a confirmation by a peer that reaches the store. */
-  recordConfirmed(nowMs: number): void {
-    this.configuration.recordConfirmed(nowMs);
+  /**
+   * Records a confirmation by a peer that reaches the store and has nothing newer.
+   *
+   * @param version the peer's configuration: it confirms no other
+   */
+  recordConfirmed(version: number, nowMs: number): void {
+    const {configuration} = this;
+    if (version === configuration.getVersion()) {
+      configuration.recordConfirmed(nowMs);
+    }
     this.backends.recordConfirmed(nowMs);
     this.evacuated.recordConfirmed(nowMs);
   }
@@ -93,9 +105,12 @@
   /** Describes the versions in use and their ages for a log line. */
   describe(nowMs: number): Record<string, string | number> {
     const {configuration, backends, evacuated} = this;
+    const newer = configuration.advertised.getNewer();
     return {
       configuration: configuration.getVersion(),
       configurationAgeMs: configuration.computeAgeMs(nowMs),
+      ...(newer === undefined ? {} : {newerConfiguration: newer}),
+      configurationLagMs: configuration.advertised.computeLagMs(nowMs),
       backends: backends.getRevision(),
       backendsAgeMs: backends.computeAgeMs(nowMs),
       ...evacuated.describe(nowMs),
