Let replies that keep arriving take longer than a call's timeout

Callers saw: daemons behind thin links answered 404 for new routes and used outdated lists of backend servers. A large configuration took longer to arrive than a whole call may take; what had arrived was thrown away, and the same transfer began again.

ExchangeTimeouts limits the parts of an exchange: the time until the head of the reply, the silence within its body, and the whole. Calls of peers use it: their timeout now ends when the reply begins, then 1 s of silence ends them, and 10 s more in all. The error tells which of these it was and how many bytes of the body had arrived. PhaseTracker has moved to a file of its own.

--- a/packages/http/src/http_client.ts
+++ b/packages/http/src/http_client.ts
@@ -1,33 +1,15 @@
 import {request, type ClientRequest, type IncomingMessage} from 'node:http';
-import type {Socket} from 'node:net';
 import {Effect} from 'effect';
 import {formatAddress} from '@greengagecross/common';
 import {ConnectionPool} from './connection_pool.js';
 import {finishMessage} from './finish_message.js';
-import {HttpError} from './http_error.js';
-import {HttpFailure} from './http_failure.js';
+import type {HttpError} from './http_error.js';
 import type {HttpReply, OpenReply} from './http_reply.js';
-import {isMalformedReply} from './malformed_reply_error.js';
 import type {OutgoingHeaders, OutgoingRequest} from './outgoing_request.js';
-import type {ConnectionUse} from './pooled_connection.js';
+import {PhaseTracker} from './phase_tracker.js';
 import {readBody} from './read_body.js';
-import {RequestPhase} from './request_phase.js';
-import {SilenceDetector} from './silence_detector.js';
 
 const DEFAULT_MAX_REPLY_BYTES = 16 * 1024 * 1024;
-/**
- * Share of the silence timeout after which an aborted request without a reply
- * also closes the idle connections to the same address, which may be dead as
- * well.
- */
-const LONG_WAIT_SHARE = 0.5;
-/** Use of a request that no connection was assigned to yet. */
-const UNUSED_CONNECTION: ConnectionUse = {
-  connection: 0,
-  requestsBefore: 0,
-  wasSentBefore: false,
-};
-
 /**
  * Sends requests over keep-alive connections. An error reports whether the
  * request may have been sent.
@@ -149,92 +131,3 @@
   if (body === undefined || body.length === 0) return {};
   return {'content-length': String(Buffer.byteLength(body))};
 }
-
-/** Tracks whether a request may have been sent and why it failed. */
-class PhaseTracker {
-  private phase = RequestPhase.NOT_SENT;
-  private failure = HttpFailure.CONNECT;
-  private connectTimer: NodeJS.Timeout | undefined;
-  private sentAtMs = Number.POSITIVE_INFINITY;
-  private hasReply = false;
-  private connectionUse = UNUSED_CONNECTION;
-
-  constructor(
-    private readonly clientRequest: ClientRequest,
-    private readonly outgoing: OutgoingRequest,
-    private readonly pool: ConnectionPool,
-  ) {
-    clientRequest.once('socket', socket => {
-      this.connectionUse = pool.startRequest(socket, outgoing);
-      this.onSocket(socket);
-    });
-    clientRequest.once('close', () => clearTimeout(this.connectTimer));
-    clientRequest.once('response', () => {
-      this.hasReply = true;
-    });
-  }
-
-  /** Returns the use of a connection by this request. */
-  getConnectionUse(): ConnectionUse {
-    return this.connectionUse;
-  }
-
-  makeError(cause?: Error): HttpError {
-    const target = formatAddress(this.outgoing.address);
-    const isMalformed = cause !== undefined && isMalformedReply(cause);
-    const failure = isMalformed ? HttpFailure.MALFORMED : this.failure;
-    return new HttpError(failure, this.phase, target, cause);
-  }
-
-  /**
-   * Cancels the request. After a long wait without a reply, the idle
-   * connections to the same address are closed too, as they may be dead as well.
-   */
-  onAborted(): void {
-    const waitedMs = performance.now() - this.sentAtMs;
-    const isLong = waitedMs > this.outgoing.silenceMs * LONG_WAIT_SHARE;
-    if (isLong && !this.hasReply) this.closeIdle();
-    this.clientRequest.destroy();
-  }
-
-  private onSocket(socket: Socket): void {
-    if (!socket.connecting) {
-      this.onConnected(socket);
-      return;
-    }
-    this.connectTimer = setTimeout(
-      () => this.clientRequest.destroy(),
-      this.outgoing.connectTimeoutMs,
-    );
-    socket.once('connect', () => this.onConnected(socket));
-  }
-
-  private onConnected(socket: Socket): void {
-    clearTimeout(this.connectTimer);
-    this.phase = RequestPhase.MAYBE_SENT;
-    this.failure = HttpFailure.CLOSED;
-    this.sentAtMs = performance.now();
-    const {silenceMs, mayEndSilent} = this.outgoing;
-    new SilenceDetector(
-      this.clientRequest,
-      socket,
-      silenceMs,
-      () => this.onSilent(),
-      mayEndSilent,
-    );
-  }
-
-  private onSilent(): void {
-    this.failure = HttpFailure.SILENT;
-    this.closeIdle();
-    this.clientRequest.destroy(
-      new Error('no byte received within the silence timeout'),
-    );
-  }
-
-  /** Closes the idle connections to the address; they may be dead as well. */
-  private closeIdle(): void {
-    const {host, port} = this.outgoing.address;
-    this.pool.closeIdle(host, port);
-  }
-}
--- a/packages/http/src/http_error.ts
+++ b/packages/http/src/http_error.ts
@@ -5,6 +5,8 @@
 /**
  * Failure of an HTTP exchange or listener. `phase` is not a stage of the
  * exchange, but whether the other end may have received the request.
+ *
+ * @param receivedBytes received bytes of the body; undefined before the body
  */
 export class HttpError extends LayerError {
   constructor(
@@ -12,11 +14,17 @@
     readonly phase: RequestPhase,
     target: string,
     cause?: Error,
+    readonly receivedBytes?: number,
   ) {
     super(
       'HttpError',
       `HTTP exchange with ${target} failed: ${failure}`,
-      {failure, phase, target},
+      {
+        failure,
+        phase,
+        target,
+        ...(receivedBytes === undefined ? {} : {receivedBytes}),
+      },
       cause,
     );
   }
--- a/packages/http/src/http_failure.ts
+++ b/packages/http/src/http_failure.ts
@@ -4,6 +4,10 @@
   CONNECT = 'connect',
   /** No byte was received within the silence timeout. */
   SILENT = 'silent',
+  /** The head of the reply was not complete within its timeout. */
+  NO_REPLY = 'no-reply',
+  /** The exchange was not complete within its total timeout. */
+  TOO_SLOW = 'too-slow',
   /** The connection closed before the exchange was complete. */
   CLOSED = 'closed',
   /** The received bytes are not a reply in HTTP/1.0 or HTTP/1.1. */
--- a/packages/http/src/index.ts
+++ b/packages/http/src/index.ts
@@ -7,6 +7,7 @@
 export * from './check_listener.js';
 export * from './connection_pool.js';
 export * from './discard_body.js';
+export * from './exchange_timeouts.js';
 export * from './free_ports.js';
 export {isMalformedReply} from './malformed_reply_error.js';
 export * from './liveness_connection.js';
--- a/packages/http/src/outgoing_request.ts
+++ b/packages/http/src/outgoing_request.ts
@@ -22,8 +22,15 @@
   /** Undefined if replies name no request. */
   readonly replyId?: ReplyId;
   readonly connectTimeoutMs: number;
-  /** Silence timeout: longest time without a byte from the other end. */
+  /**
+   * Silence timeout: longest time without a byte from the other end. With a
+   * `headTimeoutMs`, silence counts only once the head of the reply is complete.
+   */
   readonly silenceMs: number;
+  /** See `ExchangeTimeouts`. */
+  readonly headTimeoutMs?: number;
+  /** See `ExchangeTimeouts`. */
+  readonly totalTimeoutMs?: number;
   /**
    * Asked once the silence timeout has passed, and repeatedly from then on: the
    * request goes on while it returns false. By default it ends.
--- a/packages/http/src/read_body.ts
+++ b/packages/http/src/read_body.ts
@@ -2,6 +2,7 @@
 import {Effect} from 'effect';
 import {processBuffers, type BufferBudget} from './buffer_budget.js';
 import {ByteCollector} from './byte_collector.js';
+import {ExchangeTimeoutError} from './exchange_timeouts.js';
 import {HttpError} from './http_error.js';
 import {HttpFailure} from './http_failure.js';
 import {isMalformedReply} from './malformed_reply_error.js';
@@ -9,8 +10,10 @@
 
 /**
  * Reads a body to its end. Fails with `CLOSED` if the body is truncated, with
- * `MALFORMED` if the chunks of a reply are malformed, with `TOO_LARGE` if it exceeds `maxBytes`, and with `OVERLOADED` if it is the
- * largest when the bodies that are being read exceed the budget.
+ * the failure of a timeout that ended the exchange, with `MALFORMED` if the
+ * chunks of a reply are malformed, with `TOO_LARGE` if it exceeds `maxBytes`, and
+ * with `OVERLOADED` if it is the largest when the bodies that are being read
+ * exceed the budget.
  *
  * @param target names the other end in the error.
  */
@@ -29,12 +32,11 @@
     };
     const stop = (failure: HttpFailure, cause?: Error): void => {
       release();
-      collector.take();
+      const received = collector.take().length;
       stream.pause();
+      const phase = RequestPhase.MAYBE_SENT;
       resume(
-        Effect.fail(
-          new HttpError(failure, RequestPhase.MAYBE_SENT, target, cause),
-        ),
+        Effect.fail(new HttpError(failure, phase, target, cause, received)),
       );
     };
     const onData = (chunk: Buffer): void => {
@@ -47,13 +49,15 @@
       release();
       resume(Effect.succeed(collector.take()));
     });
-    stream.once('error', error => {
-      const isMalformed = isMalformedReply(error);
-      stop(isMalformed ? HttpFailure.MALFORMED : HttpFailure.CLOSED, error);
-    });
+    stream.once('error', error => stop(toFailure(error), error));
     stream.once('close', () => {
       if (!stream.complete) stop(HttpFailure.CLOSED);
     });
     return Effect.sync(release);
   });
 }
+
+function toFailure(error: Error): HttpFailure {
+  if (error instanceof ExchangeTimeoutError) return error.failure;
+  return isMalformedReply(error) ? HttpFailure.MALFORMED : HttpFailure.CLOSED;
+}
--- a/packages/peers/src/peer_client.ts
+++ b/packages/peers/src/peer_client.ts
@@ -14,6 +14,10 @@
 /** Path of the JSON-RPC endpoint on a control listener. */
 export const PEER_PATH = '/rpc';
 
+/** Longest time without a byte of a reply that has begun. */
+const SILENCE_MS = 1000;
+/** Added to the time for a reply to begin to get the bound of the whole call. */
+const TRANSFER_TIMEOUT_MS = 10_000;
 const MAX_RESPONSE_BYTES = 4 * 1024 * 1024;
 
 /** Calls other daemons' methods over persistent HTTP connections. */
@@ -22,7 +26,7 @@
   constructor(
     private readonly client: HttpClient,
     private readonly key: string,
-    /** Default timeout of a call, in milliseconds. */
+    /** Default time for the reply of a call to begin, in milliseconds. */
     readonly timeoutMs: number,
   ) {
     super();
@@ -40,10 +44,6 @@
       try: signal => this.request(address, method, params, timeoutMs, signal),
       catch: thrown => new PeerError(method, target, toError(thrown)),
     }).pipe(
-      Effect.timeoutOrElse({
-        duration: timeoutMs,
-        orElse: () => Effect.fail(new PeerError(method, target)),
-      }),
       Effect.flatMap(value =>
         Effect.try({
           try: () => decodeDocument(result, value, method),
@@ -82,7 +82,9 @@
       headers: {authorization: `Bearer ${this.key}`},
       body,
       connectTimeoutMs: timeoutMs,
-      silenceMs: timeoutMs,
+      headTimeoutMs: timeoutMs,
+      silenceMs: SILENCE_MS,
+      totalTimeoutMs: timeoutMs + TRANSFER_TIMEOUT_MS,
       maxReplyBytes: MAX_RESPONSE_BYTES,
     });
   }
--- a/packages/peers/src/peer_error.ts
+++ b/packages/peers/src/peer_error.ts
@@ -1,7 +1,7 @@
 import {LayerError} from '@greengagecross/common';
 
 /**
- * A failed call to another daemon; without a `cause`, the call timed out.
+ * A failed call to another daemon.
  * {@link PeerServer} also uses it, with the method `receive` and the target
  * `self`, for a received JSON-RPC body that cannot be processed.
  */
--- a/packages/peers/src/peer_rpc.ts
+++ b/packages/peers/src/peer_rpc.ts
@@ -7,12 +7,13 @@
 export abstract class PeerRpc {
   /**
    * Calls a method and decodes its result. Fails with a PeerError if the peer
-   * is unreachable, reports an error, does not answer within the timeout, or
-   * sends a result that does not match the schema.
+   * is unreachable, reports an error, does not begin to answer within the
+   * timeout, or sends a result that is cut short or does not match the schema.
    *
    * @param result schema of the result
-   * @param timeoutMs timeout of this call in milliseconds, if it differs from
-   *     the default
+   * @param timeoutMs time for the reply to begin, in milliseconds, if it differs
+   *     from the default; a reply that has begun is ended by silence and by a
+   *     longer bound for the whole call
    */
   abstract send<S extends Schema.ConstraintDecoder<unknown>>(
     address: Address,
