--- a/packages/router/src/members/member_service.ts
+++ b/packages/router/src/members/member_service.ts
@@ -17,6 +17,7 @@
 import type {CrashGuard} from '../suspects/crash_guard.js';
 import {SUSPECT_MESSAGE_KIND} from '../suspects/suspect_message.js';
 import {isAdvertised, makeAdvertisedState} from './advertised_state.js';
+import type {ConfigurationCatchUp} from './configuration_catch_up.js';
 import {DaemonState, type Heartbeat} from './heartbeat.js';
 import {HeartbeatCounts, hasCollectors} from './heartbeat_counts.js';
 import {HeartbeatSocket} from './heartbeat_socket.js';
@@ -25,7 +26,6 @@
 import {PeerDiscovery} from './peer_discovery.js';
 import {StoreFollowing} from './store_following.js';
 import {SuspicionLog} from './suspicion_log.js';
-import type {ConfigurationCatchUp} from './configuration_catch_up.js';
 import type {StateCatchUp} from './state_catch_up.js';
 
 /** Maximum number of crash reports in a heartbeat. */
@@ -139,6 +139,8 @@
     const toleranceMs = MIN_FLEET_HEARTBEAT_MS / 2;
     const intervalMs = this.computeIntervalMs();
     const watched = this.view.listWatched(nowMs);
+    const versions = this.view.listVersions(nowMs);
+    this.state.configuration.advertised.keepAdvertised(versions, nowMs);
     const isUrgent = this.watch.update(watched, intervalMs, nowMs);
     this.suspicionLog.update(this.view.listSuspected(nowMs));
     if (isUrgent || this.isHeartbeatDue()) {
@@ -250,14 +252,14 @@
       this.counts.send(this.makeHeartbeat(), [heartbeat]);
     }
     this.guard.merge(heartbeat.suspects ?? [], nowMs);
+    const {configurationVersion} = heartbeat;
+    this.state.configuration.advertised.record(configurationVersion, nowMs);
     this.catchUp.applyEvacuated(heartbeat, nowMs);
-    const {catchUp, configurationCatchUp} = this;
-    const behind = [catchUp, configurationCatchUp].filter(part =>
-      part.isBehind(heartbeat),
-    );
+    const parts = [this.catchUp, this.configurationCatchUp];
+    const behind = parts.filter(part => part.isBehind(heartbeat));
     for (const part of behind) this.runFiber?.(part.run(heartbeat));
     if (behind.length === 0 && heartbeat.isStoreReached) {
-      this.state.recordConfirmed(nowMs);
+      this.state.recordConfirmed(configurationVersion, nowMs);
     }
   }
 }
