Wait whole milliseconds for a busy peer

A rest of less than the clock's precision was slept for 0 ms again and again: seen as a fiber of the test clock that did not suspend, in a trial with 5,000 routes.

--- a/packages/router/src/members/configuration_holders.ts
+++ b/packages/router/src/members/configuration_holders.ts
@@ -102,7 +102,9 @@
   }
 
   private computePauseMs(id: string, nowMs: number): number {
-    return Math.max(0, (this.pausedUntilMs.get(id) ?? nowMs) - nowMs);
+    // Whole milliseconds: a rest below the clock's precision would never pass.
+    const pauseMs = (this.pausedUntilMs.get(id) ?? nowMs) - nowMs;
+    return Math.max(0, Math.ceil(pauseMs));
   }
 
   private listNewest(heldVersion: number): ConfigurationHolder[] {
