Give turns to daemons that ask a busy peer for a configuration

Seen: in a simulated fleet (trial, 78 daemons behind 1.25 MB/s, 54 KB a document) a follower of the store answered 146 calls in 0.7 s, and 300 if it was the only one: much for a host with a third of a core. Cause: a daemon asked each holder that it knew whenever that might be free. Change: a busy peer names a turn, at itself or at a daemon that will have been served by then, and counts whoever it gave one to as a later sender. A daemon waits for its turn and asks others only if that fails.

--- a/packages/router/src/members/configuration_catch_up.feature
+++ b/packages/router/src/members/configuration_catch_up.feature
@@ -60,6 +60,27 @@
     Then the daemon holds version 2 of the configuration
     And the store was read 0 times for the configuration
 
+  # Guards against daemons that all ask every holder again and again while these
+  # are busy.
+  Scenario: A daemon waits for the turn that a busy peer gives it
+    Given peer "busy" holds version 2 and gives a turn at "next" after 200 ms
+    And peer "next" was sent version 2 and sends it in 10 ms
+    And peer "other" in zone "b" holds version 2 and sends it in 10 ms
+    When the peers advertise their configurations
+    And 199 ms pass for the configuration
+    Then the peers were asked in the order "busy"
+    When 12 ms pass for the configuration
+    Then the daemon holds version 2 of the configuration
+    And the peers were asked in the order "busy,next"
+
+  Scenario: Another peer is asked if the one whose turn it is does not answer
+    Given peer "busy" holds version 2 and gives a turn at "stopped" after 200 ms
+    And peer "other" in zone "b" holds version 2 and sends it in 10 ms
+    When the peers advertise their configurations
+    And 715 ms pass for the configuration
+    Then the daemon holds version 2 of the configuration
+    And the peers were asked in the order "busy,stopped,other"
+
   Scenario: The store is read after two peers failed
     Given peers "one,two,three" hold version 2 and never answer
     And the store holds version 2
--- a/packages/router/src/members/configuration_catch_up_steps.ts
+++ b/packages/router/src/members/configuration_catch_up_steps.ts
@@ -114,6 +114,16 @@
   },
 );
 
+Given(
+  'peer {string} holds version 2 and gives a turn at {string} after {int} ms',
+  function (this: ConfigurationWorld, id: string, other: string, ms: number) {
+    const turn = {peer: {id: other, address: {host: other, port: 1}}};
+    const busy = {version: 2, retryAfterMs: 5000, holders: []};
+    const answer = {busy: {...busy, turn: {...turn, afterMs: ms}}};
+    addPeer(this, id, () => answer, 0);
+  },
+);
+
 Given(
   /^peer "faulty" holds version 2 and sends a document that (.*)$/,
   function (this: ConfigurationWorld, fault: string) {
--- a/packages/router/src/members/configuration_holder_calls.ts
+++ b/packages/router/src/members/configuration_holder_calls.ts
@@ -110,6 +110,11 @@
       busy === undefined ? TransferOutcome.UNCHANGED : TransferOutcome.BUSY,
     );
     if (busy !== undefined) holders.addReferred(busy.version, busy.holders);
+    if (busy?.turn !== undefined) {
+      const {peer: next, afterMs} = busy.turn;
+      const atMs = nowMs + Math.min(afterMs, MAX_BUSY_PAUSE_MS);
+      holders.setTurn(busy.version, next, atMs);
+    }
     const pauseMs = busy?.retryAfterMs ?? RECEIVING_PEER_PAUSE_MS;
     const factor = 1 + this.random.nextUnit();
     holders.setPaused(
--- a/packages/router/src/members/configuration_holders.ts
+++ b/packages/router/src/members/configuration_holders.ts
@@ -26,6 +26,9 @@
   /** Times before which peers are not asked again, by id. */
   private readonly pausedUntilMs = new Map<string, number>();
 
+  /** The peer to ask next, and when; no other is asked before. */
+  private turn: {holder: ConfigurationHolder; atMs: number} | undefined;
+
   /** @param listRunning lists the last heartbeats of the running peers */
   constructor(
     private readonly self: DaemonIdentity,
@@ -46,15 +49,22 @@
     this.referred.clear();
     this.failedIds.clear();
     this.pausedUntilMs.clear();
+    this.turn = undefined;
   }
 
   /**
    * Chooses a peer to ask for a newer version than `heldVersion`; undefined if
    * none may be asked now. Only holders of the newest version count, so that
-   * versions which are replaced already are not sent. Those in the own
-   * availability zone come first, then chance decides.
+   * versions which are replaced already are not sent. A turn comes first, then
+   * those in the own availability zone, then chance decides.
    */
   choose(heldVersion: number, nowMs: number): ConfigurationHolder | undefined {
+    const {turn} = this;
+    if (turn !== undefined) {
+      if (nowMs < turn.atMs) return undefined;
+      this.turn = undefined;
+      return turn.holder;
+    }
     const holders = this.listNewest(heldVersion).filter(
       ({id}) => this.computePauseMs(id, nowMs) === 0,
     );
@@ -68,6 +78,7 @@
    * milliseconds; undefined if there are no peers left to ask.
    */
   computeWaitMs(heldVersion: number, nowMs: number): number | undefined {
+    if (this.turn !== undefined) return Math.ceil(this.turn.atMs - nowMs);
     const waits = this.listNewest(heldVersion).map(({id}) =>
       this.computePauseMs(id, nowMs),
     );
@@ -91,6 +102,13 @@
     }
   }
 
+  /** Records the turn that a busy peer gave. */
+  setTurn(version: number, {id, address}: ReferredPeer, atMs: number): void {
+    if (this.failedIds.has(id)) return;
+    this.addReferred(version, [{id, address}]);
+    this.turn = {holder: {id, address, version}, atMs};
+  }
+
   /** Records that a peer is not to be asked before a time. */
   setPaused(id: string, untilMs: number): void {
     this.pausedUntilMs.set(id, untilMs);
--- a/packages/router/src/members/configuration_message.ts
+++ b/packages/router/src/members/configuration_message.ts
@@ -13,6 +13,15 @@
 /** A daemon that was sent a configuration and can pass it on. */
 export type ReferredPeer = typeof ReferredPeerSchema.Type;
 
+const SendingTurnSchema = Schema.Struct({
+  peer: ReferredPeerSchema,
+  /** Time until the turn, in milliseconds. */
+  afterMs: Schema.Number,
+});
+
+/** A turn to be sent a configuration by a daemon. */
+export type SendingTurn = typeof SendingTurnSchema.Type;
+
 /** Parameters of the RPC that fetches a newer configuration. */
 export const ConfigurationQuerySchema = Schema.Struct({
   /** Version that the asking daemon holds; -1 for none. */
@@ -47,6 +56,8 @@
       holders: Schema.Array(ReferredPeerSchema).check(
         Schema.isMaxLength(MAX_REFERRALS),
       ),
+      /** The daemon that will be free to send this version, and when. */
+      turn: Schema.optionalKey(SendingTurnSchema),
     }),
   ),
 });
--- a/packages/router/src/members/configuration_spread.feature
+++ b/packages/router/src/members/configuration_spread.feature
@@ -9,5 +9,6 @@
     Then the update is more than 40000 bytes when it is compressed
     And all daemons hold the update within 1500 ms
     And no daemon was sent the update twice
+    And no daemon asked for it more than 4 times
     And no daemon read the store
     And no daemon sent more than half of its link's bandwidth
--- a/packages/router/src/members/configuration_spread.ts
+++ b/packages/router/src/members/configuration_spread.ts
@@ -102,6 +102,8 @@
 /** Daemons behind thin links, on virtual time; the first ones hold an update. */
 export class ConfigurationSpread extends PeerRpc {
   readonly documents: SentDocument[] = [];
+  /** Number of calls that each daemon sent, by its id. */
+  readonly calls = new Map<string, number>();
   readonly members = new Map<string, Member>();
   private readonly runtime = ManagedRuntime.make(TestClock.layer());
   private nowMs = 0;
@@ -130,7 +132,13 @@
       this.members.set(self.id, {
         state,
         source,
-        sender: new ConfigurationSender(documents, budget, random, metrics),
+        sender: new ConfigurationSender(
+          self,
+          documents,
+          budget,
+          random,
+          metrics,
+        ),
         catchUp: new ConfigurationCatchUp(
           self,
           state,
@@ -174,6 +182,7 @@
     timeoutMs = 0,
   ): Effect.Effect<S['Type'], PeerError> {
     const query = params as ConfigurationQuery;
+    this.calls.set(query.id, (this.calls.get(query.id) ?? 0) + 1);
     const to = this.members.get(query.id);
     const from = this.members.get(address.host);
     const error = new PeerError(method, address.host);
--- a/packages/router/src/members/configuration_spread_steps.ts
+++ b/packages/router/src/members/configuration_spread_steps.ts
@@ -72,6 +72,15 @@
   assert.equal(documents.length, receivers.size);
 });
 
+Then(
+  'no daemon asked for it more than {int} times',
+  function (this: SpreadWorld, most: number) {
+    const counts = [...this.spread.calls.values()];
+    assert.equal(counts.length, this.spread.members.size - this.followers);
+    assert.ok(Math.max(...counts) <= most, counts.join(' '));
+  },
+);
+
 Then('no daemon read the store', function (this: SpreadWorld) {
   for (const {source} of this.spread.members.values()) {
     assert.equal(source.reads, 0);
--- a/packages/router/src/router_parts.ts
+++ b/packages/router/src/router_parts.ts
@@ -174,6 +174,7 @@
     );
     const documents = new ConfigurationDocuments(this.state);
     const sender = new ConfigurationSender(
+      self,
       documents,
       new UploadBudget(computeUploadRate(settings)),
       random,
