Tell clients 400 and 408 only for what they mean

Clients whose connection ended in the middle of headers or a body got a 400. A request that had arrived while the process stood still for longer than its time-out got a 408, and one on an idle connection lost that connection. A 408 named no time to come back. A body that did not arrive was counted nowhere, or as too large.

Cause: each error of Node's parser or of the socket that was in no short list was answered with 400. Node's time-outs count all time since the start of a message, and its timers fire after a suspension before the bytes that wait in the kernel are read. An outcome for bodies was chosen without their failure.

Change: FailedReceipts answers only what is malformed (400, 431) or too slow (408 with Retry-After); other connections are closed without a reply. Such a reply is followed by up to 1 s in which what still arrives is discarded, so that it isn't lost to a reset. ReceiptTimer takes the place of Node's time-outs: time in which the connection wasn't read doesn't count, and nothing is overdue in the first check after a gap. An idle connection is closed only if no byte has arrived after its timer fired. A body is 413 by its length without reading it; bodies that are cut, late or malformed have outcomes of their own, a bounded log line and no answer of the router. greengagecross_requests_not_received_total counts by code. header_timeout_ms of the configuration applies if it is longer than 10 s.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -96,5 +96,6 @@
 export * from './members/known_members.js';
 export * from './limits/connection_load.js';
 export * from './limits/connection_slots.js';
+export * from './limits/receipt_timer.js';
 export * from './limits/turn_budget.js';
 export * from './limits/turn_queue.js';
--- a/packages/http/src/accepted_connection.ts
+++ b/packages/http/src/accepted_connection.ts
@@ -1,12 +1,13 @@
 import type {Socket} from 'node:net';
 import {Queue} from 'effect';
 import type {ConnectionHolding} from '@greengagecross/decisions';
-import {answerUnread} from './answer_malformed.js';
+import {answerUnavailable} from './answer_malformed.js';
 import {ConnectionState} from './connection_state.js';
 import type {HttpExchange} from './http_exchange.js';
 import {PendingRequests} from './pending_requests.js';
 import type {HeldConnection} from './process_connections.js';
 import {ReadAheadGate, type ReadAheadLimit} from './read_ahead_gate.js';
+import type {RequestReceipt} from './request_receipt.js';
 import type {TurnScheduler, TurnTaker} from './turn_scheduler.js';
 import {UnsentBytes} from './unsent_bytes.js';
 
@@ -22,9 +23,6 @@
  * with headers of 16 KB each took 1 MB of a connection and more.
  */
 const MAX_PENDING_HEADER_STRINGS = 1000;
-/** Status and delay for a client whose unfinished request is given up. */
-const UNAVAILABLE_STATUS = 503;
-const RETRY_AFTER_S = 1;
 /** Headers as strings take up to this many times their length on the wire. */
 const HEADER_MEMORY_FACTOR = 8;
 
@@ -36,17 +34,7 @@
   implements HeldConnection, ReadAheadLimit, TurnTaker
 {
   private readonly pending = new PendingRequests();
-  private receivedCount = 0;
   private readonly gate: ReadAheadGate;
-  /**
-   * Exchange of the latest request, until it was received and answered to its
-   * end: its headers may take hundreds of KB.
-   */
-  private latest: HttpExchange | undefined;
-  /** Most of the bytes being parsed that may follow the end of headers. */
-  private bodyStartBytes = 0;
-  /** Bytes parsed since the headers of the latest request, or a slice more. */
-  private parsedBytes = 0;
   private readonly unsent: UnsentBytes;
   /** Number of replies completed since the last check for progress. */
   private finishedCount = 0;
@@ -60,6 +48,7 @@
     private readonly onState: (state: ConnectionState) => void,
     private readonly isCrowded: () => boolean,
     private readonly turns: TurnScheduler,
+    readonly receipt: RequestReceipt,
   ) {
     this.holding = {
       connection: this,
@@ -78,9 +67,7 @@
    */
   add(exchange: HttpExchange): void {
     this.pending.add(exchange);
-    this.receivedCount += 1;
-    this.latest = exchange;
-    this.parsedBytes = this.bodyStartBytes;
+    this.receipt.add(exchange);
     exchange.response.once('finish', () => this.onReplyFinished());
     exchange.request.once('close', () => this.onRequestClosed(exchange));
     this.startNext();
@@ -97,7 +84,7 @@
 
   /** Returns whether the next request may be read, or the latest to its end. */
   isReadAllowed(): boolean {
-    if (this.latest?.request.complete === false) return true;
+    if (this.receipt.isReceivingBody()) return true;
     const most = this.isCrowded() ? 1 : MAX_PENDING_REQUESTS;
     return (
       this.pending.count() < most &&
@@ -115,26 +102,22 @@
 
   /** Counts the requests whose headers were received, since the start. */
   countReceived(): number {
-    return this.receivedCount;
+    return this.receipt.countReceived();
   }
 
   /** Counts the bytes that the body of the latest request certainly still has. */
   countBodyBytes(): number {
-    const request = this.latest?.request;
-    if (request === undefined || request.complete) return 0;
-    const length = Number(request.headers['content-length'] ?? 0);
-    return Math.max(0, length - this.parsedBytes) || 0;
+    return this.receipt.countBodyBytes();
   }
 
   /** Records bytes that are parsed next; see {@link ReadAheadLimit}. */
   onParsed(bytes: number, isHeadersEnd: boolean): void {
-    this.bodyStartBytes = isHeadersEnd ? 0 : bytes;
-    this.parsedBytes += bytes;
+    this.receipt.onParsed(bytes, isHeadersEnd);
   }
 
   /** Returns whether a reply is pending, and no request is being received. */
   isReplying(): boolean {
-    return this.pending.count() > 0 && this.latest?.request.complete === true;
+    return this.pending.count() > 0 && this.receipt.isReceived();
   }
 
   /**
@@ -143,9 +126,19 @@
    */
   hasStartedReply(): boolean {
     if (this.pending.count() === 0) return false;
-    return (
-      this.pending.count() > 1 || this.latest?.response.headersSent === true
-    );
+    return this.pending.count() > 1 || this.receipt.hasReplyStarted();
+  }
+
+  /** Returns whether the client takes too long to send a request. */
+  isOverdue(nowMs: number): boolean {
+    const isReading = !this.socket.isPaused();
+    return this.receipt.isOverdue(this.pending.count(), nowMs, isReading);
+  }
+
+  /** Returns whether nothing of a reply to the request being received was sent. */
+  isUnanswered(): boolean {
+    if (this.pending.count() > 0) return this.isReceiving();
+    return !this.receipt.isReceivingBody();
   }
 
   /** Discards what is received from now on, after input that is malformed. */
@@ -168,8 +161,7 @@
       return;
     }
     this.stopReading();
-    const headers = {'retry-after': String(RETRY_AFTER_S)};
-    answerUnread(this.socket, UNAVAILABLE_STATUS, headers);
+    answerUnavailable(this.socket);
   }
 
   /** Returns what the connection held at the last call of {@link observe}. */
@@ -205,8 +197,8 @@
     const unparsedBytes = this.gate.getHeldBytes();
     if (this.pending.count() === 0) {
       // The rest of the body of a request that was answered is discarded.
-      const isDiscarding = this.latest?.request.complete === false;
-      const headerBytes = isDiscarding ? 0 : this.parsedBytes;
+      const isDiscarding = this.receipt.isReceivingBody();
+      const headerBytes = isDiscarding ? 0 : this.receipt.countParsedBytes();
       return unparsedBytes + headerBytes * HEADER_MEMORY_FACTOR;
     }
     return unparsedBytes + this.unsent.get() + this.pending.countHeldBytes();
@@ -214,9 +206,8 @@
 
   /** Returns whether the only request is not received to its end. */
   private isReceiving(): boolean {
-    if (this.pending.count() !== 1 || this.latest === undefined) return false;
-    const {request, response} = this.latest;
-    return !request.complete && !response.headersSent;
+    if (this.pending.count() !== 1) return false;
+    return this.receipt.isReceivingBody() && !this.receipt.hasReplyStarted();
   }
 
   /**
@@ -242,9 +233,7 @@
 
   /** Forgets the bytes of a request that ended after its reply. */
   private onRequestClosed(exchange: HttpExchange): void {
-    if (this.pending.count() > 0 || this.latest !== exchange) return;
-    this.parsedBytes = 0;
-    this.latest = undefined;
+    if (this.pending.count() === 0) this.receipt.remove(exchange);
   }
 
   /**
@@ -261,10 +250,7 @@
       return;
     }
     // What was parsed belongs to requests that have been answered.
-    if (this.latest?.request.complete === true) {
-      this.parsedBytes = 0;
-      this.latest = undefined;
-    }
+    this.receipt.removeReceived();
     this.onState(ConnectionState.IDLE);
     this.socket.setTimeout(this.getKeepAliveMs() + KEEP_ALIVE_MARGIN_MS);
   }
--- a/packages/http/src/http_exchange.ts
+++ b/packages/http/src/http_exchange.ts
@@ -23,6 +23,8 @@
   readonly arrivedAtMs = Date.now();
   /** Length of the body once it has been read, in bytes. */
   private bodyBytes = 0;
+  /** Why the request was not received to its end; undefined if not known. */
+  private receiptFailure: HttpFailure | undefined;
   private readonly queryText: string;
   private parsedQuery: URLSearchParams | undefined;
 
@@ -52,26 +54,42 @@
     return Array.isArray(value) ? value[0] : value;
   }
 
+  /** Records why the rest of the request will not be received. */
+  recordReceiptFailure(failure: HttpFailure): void {
+    this.receiptFailure = failure;
+  }
+
+  /** Returns why the request was not received; by default its client left. */
+  getReceiptFailure(): HttpFailure {
+    return this.receiptFailure ?? HttpFailure.CLOSED;
+  }
+
   /**
-   * Reads the complete request body; fails if it exceeds `maxBytes`, and with
-   * `OVERLOADED` while the connections of the process hold too much for it. The error
-   * names the other end `caller`, also if it is a peer or an operator.
+   * Reads the complete request body; fails if it exceeds `maxBytes`, without
+   * reading if its length says so, and with `OVERLOADED` while the connections of
+   * the process hold too much for it. The error names the other end `caller`, also
+   * if it is a peer or an operator.
    */
   readBody(maxBytes: number): Effect.Effect<Buffer, HttpError> {
     return Effect.suspend(() => {
-      if (processConnections.isBodyRefused(this.getBodyLength())) {
-        return Effect.fail(
-          new HttpError(
-            HttpFailure.OVERLOADED,
-            RequestPhase.MAYBE_SENT,
-            'caller',
-          ),
-        );
+      const length = this.getBodyLength();
+      if (length !== undefined && length > maxBytes) {
+        return Effect.fail(makeError(HttpFailure.TOO_LARGE));
       }
-      return Effect.map(readBody(this.request, maxBytes, 'caller'), body => {
-        this.bodyBytes = body.length;
-        return body;
-      });
+      if (processConnections.isBodyRefused(length)) {
+        return Effect.fail(makeError(HttpFailure.OVERLOADED));
+      }
+      return readBody(this.request, maxBytes, 'caller').pipe(
+        Effect.map(body => {
+          this.bodyBytes = body.length;
+          return body;
+        }),
+        Effect.mapError(error =>
+          error.failure === HttpFailure.CLOSED
+            ? makeError(this.getReceiptFailure(), error)
+            : error,
+        ),
+      );
     });
   }
 
@@ -134,3 +152,7 @@
     });
   }
 }
+
+function makeError(failure: HttpFailure, cause?: Error): HttpError {
+  return new HttpError(failure, RequestPhase.MAYBE_SENT, 'caller', cause);
+}
--- a/packages/http/src/http_failure.ts
+++ b/packages/http/src/http_failure.ts
@@ -8,6 +8,10 @@
   CLOSED = 'closed',
   /** The received bytes are not a reply in HTTP/1.0 or HTTP/1.1. */
   MALFORMED = 'malformed-reply',
+  /** The chunks of a request's body are malformed. */
+  MALFORMED_REQUEST = 'malformed-request',
+  /** The client took too long to send its request. */
+  TIMED_OUT = 'timed-out',
   /** The body exceeded its size limit. */
   TOO_LARGE = 'too-large',
   /** The process held too many bytes of bodies; this one was the largest. */
--- a/packages/http/src/http_server.ts
+++ b/packages/http/src/http_server.ts
@@ -10,8 +10,8 @@
   type Scope,
 } from 'effect';
 import {formatAddress, Logger, type Address} from '@greengagecross/common';
-import {answerMalformed} from './answer_malformed.js';
 import type {AcceptedConnection} from './accepted_connection.js';
+import {FailedReceipts} from './failed_receipts.js';
 import {HttpError} from './http_error.js';
 import {HttpExchange} from './http_exchange.js';
 import {HttpFailure} from './http_failure.js';
@@ -51,10 +51,7 @@
  * connections to close.
  */
 const DRAIN_SETTLE_MS = 1000;
-const CHECKS_PER_TIMEOUT = 4;
 const DEFAULT_STALL_TIMEOUT_MS = 60_000;
-/** Prefix of the codes of errors after which Node parses nothing more. */
-const PARSER_ERROR_PREFIX = 'HPE_';
 const MAX_HEADER_BYTES = 16 * 1024;
 const logger = new Logger('http');
 
@@ -65,6 +62,7 @@
   /** Open while no exchange is in flight. */
   private readonly idle = Latch.makeUnsafe(true);
   private readonly connections: ListenerConnections;
+  private readonly failed: FailedReceipts;
   /** Done once the listener and all its connections are closed. */
   private readonly closed = Deferred.makeUnsafe<void>();
   /** Number of exchanges in flight. */
@@ -77,20 +75,25 @@
     private readonly handler: ExchangeHandler,
   ) {
     this.keepAliveMs = options.keepAliveMs;
-    const {address, maxConnections} = options;
+    const {address, maxConnections, headersTimeoutMs, requestTimeoutMs} =
+      options;
     const stallTimeoutMs = options.stallTimeoutMs ?? DEFAULT_STALL_TIMEOUT_MS;
+    this.failed = new FailedReceipts(
+      formatAddress(address),
+      () => options.buildMalformedHeaders?.() ?? {},
+    );
     this.connections = new ListenerConnections(
       address,
-      {maxConnections, stallTimeoutMs},
+      {maxConnections, stallTimeoutMs, headersTimeoutMs, requestTimeoutMs},
       () => this.keepAliveMs,
+      connection => this.failed.handleOverdue(connection),
     );
     this.server = createServer({
       maxHeaderSize: MAX_HEADER_BYTES,
       keepAliveTimeout: options.keepAliveMs,
-      headersTimeout: options.headersTimeoutMs,
-      requestTimeout: options.requestTimeoutMs,
-      connectionsCheckingInterval:
-        options.headersTimeoutMs / CHECKS_PER_TIMEOUT,
+      // Node's own time-outs count time in which the process did not read.
+      headersTimeout: 0,
+      requestTimeout: 0,
       noDelay: true,
       // TCP keep-alive: probes start once a connection was idle for as long as
       // HTTP keep-alive allows.
@@ -115,9 +118,11 @@
       this.server.on('request', (request, response) => {
         this.connections.addExchange(new HttpExchange(request, response));
       });
-      this.server.on('clientError', (error, stream) =>
-        this.onMalformed(error, stream as Socket),
-      );
+      this.server.on('clientError', (error, stream) => {
+        const connection = this.connections.find(stream as Socket);
+        this.failed.handleError(error, stream as Socket, connection);
+      });
+      this.server.on('timeout', socket => closeIfIdle(socket));
       yield* Effect.forkScoped(this.connections.watch());
       yield* Effect.acquireRelease(this.listen(), () => this.closeNow());
     });
@@ -156,6 +161,11 @@
     this.server.keepAliveTimeout = keepAliveMs;
   }
 
+  /** Sets how long a client may take to send its headers, from now on. */
+  setHeadersTimeoutMs(headersTimeoutMs: number): void {
+    this.connections.setHeadersTimeoutMs(headersTimeoutMs);
+  }
+
   /** Returns whether new connections are accepted. */
   isListening(): boolean {
     return this.server.listening;
@@ -215,20 +225,6 @@
     });
   }
 
-  private onMalformed(error: Error, socket: Socket): void {
-    const connection = this.connections.find(socket);
-    // After a timeout the rest of a request may still arrive.
-    const {code = ''} = error as NodeJS.ErrnoException;
-    if (code.startsWith(PARSER_ERROR_PREFIX)) connection?.stopReading();
-    // The pending reply is still completed; nothing is read after it.
-    if (connection?.isReplying() === true) return;
-    if (connection?.hasStartedReply() === true) {
-      socket.destroy();
-      return;
-    }
-    answerMalformed(socket, error, this.options.buildMalformedHeaders?.());
-  }
-
   private handle(exchange: HttpExchange): Effect.Effect<void> {
     this.active += 1;
     this.idle.closeUnsafe();
@@ -260,3 +256,14 @@
     if (this.active === 0) this.idle.openUnsafe();
   }
 }
+
+/**
+ * Closes a connection whose idle time is over, unless bytes have arrived: after a
+ * suspension of the process, timers fire before received bytes are read.
+ */
+function closeIfIdle(socket: Socket): void {
+  const {bytesRead} = socket;
+  setImmediate(() => {
+    if (socket.bytesRead === bytesRead) socket.destroy();
+  });
+}
--- a/packages/http/src/index.ts
+++ b/packages/http/src/index.ts
@@ -22,6 +22,7 @@
 export * from './process_connections.js';
 export * from './turn_scheduler.js';
 export * from './read_body.js';
+export * from './receipt_failures.js';
 export * from './read_descriptor_limit.js';
 export * from './request_phase.js';
 export * from './socket_byte_counter.js';
--- a/packages/http/src/listener_connections.ts
+++ b/packages/http/src/listener_connections.ts
@@ -6,6 +6,7 @@
 import {ConnectionState} from './connection_state.js';
 import type {HttpExchange} from './http_exchange.js';
 import {ClosureReason, processConnections} from './process_connections.js';
+import {RequestReceipt, type ReceiptLimits} from './request_receipt.js';
 import {processTurns} from './turn_scheduler.js';
 
 const MAX_CHECK_INTERVAL_MS = 250;
@@ -14,7 +15,7 @@
 const MIN_STALLED_MS = 2000;
 
 /** Limits of the connections of a listener. */
-export interface ConnectionLimits {
+export interface ConnectionLimits extends ReceiptLimits {
   /** Number of connections at a time; unlimited if absent. */
   readonly maxConnections?: number | undefined;
   /** How long a client may read nothing of its reply, in milliseconds. */
@@ -24,6 +25,7 @@
 /** Connections of one listener, within its limits. */
 export class ListenerConnections {
   private readonly connections = new Map<Socket, AcceptedConnection>();
+  private readonly checkIntervalMs: number;
   private readonly slots: ConnectionSlots<AcceptedConnection>;
   /** Connections closed for new ones that are not logged yet. */
   private unloggedClosures = 0;
@@ -32,7 +34,9 @@
     private readonly address: Address,
     private readonly limits: ConnectionLimits,
     private readonly getKeepAliveMs: () => number,
+    private readonly onOverdue: (connection: AcceptedConnection) => void,
   ) {
+    this.checkIntervalMs = computeCheckIntervalMs(limits);
     this.slots = new ConnectionSlots(limits.maxConnections);
   }
 
@@ -49,6 +53,7 @@
       state => this.setState(connection, state),
       () => processConnections.isCrowded(),
       processTurns,
+      new RequestReceipt(this.checkIntervalMs, this.limits),
     );
     const closed = this.slots.add(connection, performance.now());
     if (closed !== undefined) {
@@ -84,16 +89,19 @@
 
   /**
    * Closes connections whose other end stopped reading its replies, and those
-   * that hold most while all of the process hold too much.
+   * that hold most while all of the process hold too much; reports those whose
+   * other end takes too long to send a request.
    */
   watch(): Effect.Effect<never> {
-    const {stallTimeoutMs} = this.limits;
-    const intervalMs = Math.min(
-      MAX_CHECK_INTERVAL_MS,
-      stallTimeoutMs / CHECKS_PER_TIMEOUT,
-    );
     const check = Effect.sync(() => this.check(performance.now()));
-    return Effect.forever(Effect.andThen(Effect.sleep(intervalMs), check));
+    return Effect.forever(
+      Effect.andThen(Effect.sleep(this.checkIntervalMs), check),
+    );
+  }
+
+  /** Sets how long a client may take to send its headers, from now on. */
+  setHeadersTimeoutMs(headersTimeoutMs: number): void {
+    this.limits.headersTimeoutMs = headersTimeoutMs;
   }
 
   private check(nowMs: number): void {
@@ -103,6 +111,9 @@
       return stalledMs >= this.limits.stallTimeoutMs;
     });
     for (const connection of stalled) connection.close();
+    for (const connection of [...this.connections.values()]) {
+      if (connection.isOverdue(nowMs)) this.onOverdue(connection);
+    }
     this.report(ClosureReason.STALLED, stalled.length);
     this.report(ClosureReason.DESCRIPTORS, this.unloggedClosures);
     this.unloggedClosures = 0;
@@ -131,3 +142,13 @@
     processConnections.recordClosures(reason, count, {listener});
   }
 }
+
+function computeCheckIntervalMs(limits: ConnectionLimits): number {
+  const {stallTimeoutMs, headersTimeoutMs, requestTimeoutMs} = limits;
+  const shortestMs = Math.min(
+    stallTimeoutMs,
+    headersTimeoutMs,
+    requestTimeoutMs,
+  );
+  return Math.min(MAX_CHECK_INTERVAL_MS, shortestMs / CHECKS_PER_TIMEOUT);
+}
--- a/packages/router/src/calls/call_answer.ts
+++ b/packages/router/src/calls/call_answer.ts
@@ -14,8 +14,14 @@
   NO_ROUTE = 'no-route',
   /** The API key belongs to no customer. */
   UNKNOWN_KEY = 'unknown-key',
-  /** The request body could not be read within the size limit. */
+  /** The request body exceeds the size limit. */
   TOO_LARGE = 'too-large',
+  /** The client left before the request body was received to its end. */
+  BODY_CUT = 'body-cut',
+  /** The client took too long to send the request body. */
+  BODY_TIMED_OUT = 'body-timed-out',
+  /** The chunks of the request body are malformed. */
+  BODY_MALFORMED = 'body-malformed',
   /** No server was ready, or the deadline expired before any attempt. */
   NO_SERVER = 'no-server',
   /** Every server tried refused the request or was unreachable. */
--- a/packages/router/src/calls/call_handler.ts
+++ b/packages/router/src/calls/call_handler.ts
@@ -5,7 +5,7 @@
   listSuspects,
   type EventLoopDelay,
 } from '@greengagecross/decisions';
-import {HttpFailure, type HttpExchange} from '@greengagecross/http';
+import type {HttpExchange} from '@greengagecross/http';
 import type {RouterMetrics} from '../metrics/router_metrics.js';
 import {CallKind} from '../model/call_kind.js';
 import type {CallAddress, ClientCall} from '../model/client_call.js';
@@ -24,6 +24,7 @@
 import {chooseAdmission, type AdmittedRequest} from './choose_admission.js';
 import type {LocalAnswers} from './local_answers.js';
 import {makeFingerprint} from './make_fingerprint.js';
+import {readCallBody} from './read_call_body.js';
 import type {RefusalLog} from './refusal_log.js';
 import type {ServiceDispatcher} from './service_dispatcher.js';
 
@@ -110,15 +111,14 @@
   ): Effect.Effect<void> {
     const {maxBodyBytes} = view.configuration.limits;
     return Effect.gen({self: this}, function* () {
-      const read = yield* Effect.result(exchange.readBody(maxBodyBytes));
+      const read = yield* Effect.result(
+        readCallBody(exchange, maxBodyBytes, outcome => {
+          this.metrics.recordCall('none', outcome, 0, 0);
+          this.refusals.recordNotReceived(outcome, readSteadyMs(), call.id);
+        }),
+      );
       if (Result.isFailure(read)) {
-        const isOverloaded = read.failure.failure === HttpFailure.OVERLOADED;
-        const outcome = isOverloaded
-          ? CallOutcome.OVERLOADED
-          : CallOutcome.TOO_LARGE;
-        yield* this.refuse(exchange, call, outcome);
-        exchange.response.once('finish', () => exchange.request.destroy());
-        return;
+        return yield* this.refuse(exchange, call, read.failure);
       }
       // The body may have taken a long part of the stop grace.
       if (this.isRefusing()) {
--- a/packages/router/src/metrics/router_metrics.ts
+++ b/packages/router/src/metrics/router_metrics.ts
@@ -1,5 +1,6 @@
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 import type {HedgeRefusal, ServerNotice} from '@greengagecross/decisions';
+import {processReceiptFailures} from '@greengagecross/http';
 import type {AttemptFailureKind} from '../calls/attempt_failure.js';
 import type {CallOutcome} from '../calls/call_answer.js';
 import type {CallKind} from '../model/call_kind.js';
@@ -83,6 +84,21 @@
     registers: [this.registry],
   });
 
+  constructor() {
+    new Counter({
+      name: 'greengagecross_requests_not_received_total',
+      help: 'Requests that no listener could receive, or connections that failed, by the code of the error.',
+      labelNames: ['code'],
+      registers: [this.registry],
+      collect() {
+        this.reset();
+        for (const [code, total] of processReceiptFailures.listTotals()) {
+          this.inc({code}, total);
+        }
+      },
+    });
+  }
+
   /** Registers a gauge that is read when metrics are collected. */
   addGauge({name, help, read}: GaugeReader): void {
     new Gauge({
--- a/packages/router/src/model/caller_limits.ts
+++ b/packages/router/src/model/caller_limits.ts
@@ -1,15 +1,12 @@
-/**
- * Limits on the requests and connections of clients (also named callers). The
- * server applies fixed limits to headers instead of those configured here.
- */
+/** Limits on the requests and connections of clients (also named callers). */
 export interface CallerLimits {
   /** Configured, but not applied. */
   readonly maxHeaderBytes: number;
   /** Maximum size of a request body. */
   readonly maxBodyBytes: number;
   /**
-   * Maximum time until the request headers have been received; configured, but
-   * not applied.
+   * Maximum time until the request headers have been received; the server
+   * applies a fixed one instead if that is longer.
    */
   readonly headerTimeoutMs: number;
   /** Maximum idle time of a keep-alive connection between requests. */
--- a/packages/router/src/router_daemon.ts
+++ b/packages/router/src/router_daemon.ts
@@ -18,7 +18,11 @@
 import type {RouterSettings} from './model/router_settings.js';
 import {RouterParts, type RouterPorts} from './router_parts.js';
 
-/** Time until a connection without complete request headers is closed. */
+/**
+ * Time until a connection without complete request headers is closed; a longer
+ * one of the configuration applies. A shorter one does not: loss on a link and a
+ * busy host delay the headers of clients that keep to it.
+ */
 const HEADERS_TIMEOUT_MS = 10_000;
 /** Time in which a client must have sent its complete request. */
 const REQUEST_TIMEOUT_MS = 30_000;
@@ -161,6 +165,9 @@
       const view = state.configuration.getView();
       const limits = view?.configuration.limits ?? DEFAULT_CALLER_LIMITS;
       this.clientServer.setKeepAliveMs(limits.idleTimeoutMs);
+      this.clientServer.setHeadersTimeoutMs(
+        Math.max(limits.headerTimeoutMs, HEADERS_TIMEOUT_MS),
+      );
       state.update(readSteadyMs());
       health.removeAllBut(state.backends.listIds());
       cold.update();
