Give a new turn to a daemon that asks again

Seen in review: a daemon that restarted had had its turn and got none, and others were given turns at it although it holds nothing (after the loss of a zone's power). Change: whoever asks does not count as a sender until its new turn is over. Evidence: sending_turns and configuration_*.feature, 23 of 23 scenarios; without the change the scenario on asking again fails.

--- a/packages/router/src/members/sending_turns.ts
+++ b/packages/router/src/members/sending_turns.ts
@@ -42,12 +42,13 @@
   }
 
   /**
-   * Gives the earliest turn; undefined if it would be too late, or if the daemon
-   * has had one. `nowMs` is a time on the monotonic clock.
+   * Gives the earliest turn; undefined if it would be too late. A daemon that
+   * asks again has missed its turn, or has restarted, and counts as a sender only
+   * after its new turn. `nowMs` is a time on the monotonic clock.
    */
   takeTurn(asking: ReferredPeer, nowMs: number): SendingTurn | undefined {
-    const isFull = this.senders.size >= MAX_SENDERS;
-    if (isFull || this.senders.has(asking.id)) return undefined;
+    this.senders.delete(asking.id);
+    if (this.senders.size >= MAX_SENDERS) return undefined;
     const [first] = [...this.senders.values()].sort(
       (left, right) => left.freeAtMs - right.freeAtMs,
     );
