Read the store after 10 s of busy peers

Seen in review: forty answers with turns 2 s ahead each kept a daemon from its fallback, the store, for more than a minute. Change: no further peer is asked after 10 s.

--- a/packages/router/src/members/configuration_catch_up.feature
+++ b/packages/router/src/members/configuration_catch_up.feature
@@ -81,6 +81,16 @@
     Then the daemon holds version 2 of the configuration
     And the peers were asked in the order "busy,stopped,other"
 
+  Scenario: The store is read after peers were busy for 10 s
+    Given peer "busy" holds version 2 and gives a turn at "busy" after 1900 ms
+    And the store holds version 2
+    When the peers advertise their configurations
+    And 9999 ms pass for the configuration
+    Then the store was read 0 times for the configuration
+    When 1901 ms pass for the configuration
+    Then the daemon holds version 2 of the configuration
+    And the store was read 1 time for the configuration
+
   Scenario: The store is read after two peers failed
     Given peers "one,two,three" hold version 2 and never answer
     And the store holds version 2
--- a/packages/router/src/members/configuration_catch_up.ts
+++ b/packages/router/src/members/configuration_catch_up.ts
@@ -25,6 +25,8 @@
 const MAX_FAILED_PEERS = 2;
 /** Answers without a configuration after which the store is read. */
 const MAX_BUSY_ANSWERS = 40;
+/** Time after which no further peer is asked and the store is read. */
+const MAX_ASKING_MS = 10_000;
 /** Peers of earlier releases that are asked after the store gave nothing. */
 const MAX_EARLIER_PEERS = 2;
 const FIRST_ROUND_PAUSE_MS = 200;
@@ -146,11 +148,13 @@
     const {holders} = this;
     return Effect.gen({self: this}, function* () {
       holders.startRound();
+      const endMs = (yield* readClockMs) + MAX_ASKING_MS;
       let failedPeers = 0;
       let answers = 0;
       while (failedPeers < MAX_FAILED_PEERS && answers < MAX_BUSY_ANSWERS) {
         if (this.isDone(heldVersion)) return;
         const nowMs = yield* readClockMs;
+        if (nowMs >= endMs) return;
         const holder = holders.choose(heldVersion, nowMs);
         if (holder !== undefined) {
           const hasAnswered = yield* this.holderCalls.ask(holder);
