Refuse no request for good by an outdated configuration

Callers got 404 for routes, and 401 for keys, that had been written seconds before, at daemons that had heard of the newer version from peers and did not have it yet. Clients do not repeat a request after these answers.

RequestAdmission holds such a request back while a running peer advertises a newer version or a reply about the operator's table arrives: for 300 ms at most, a quarter of the client's time, and 100 requests at a time. The next activation decides it; otherwise it gets 503 outdated-configuration with a retry delay of 200 to 410 ms. The same 503 comes at once if the version has been missing for 3 s, and if nothing has confirmed the configuration for 10 s.

--- a/packages/router/src/calls/call_answer.ts
+++ b/packages/router/src/calls/call_answer.ts
@@ -10,6 +10,11 @@
   TRUNCATED = 'broken-off',
   /** This daemon has no configuration or no list of backend servers yet. */
   NO_CONFIGURATION = 'no-configuration',
+  /**
+   * No route or customer was found, but this daemon's configuration is older
+   * than that of a peer, or has not been confirmed for long.
+   */
+  OUTDATED = 'outdated-configuration',
   /** No route matches the host and path. */
   NO_ROUTE = 'no-route',
   /** The API key belongs to no customer. */
@@ -43,6 +48,7 @@
 /** Refusals of requests that may succeed when they are sent again. */
 const TEMPORARY_OUTCOMES: ReadonlySet<CallOutcome> = new Set([
   CallOutcome.NO_CONFIGURATION,
+  CallOutcome.OUTDATED,
   CallOutcome.OVERLOADED,
   CallOutcome.STOPPING,
 ]);
--- a/packages/router/src/calls/call_handler.ts
+++ b/packages/router/src/calls/call_handler.ts
@@ -21,19 +21,13 @@
   type CallAnswer,
 } from './call_answer.js';
 import type {CallJob} from './call_job.js';
-import {chooseAdmission, type AdmittedRequest} from './choose_admission.js';
+import type {AdmittedRequest} from './choose_admission.js';
 import type {LocalAnswers} from './local_answers.js';
 import {makeFingerprint} from './make_fingerprint.js';
 import type {RefusalLog} from './refusal_log.js';
+import type {RequestAdmission} from './request_admission.js';
 import type {ServiceDispatcher} from './service_dispatcher.js';
 
-/**
- * Maximum wait for the first configuration, which loads in under 0.1 s. The wait
- * is shorter than the retry delay of a client that is refused instead.
- */
-const START_WAIT_MS = 300;
-/** Retry delay of a request that is refused temporarily, before dispatch. */
-const REFUSAL_RETRY_MS = 500;
 const logger = new Logger('calls');
 
 /** Times on the monotonic clock. */
@@ -52,6 +46,7 @@
   constructor(
     private readonly codec: CallCodec,
     private readonly state: FleetState,
+    private readonly admission: RequestAdmission,
     private readonly services: ServiceDispatcher,
     private readonly streams: StreamDispatcher,
     private readonly guard: CrashGuard,
@@ -67,24 +62,14 @@
     return Effect.gen({self: this}, function* () {
       const startedAtMs = readSteadyMs();
       const address = this.codec.decodeAddress(exchange);
-      if (!this.state.isComplete()) {
-        yield* this.state.waitUntilComplete(START_WAIT_MS);
-      }
-      const view = this.state.configuration.getView();
-      if (view === undefined || !this.state.isComplete()) {
-        return yield* this.refuse(
-          exchange,
-          address,
-          CallOutcome.NO_CONFIGURATION,
-        );
-      }
-      if (this.isRefusing()) {
-        return yield* this.refuse(exchange, address, CallOutcome.STOPPING);
-      }
-      const admitted = chooseAdmission(view, address);
-      if (typeof admitted === 'string') {
-        return yield* this.refuse(exchange, address, admitted);
+      const admission = yield* this.admission.check(
+        address,
+        () => this.codec.decodeCall(exchange, address).timeoutMs,
+      );
+      if (typeof admission === 'string') {
+        return yield* this.refuse(exchange, address, admission);
       }
+      const {view, request: admitted} = admission;
       const call = this.codec.decodeCall(exchange, address);
       const {timeoutMs} = admitted.route;
       const budgetMs = Math.min(call.timeoutMs ?? timeoutMs, timeoutMs);
@@ -197,7 +182,7 @@
   ): Effect.Effect<void> {
     return Effect.sync(() => {
       const retryAfterMs = isTemporaryOutcome(outcome)
-        ? REFUSAL_RETRY_MS
+        ? this.admission.computeRetryMs(outcome)
         : undefined;
       const answer = this.answers.make(outcome, call, retryAfterMs);
       sendAnswer(exchange, answer);
--- a/packages/router/src/calls/local_answers.ts
+++ b/packages/router/src/calls/local_answers.ts
@@ -9,6 +9,7 @@
  */
 const STATUS_BY_OUTCOME: Readonly<Partial<Record<CallOutcome, number>>> = {
   [CallOutcome.NO_CONFIGURATION]: 503,
+  [CallOutcome.OUTDATED]: 503,
   [CallOutcome.NO_ROUTE]: 404,
   [CallOutcome.UNKNOWN_KEY]: 401,
   [CallOutcome.TOO_LARGE]: 413,
--- a/packages/router/src/router_parts.ts
+++ b/packages/router/src/router_parts.ts
@@ -20,6 +20,7 @@
 import {HedgedAttempts} from './calls/hedged_attempts.js';
 import {InFlightCounter} from './calls/in_flight_counter.js';
 import {LocalAnswers} from './calls/local_answers.js';
+import {RequestAdmission} from './calls/request_admission.js';
 import {RefusalLog} from './calls/refusal_log.js';
 import {ColdServers} from './calls/cold_servers.js';
 import {ServerChooser} from './calls/server_chooser.js';
@@ -144,6 +145,7 @@
     this.calls = new CallHandler(
       ports.codec,
       this.state,
+      new RequestAdmission(this.state, ports.source, isRefusing),
       new ServiceDispatcher(
         ...dispatcherArguments,
         new HedgedAttempts(this.hedging, chooser, this.metrics),
--- a/packages/router/src/state/current_configuration.ts
+++ b/packages/router/src/state/current_configuration.ts
@@ -1,3 +1,4 @@
+import {Effect, Latch} from 'effect';
 import {Logger} from '@greengagecross/common';
 import type {RoutingConfiguration} from '../model/routing_configuration.js';
 import {CustomerTable} from '../routing/customer_table.js';
@@ -24,6 +25,8 @@
   readonly advertised = new AdvertisedVersions();
   private view: ConfigurationView | undefined;
   private confirmedAtMs = 0;
+  /** Opened by the next activation, which replaces it. */
+  private nextActivation = Latch.makeUnsafe(false);
 
   /** @param onActivated called with the lag that an activation ended or reduced */
   constructor(
@@ -53,9 +56,18 @@
       lagMs,
     });
     this.onActivated(lagMs);
+    this.nextActivation.openUnsafe();
+    this.nextActivation = Latch.makeUnsafe(false);
     return true;
   }
 
+  /** Waits until the next configuration becomes active, at most for a time. */
+  waitUntilActivated(timeoutMs: number): Effect.Effect<void> {
+    return Effect.asVoid(
+      Effect.timeoutOption(this.nextActivation.await, timeoutMs),
+    );
+  }
+
   /** Returns the active configuration; undefined before the first. */
   getView(): ConfigurationView | undefined {
     return this.view;
