--- a/packages/router/src/members/member_service.ts
+++ b/packages/router/src/members/member_service.ts
@@ -25,6 +25,7 @@
 import {PeerDiscovery} from './peer_discovery.js';
 import {StoreFollowing} from './store_following.js';
 import {SuspicionLog} from './suspicion_log.js';
+import type {ConfigurationCatchUp} from './configuration_catch_up.js';
 import type {StateCatchUp} from './state_catch_up.js';
 
 /** Maximum number of crash reports in a heartbeat. */
@@ -59,6 +60,7 @@
     registry: MemberRegistry,
     private readonly source: FleetStateSource,
     private readonly catchUp: StateCatchUp,
+    private readonly configurationCatchUp: ConfigurationCatchUp,
     private readonly watch: FleetWatch,
     private readonly sums: LoadSums,
     private readonly incarnation: number,
@@ -227,6 +229,7 @@
       silent: this.watch.getSilent(),
       suspects: this.suspects.listReports(MAX_SUSPECTS, nowMs),
       ...(hasColdServices ? {isColdStateKnown: true} : {}),
+      isConfigurationServed: true,
       crashes: {},
     };
   }
@@ -252,9 +255,10 @@
     const {configurationVersion} = heartbeat;
     this.state.configuration.advertised.record(configurationVersion, nowMs);
     this.catchUp.applyEvacuated(heartbeat, nowMs);
-    if (this.catchUp.isBehind(heartbeat)) {
-      this.runFiber?.(this.catchUp.run(heartbeat));
-    } else if (heartbeat.isStoreReached) {
+    const parts = [this.catchUp, this.configurationCatchUp];
+    const behind = parts.filter(part => part.isBehind(heartbeat));
+    for (const part of behind) this.runFiber?.(part.run(heartbeat));
+    if (behind.length === 0 && heartbeat.isStoreReached) {
       this.state.recordConfirmed(configurationVersion, nowMs);
     }
   }
