Follow the operator's limit on headers

A client whose headers were within max_header_bytes of the configuration, but longer than 16 KiB, got 431: the limit was a constant of the listener.

Change: the client listener takes max_header_bytes if it is above 16 KiB. Node's parser keeps the limit with which its connection began; a request that exceeds it on a connection from before the limit was raised gets 503 with Retry-After (nothing of it was dispatched), as a new connection may receive it.

Evidence: many_headers.feature, "Headers that the operator allows are served", on: 431 in place of 200 (1 of 6 scenarios of the file fails); now 6 of 6, and header_limits.feature 7 of 7.

--- a/packages/http/src/answer_malformed.ts
+++ b/packages/http/src/answer_malformed.ts
@@ -41,6 +41,11 @@
   answerUnread(socket, TIMEOUT_STATUS, all, LINGER_MS);
 }
 
+/** Sends a 503 to a request that a new connection may be able to receive. */
+export function answerOutdated(socket: Socket): void {
+  answerUnread(socket, UNAVAILABLE_STATUS, RETRY_HEADERS, LINGER_MS);
+}
+
 /** Sends a 503 to a request that is not read to its end, then closes at once. */
 export function answerUnavailable(socket: Socket): void {
   answerUnread(socket, UNAVAILABLE_STATUS, RETRY_HEADERS, 0);
--- a/packages/http/src/failed_receipts.ts
+++ b/packages/http/src/failed_receipts.ts
@@ -1,6 +1,11 @@
 import type {Socket} from 'node:net';
 import type {AcceptedConnection} from './accepted_connection.js';
-import {answerMalformed, answerTimeout} from './answer_malformed.js';
+import {
+  answerMalformed,
+  answerOutdated,
+  answerTimeout,
+} from './answer_malformed.js';
+import type {HeaderLimit} from './header_limit.js';
 import {HttpFailure} from './http_failure.js';
 import type {OutgoingHeaders} from './outgoing_request.js';
 import {processReceiptFailures, ReceiptAction} from './receipt_failures.js';
@@ -9,6 +14,7 @@
 const PARSER_ERROR_PREFIX = 'HPE_';
 /** The client closed its connection in the middle of a request. */
 const CUT_CODE = 'HPE_INVALID_EOF_STATE';
+const OVERFLOW_CODE = 'HPE_HEADER_OVERFLOW';
 /** Code under which requests that arrive too slowly are counted. */
 const TIMEOUT_CODE = 'ERR_HTTP_REQUEST_TIMEOUT';
 
@@ -24,6 +30,7 @@
   constructor(
     private readonly listener: string,
     private readonly buildHeaders: () => OutgoingHeaders,
+    private readonly headerLimit: HeaderLimit,
   ) {}
 
   /** Handles an error of Node's parser or of the socket. */
@@ -54,6 +61,11 @@
       return;
     }
     this.record(code, ReceiptAction.ANSWERED);
+    // A new connection may have a limit that allows these headers.
+    if (code === OVERFLOW_CODE && this.headerLimit.isOutdated(socket)) {
+      answerOutdated(socket);
+      return;
+    }
     answerMalformed(socket, code, this.buildHeaders());
   }
 
--- a/packages/http/src/http_server.ts
+++ b/packages/http/src/http_server.ts
@@ -11,7 +11,9 @@
 } from 'effect';
 import {formatAddress, Logger, type Address} from '@greengagecross/common';
 import type {AcceptedConnection} from './accepted_connection.js';
+import {closeIfIdle} from './close_if_idle.js';
 import {FailedReceipts} from './failed_receipts.js';
+import {DEFAULT_MAX_HEADER_BYTES, HeaderLimit} from './header_limit.js';
 import {HttpError} from './http_error.js';
 import {HttpExchange} from './http_exchange.js';
 import {HttpFailure} from './http_failure.js';
@@ -52,7 +54,6 @@
  */
 const DRAIN_SETTLE_MS = 1000;
 const DEFAULT_STALL_TIMEOUT_MS = 60_000;
-const MAX_HEADER_BYTES = 16 * 1024;
 const logger = new Logger('http');
 
 /** Listens on one address and runs one fiber for each connection. */
@@ -63,6 +64,7 @@
   private readonly idle = Latch.makeUnsafe(true);
   private readonly connections: ListenerConnections;
   private readonly failed: FailedReceipts;
+  private readonly headerLimit = new HeaderLimit();
   /** Done once the listener and all its connections are closed. */
   private readonly closed = Deferred.makeUnsafe<void>();
   /** Number of exchanges in flight. */
@@ -81,6 +83,7 @@
     this.failed = new FailedReceipts(
       formatAddress(address),
       () => options.buildMalformedHeaders?.() ?? {},
+      this.headerLimit,
     );
     this.connections = new ListenerConnections(
       address,
@@ -89,7 +92,7 @@
       connection => this.failed.handleOverdue(connection),
     );
     this.server = createServer({
-      maxHeaderSize: MAX_HEADER_BYTES,
+      maxHeaderSize: DEFAULT_MAX_HEADER_BYTES,
       keepAliveTimeout: options.keepAliveMs,
       // Node's own time-outs count time in which the process did not read.
       headersTimeout: 0,
@@ -166,6 +169,11 @@
     this.connections.setHeadersTimeoutMs(headersTimeoutMs);
   }
 
+  /** Sets the limit on the headers of requests; see {@link HeaderLimit.set}. */
+  setMaxHeaderBytes(bytes: number): void {
+    this.headerLimit.set(this.server, bytes, this.connections.listSockets());
+  }
+
   /** Returns whether new connections are accepted. */
   isListening(): boolean {
     return this.server.listening;
@@ -256,14 +264,3 @@
     if (this.active === 0) this.idle.openUnsafe();
   }
 }
-
-/**
- * Closes a connection whose idle time is over, unless bytes have arrived: after a
- * suspension of the process, timers fire before received bytes are read.
- */
-function closeIfIdle(socket: Socket): void {
-  const {bytesRead} = socket;
-  setImmediate(() => {
-    if (socket.bytesRead === bytesRead) socket.destroy();
-  });
-}
--- a/packages/http/src/listener_connections.ts
+++ b/packages/http/src/listener_connections.ts
@@ -82,6 +82,11 @@
     return this.slots.isFull(performance.now());
   }
 
+  /** Lists the sockets of all connections. */
+  listSockets(): Iterable<Socket> {
+    return this.connections.keys();
+  }
+
   /** Finds the connection of a socket. */
   find(socket: Socket): AcceptedConnection | undefined {
     return this.connections.get(socket);
--- a/packages/http/src/unreceived_requests_steps.ts
+++ b/packages/http/src/unreceived_requests_steps.ts
@@ -12,7 +12,8 @@
   ReceiptFailures,
 } from './receipt_failures.js';
 
-const HOST = '127.0.0.1';
+/** Address of the listener. */
+export const HOST = '127.0.0.1';
 const MAX_BODY_BYTES = 1000;
 const KEEP_ALIVE_MS = 30_000;
 const RECEIPT_TIMEOUT_MS = 300;
@@ -20,7 +21,8 @@
 const POLL_MS = 10;
 const SETTLE_MS = 50;
 const NO_ERROR = 'no error';
-const HEAD = 'POST / HTTP/1.1\r\nhost: a\r\n';
+/** Headers of a request, without their end. */
+export const HEAD = 'POST / HTTP/1.1\r\nhost: a\r\n';
 const CHUNKED = `${HEAD}transfer-encoding: chunked\r\n\r\n`;
 const PART_OF_CHUNKED = `${CHUNKED}5\r\nab`;
 const PART_OF_BODY = `${HEAD}content-length: 10\r\n\r\nabcd`;
@@ -43,7 +45,7 @@
 };
 
 /** World with one listener, one client, and a count of its own. */
-interface UnreceivedWorld extends World {
+export interface UnreceivedWorld extends World {
   unreceivedScope: Scope.Closeable | undefined;
   unreceivedPort: number;
   unreceivedServer: HttpServer;
@@ -56,11 +58,13 @@
   failureTexts: string[];
 }
 
-function waitMs(ms: number): Promise<void> {
+/** Waits for some time, in milliseconds. */
+export function waitMs(ms: number): Promise<void> {
   return new Promise(resolve => setTimeout(resolve, ms));
 }
 
-async function waitUntil(isMet: () => boolean): Promise<void> {
+/** Waits until a condition is met; fails after half of the step's time. */
+export async function waitUntil(isMet: () => boolean): Promise<void> {
   const endMs = performance.now() + STEP_TIMEOUT_MS / 2;
   while (!isMet()) {
     assert.ok(performance.now() < endMs, 'condition not met');
--- a/packages/router/src/model/caller_limits.ts
+++ b/packages/router/src/model/caller_limits.ts
@@ -1,6 +1,6 @@
 /** Limits on the requests and connections of clients (also named callers). */
 export interface CallerLimits {
-  /** Configured, but not applied. */
+  /** Maximum size of request headers; the server allows at least 16 KiB. */
   readonly maxHeaderBytes: number;
   /** Maximum size of a request body. */
   readonly maxBodyBytes: number;
--- a/packages/router/src/router_daemon.ts
+++ b/packages/router/src/router_daemon.ts
@@ -165,6 +165,7 @@
       const view = state.configuration.getView();
       const limits = view?.configuration.limits ?? DEFAULT_CALLER_LIMITS;
       this.clientServer.setKeepAliveMs(limits.idleTimeoutMs);
+      this.clientServer.setMaxHeaderBytes(limits.maxHeaderBytes);
       this.clientServer.setHeadersTimeoutMs(
         Math.max(limits.headerTimeoutMs, HEADERS_TIMEOUT_MS),
       );
