Count no failure when a client resets an idle connection

A client that reset its connection between two requests, or while it waited for a reply, was counted and logged as a request that could not be received.

--- a/packages/http/src/failed_receipts.ts
+++ b/packages/http/src/failed_receipts.ts
@@ -33,7 +33,10 @@
     private readonly headerLimit: HeaderLimit,
   ) {}
 
-  /** Handles an error of Node's parser or of the socket. */
+  /**
+   * Handles an error of Node's parser or of the socket. One of a socket on which
+   * no request is being received is not counted: its client has left.
+   */
   handleError(
     error: NodeJS.ErrnoException,
     socket: Socket,
@@ -46,10 +49,14 @@
     // The pending reply is still completed; nothing is read after it. What
     // follows the last request of a connection does not cut its reply either.
     if (connection?.isReplying() === true || socket.writableEnded) {
-      this.record(code, ReceiptAction.REPLYING);
+      if (isParserError) this.record(code, ReceiptAction.REPLYING);
       return;
     }
     this.ended.add(socket);
+    if (!isParserError && connection?.receipt.isReceiving() !== true) {
+      socket.destroy();
+      return;
+    }
     const isMalformed = isParserError && code !== CUT_CODE;
     const failure = isMalformed
       ? HttpFailure.MALFORMED_REQUEST
--- a/packages/http/src/request_receipt.ts
+++ b/packages/http/src/request_receipt.ts
@@ -98,6 +98,11 @@
     return this.receivedCount;
   }
 
+  /** Returns whether a request was received in part. */
+  isReceiving(): boolean {
+    return this.isReceivingBody() || this.headerBytes > EMPTY_LINE_BYTES;
+  }
+
   /** Returns whether the body of the latest request is not received to its end. */
   isReceivingBody(): boolean {
     return this.latest?.request.complete === false;
@@ -123,8 +128,7 @@
       return pendingCount <= 1 ? this.receivedCount : undefined;
     }
     // The first request is expected from the start of the connection.
-    const isBegun =
-      this.receivedCount === 0 || this.headerBytes > EMPTY_LINE_BYTES;
+    const isBegun = this.receivedCount === 0 || this.isReceiving();
     return isBegun && pendingCount === 0 ? this.receivedCount + 1 : undefined;
   }
 }
--- a/packages/http/src/unreceived_requests.feature
+++ b/packages/http/src/unreceived_requests.feature
@@ -29,6 +29,7 @@
       | the length of a body of 2000 bytes        | a 413      | too-large         | no error                      |
       | a chunked body of 2000 bytes              | a 413      | too-large         | no error                      |
       | a body of 1000 bytes                      | a 200      | a body            | no error                      |
+      | a body of 1000 bytes, and resets          | a 200      | a body            | no error                      |
       | a request that closes, and a request      | a 200      | a body            | no error                      |
       | a request that closes, and an empty line  | a 200      | a body            | no error                      |
 
