--- a/packages/platform/src/platform_client.ts
+++ b/packages/platform/src/platform_client.ts
@@ -10,6 +10,11 @@
 import {PlatformError} from './platform_error.js';
 import {PlatformFailure} from './platform_failure.js';
 
+/**
+ * Added to the timeout of a call to get the bound of the whole call: ends replies
+ * that trickle.
+ */
+const TRANSFER_TIMEOUT_MS = 30_000;
 /** HTTP statuses of completed calls: OK, not modified, not found. */
 const COMPLETED_STATUSES: readonly number[] = [200, 304, 404];
 
@@ -37,6 +42,7 @@
         headers,
         connectTimeoutMs: this.timeoutMs,
         silenceMs: this.timeoutMs,
+        totalTimeoutMs: this.timeoutMs + TRANSFER_TIMEOUT_MS,
         ...(body === undefined ? {} : {body}),
       })
       .pipe(
