--- a/packages/http/src/index.ts
+++ b/packages/http/src/index.ts
@@ -9,6 +9,7 @@
 export * from './discard_body.js';
 export * from './exchange_timeouts.js';
 export * from './free_ports.js';
+export * from './malformed_requests.js';
 export {isMalformedReply} from './malformed_reply_error.js';
 export * from './liveness_connection.js';
 export * from './heap_growth.js';
--- a/packages/peers/src/peer_client.ts
+++ b/packages/peers/src/peer_client.ts
@@ -44,6 +44,11 @@
       try: signal => this.request(address, method, params, timeoutMs, signal),
       catch: thrown => new PeerError(method, target, toError(thrown)),
     }).pipe(
+      // A reply to another call leaves this one without a result.
+      Effect.timeoutOrElse({
+        duration: timeoutMs + TRANSFER_TIMEOUT_MS,
+        orElse: () => Effect.fail(new PeerError(method, target)),
+      }),
       Effect.flatMap(value =>
         Effect.try({
           try: () => decodeDocument(result, value, method),
