Count a reply that arrived while the process was busy

A timer that runs when the process was busy for long finds the reply unread. The timeouts of an exchange read the sockets once more first. An exchange that is completed by that read no longer closes the idle connections to its address.

--- a/packages/http/src/exchange_timeouts.feature
+++ b/packages/http/src/exchange_timeouts.feature
@@ -18,3 +18,9 @@
       | 3 parts, then nothing              | silent    | 3     | 600      |
       | 3 parts, then a close              | closed    | 3     | 0        |
       | parts without end                  | too-slow  | some  | 2400     |
+
+  # Guards against timers that run before the sockets are read.
+  Scenario: A reply that arrives while the process is busy is not late
+    Given a server in another process that sends its reply after 100 ms
+    When its reply is fetched while the process is busy for 700 ms
+    Then the fetch gives a reply with 1 bytes of the body
--- a/packages/http/src/exchange_timeouts_steps.ts
+++ b/packages/http/src/exchange_timeouts_steps.ts
@@ -1,4 +1,6 @@
 import assert from 'node:assert/strict';
+import {spawn, type ChildProcess} from 'node:child_process';
+import {once} from 'node:events';
 import {createServer, type Server, type Socket} from 'node:net';
 import {After, Given, Then, When} from '@cucumber/cucumber';
 import {Effect, Result} from 'effect';
@@ -19,6 +21,7 @@
 /** World with a server of parts and the result of one fetch from it. */
 interface ExchangeWorld {
   partServer: Server | undefined;
+  partProcess: ChildProcess | undefined;
   partPort: number;
   partSockets: Set<Socket>;
   fetched: Result.Result<HttpReply, HttpError>;
@@ -74,23 +77,58 @@
   },
 );
 
+async function fetchReply(world: ExchangeWorld): Promise<void> {
+  const client = new HttpClient();
+  const startMs = performance.now();
+  world.fetched = await Effect.runPromise(
+    Effect.result(
+      client.send({
+        address: {host: HOST, port: world.partPort},
+        method: 'GET',
+        path: '/',
+        ...TIMEOUTS,
+      }),
+    ),
+  );
+  world.fetchMs = performance.now() - startMs;
+  client.close();
+}
+
 When(
   'its reply is fetched with timeouts of the whole exchange',
-  async function (this: ExchangeWorld) {
-    const client = new HttpClient();
-    const startMs = performance.now();
-    this.fetched = await Effect.runPromise(
-      Effect.result(
-        client.send({
-          address: {host: HOST, port: this.partPort},
-          method: 'GET',
-          path: '/',
-          ...TIMEOUTS,
-        }),
-      ),
-    );
-    this.fetchMs = performance.now() - startMs;
-    client.close();
+  function (this: ExchangeWorld) {
+    return fetchReply(this);
+  },
+);
+
+/** Program of a server that answers after a delay in ms and prints its port. */
+const LATE_SERVER = `
+const server = require('node:http').createServer((request, response) =>
+  setTimeout(() => response.end('x'), Number(process.argv[1])));
+server.listen(0, '127.0.0.1', () => console.log(server.address().port));
+`;
+
+Given(
+  'a server in another process that sends its reply after {int} ms',
+  async function (this: ExchangeWorld, afterMs: number) {
+    const child = spawn(process.execPath, ['-e', LATE_SERVER, `${afterMs}`]);
+    this.partProcess = child;
+    const [line] = (await once(child.stdout, 'data')) as [Buffer];
+    this.partPort = Number(line.toString());
+  },
+);
+
+When(
+  'its reply is fetched while the process is busy for {int} ms',
+  async function (this: ExchangeWorld, busyMs: number) {
+    const fetched = fetchReply(this);
+    const block = (): void => {
+      const endMs = performance.now() + busyMs;
+      while (performance.now() < endMs);
+    };
+    // The request is sent before. Timers run next after an immediate.
+    setTimeout(() => setImmediate(block), PART_MS);
+    await fetched;
   },
 );
 
@@ -119,5 +157,6 @@
 
 After(function (this: Partial<ExchangeWorld>) {
   this.partServer?.close();
+  this.partProcess?.kill();
   for (const socket of this.partSockets ?? []) socket.destroy();
 });
--- a/packages/http/src/phase_tracker.ts
+++ b/packages/http/src/phase_tracker.ts
@@ -36,6 +36,7 @@
   private readonly totalTimer: NodeJS.Timeout | undefined;
   private sentAtMs = Number.POSITIVE_INFINITY;
   private hasReply = false;
+  private isClosed = false;
   private connectionUse = UNUSED_CONNECTION;
 
   constructor(
@@ -56,6 +57,7 @@
       HttpFailure.TOO_SLOW,
     );
     clientRequest.once('close', () => {
+      this.isClosed = true;
       clearTimeout(this.connectTimer);
       clearTimeout(this.headTimer);
       clearTimeout(this.totalTimer);
@@ -142,7 +144,7 @@
     const text = `not complete within ${timeoutMs} ms`;
     const onTimeout = (): void => {
       const hasHead = failure === HttpFailure.NO_REPLY && this.hasReply;
-      if (!hasHead) this.closeRequest(failure, text);
+      if (!hasHead && !this.isClosed) this.closeRequest(failure, text);
     };
     // Timers run before sockets are read: what arrived while the process was
     // busy counts.
