--- a/packages/router/src/members/member_service.ts
+++ b/packages/router/src/members/member_service.ts
@@ -17,6 +17,7 @@
 import type {CrashGuard} from '../suspects/crash_guard.js';
 import {SUSPECT_MESSAGE_KIND} from '../suspects/suspect_message.js';
 import {isAdvertised, makeAdvertisedState} from './advertised_state.js';
+import type {ConfigurationCatchUp} from './configuration_catch_up.js';
 import {DaemonState, type Heartbeat} from './heartbeat.js';
 import {HeartbeatCounts, hasCollectors} from './heartbeat_counts.js';
 import {HeartbeatSocket} from './heartbeat_socket.js';
@@ -25,7 +26,6 @@
 import {PeerDiscovery} from './peer_discovery.js';
 import {StoreFollowing} from './store_following.js';
 import {SuspicionLog} from './suspicion_log.js';
-import type {ConfigurationCatchUp} from './configuration_catch_up.js';
 import type {StateCatchUp} from './state_catch_up.js';
 
 /** Maximum number of crash reports in a heartbeat. */
--- a/packages/router/src/router_parts.ts
+++ b/packages/router/src/router_parts.ts
@@ -176,6 +176,7 @@
     );
     const documents = new ConfigurationDocuments(this.state);
     const sender = new ConfigurationSender(
+      self,
       documents,
       new UploadBudget(computeUploadRate(settings)),
       random,
