--- a/packages/decisions/src/limits/upload_budget.ts
+++ b/packages/decisions/src/limits/upload_budget.ts
@@ -1,8 +1,5 @@
-/**
- * Time whose bytes may be sent at once, so that small messages reach all who ask
- * for them without waiting.
- */
-const BURST_MS = 200;
+/** Bytes of small messages that may be sent at once. */
+const BURST_BYTES = 16_384;
 
 /**
  * Limits the bytes that are sent to a rate. In any time a sender sends at most
@@ -15,15 +12,12 @@
   /** Bytes that were sent and that the rate does not cover yet. */
   private outstandingBytes = 0;
   private updatedAtMs = 0;
-  private readonly burstBytes: number;
 
-  constructor(private readonly bytesPerSecond: number) {
-    this.burstBytes = (bytesPerSecond * BURST_MS) / 1000;
-  }
+  constructor(private readonly bytesPerSecond: number) {}
 
   /** Computes the time until a message may be sent, in ms; 0 if it may now. */
   computeWaitMs(nowMs: number): number {
-    const excess = this.computeOutstanding(nowMs) - this.burstBytes;
+    const excess = this.computeOutstanding(nowMs) - BURST_BYTES;
     return excess <= 0 ? 0 : Math.ceil(this.computeDurationMs(excess));
   }
 
--- a/packages/router/src/members/configuration_spread_steps.ts
+++ b/packages/router/src/members/configuration_spread_steps.ts
@@ -7,8 +7,7 @@
 } from './configuration_spread.js';
 
 /** Bytes beyond the rate that a sender may send at once, and a document. */
-/** Time of its rate that a daemon may send at once: 100 ms of the whole link. */
-const BURST_S = 0.2;
+const BURST_BYTES = 16_384;
 
 /** Fixture of daemons behind thin links. */
 interface SpreadWorld {
@@ -100,7 +99,7 @@
       for (const document of sent) {
         bytes += document.bytes;
         const seconds = (document.atMs - first.atMs) / 1000;
-        const allowed = (seconds + BURST_S) * (this.bytesPerSecond / 2);
+        const allowed = seconds * (this.bytesPerSecond / 2) + BURST_BYTES;
         assert.ok(bytes <= allowed + document.bytes, `${first.from}: ${bytes}`);
       }
     }
