Ask further peers beside a slow source, and failed ones last

Cause: one transfer at a time, ended only by silence or after 10.5 s; each round forgot which peers had failed, and peers of the own zone come first; the read of the store, which may take 31 s, kept peers from being asked. Change: after 600 ms another holder is asked beside a slow peer or the store, and the first to deliver ends the other; peers that failed are asked after all others.

--- a/packages/router/src/members/configuration_catch_up.feature
+++ b/packages/router/src/members/configuration_catch_up.feature
@@ -151,3 +151,22 @@
       | holds another version |
       | has no routes         |
       | inflates to 64 MB     |
+
+  # Guards against waiting up to 10 s for one peer behind a slow link while others
+  # hold the configuration.
+  Scenario: A peer that sends slowly does not hold up the configuration
+    Given peers "slow" hold version 2 and send it in 9000 ms
+    And peer "other" in zone "b" holds version 2 and sends it in 10 ms
+    When the peers advertise their configurations
+    And 700 ms pass for the configuration
+    Then the daemon holds version 2 of the configuration
+    And the peers were asked in the order "slow,other"
+
+  # Guards against asking only the same failed peers, round after round: the
+  # configuration never arrives then.
+  Scenario: Failed peers of the own zone do not keep others from being asked
+    Given peers "one,two" hold version 2 and never answer
+    And peer "other" in zone "b" holds version 2 and sends it in 10 ms
+    When the peers advertise their configurations
+    And 1500 ms pass for the configuration
+    Then the daemon holds version 2 of the configuration
--- a/packages/router/src/members/configuration_catch_up.ts
+++ b/packages/router/src/members/configuration_catch_up.ts
@@ -9,7 +9,10 @@
 import type {FleetState} from '../state/fleet_state.js';
 import type {ConfigurationDocuments} from './configuration_documents.js';
 import {ConfigurationHolderCalls} from './configuration_holder_calls.js';
-import {ConfigurationHolders} from './configuration_holders.js';
+import {
+  ConfigurationHolders,
+  type ConfigurationHolder,
+} from './configuration_holders.js';
 import {
   ConfigurationTransferLog,
   type ReceivedConfiguration,
@@ -97,6 +100,7 @@
 
   private runRounds(): Effect.Effect<void> {
     return Effect.gen({self: this}, function* () {
+      this.holders.startRounds();
       let pauseMs = FIRST_ROUND_PAUSE_MS;
       while (this.hasNewer()) {
         const heldVersion = this.getVersion();
@@ -118,7 +122,7 @@
       yield* this.waitForStore();
       yield* this.askHolders(heldVersion);
       if (this.isDone(heldVersion)) return;
-      yield* this.readStore();
+      yield* Effect.raceFirst(this.readStore(), this.askOthers(heldVersion));
       const earlier = this.holders.listEarlierReleases(heldVersion);
       for (const peer of earlier.slice(0, MAX_EARLIER_PEERS)) {
         if (this.isDone(heldVersion)) return;
@@ -157,7 +161,10 @@
         if (nowMs >= endMs) return;
         const holder = holders.choose(heldVersion, nowMs);
         if (holder !== undefined) {
-          const hasAnswered = yield* this.holderCalls.ask(holder);
+          const hasAnswered = yield* Effect.raceFirst(
+            this.holderCalls.ask(holder),
+            this.askOthers(heldVersion, holder),
+          );
           answers += Number(hasAnswered);
           failedPeers += Number(!hasAnswered);
           continue;
@@ -169,6 +176,15 @@
     });
   }
 
+  /** Asks other peers beside a source that is slow to send. */
+  private askOthers(
+    heldVersion: number,
+    slowPeer?: ConfigurationHolder,
+  ): Effect.Effect<boolean> {
+    const isDone = (): boolean => this.isDone(heldVersion);
+    return this.holderCalls.askOthers(heldVersion, isDone, slowPeer);
+  }
+
   private readStore(): Effect.Effect<void> {
     const source = ConfigurationSource.STORE;
     return Effect.gen({self: this}, function* () {
--- a/packages/router/src/members/configuration_holder_calls.ts
+++ b/packages/router/src/members/configuration_holder_calls.ts
@@ -23,8 +23,10 @@
 import type {ConfigurationTransferLog} from './configuration_transfer_log.js';
 import {readClockMs} from './read_clock_ms.js';
 
-/** Time without a byte after which a peer counts as failed. */
-const PEER_SILENCE_MS = 500;
+/** Time in which the reply of a peer must begin. */
+const PEER_REPLY_MS = 500;
+/** Time after which another peer is asked beside one that is still sending. */
+const SLOW_SOURCE_MS = 600;
 /** Time after which a peer that is still receiving is asked again. */
 const RECEIVING_PEER_PAUSE_MS = 50;
 const MAX_BUSY_PAUSE_MS = 2000;
@@ -56,9 +58,10 @@
         PeerMethod.FETCH_CONFIGURATION,
         query,
         ConfigurationResultSchema,
-        PEER_SILENCE_MS,
+        PEER_REPLY_MS,
       );
       yield* this.apply(holder, result);
+      this.holders.setAnswered(id);
       const nowMs = yield* readClockMs;
       this.record(holder, result, startedAtMs, nowMs);
       return true;
@@ -74,6 +77,40 @@
     );
   }
 
+  /**
+   * Asks other peers, one after the other, beside a source that is slow to send;
+   * ends once the daemon has a newer configuration.
+   *
+   * @param slowPeer the source if it is a peer, which is not asked again meanwhile
+   */
+  askOthers(
+    heldVersion: number,
+    isDone: () => boolean,
+    slowPeer?: ConfigurationHolder,
+  ): Effect.Effect<boolean> {
+    const {holders} = this;
+    return Effect.gen({self: this}, function* () {
+      yield* Effect.sleep(SLOW_SOURCE_MS);
+      if (slowPeer !== undefined) {
+        holders.setPaused(slowPeer.id, Number.POSITIVE_INFINITY);
+      }
+      while (!isDone()) {
+        const nowMs = yield* readClockMs;
+        const holder = holders.choose(heldVersion, nowMs);
+        if (holder !== undefined) {
+          yield* this.ask(holder);
+          continue;
+        }
+        const waitMs = holders.computeWaitMs(heldVersion, nowMs);
+        if (waitMs === undefined || waitMs === Number.POSITIVE_INFINITY) {
+          return yield* Effect.never;
+        }
+        yield* Effect.sleep(waitMs);
+      }
+      return true;
+    });
+  }
+
   private apply(
     {address}: ConfigurationHolder,
     {document}: ConfigurationResult,
--- a/packages/router/src/members/configuration_holders.ts
+++ b/packages/router/src/members/configuration_holders.ts
@@ -23,6 +23,8 @@
   /** Holders that others referred to, by id. */
   private readonly referred = new Map<string, ConfigurationHolder>();
   private readonly failedIds = new Set<string>();
+  /** Peers that failed in earlier rounds and have not answered since. */
+  private readonly unreliableIds = new Set<string>();
   /** Times before which peers are not asked again, by id. */
   private readonly pausedUntilMs = new Map<string, number>();
 
@@ -44,8 +46,12 @@
     );
   }
 
-  /** Removes what was recorded of peers, to ask all of them again. */
+  /**
+   * Removes what was recorded of peers, to ask all of them again; those that
+   * failed are asked after all others.
+   */
   startRound(): void {
+    for (const id of this.failedIds) this.unreliableIds.add(id);
     this.referred.clear();
     this.failedIds.clear();
     this.pausedUntilMs.clear();
@@ -114,6 +120,16 @@
     this.pausedUntilMs.set(id, untilMs);
   }
 
+  /** Removes what earlier rounds recorded of peers. */
+  startRounds(): void {
+    this.unreliableIds.clear();
+  }
+
+  /** Records that a peer answered. */
+  setAnswered(id: string): void {
+    this.unreliableIds.delete(id);
+  }
+
   /** Records that a peer is not to be asked again in this round. */
   setFailed(id: string): void {
     this.failedIds.add(id);
@@ -126,7 +142,9 @@
   }
 
   private listNewest(heldVersion: number): ConfigurationHolder[] {
-    const holders = this.list(heldVersion);
+    const all = this.list(heldVersion);
+    const reliable = all.filter(({id}) => !this.unreliableIds.has(id));
+    const holders = reliable.length > 0 ? reliable : all;
     const newest = Math.max(...holders.map(({version}) => version));
     return holders.filter(({version}) => version === newest);
   }
