--- a/packages/http/src/http_server.ts
+++ b/packages/http/src/http_server.ts
@@ -10,8 +10,10 @@
   type Scope,
 } from 'effect';
 import {formatAddress, Logger, type Address} from '@greengagecross/common';
-import {answerMalformed} from './answer_malformed.js';
 import type {AcceptedConnection} from './accepted_connection.js';
+import {closeIfIdle} from './close_if_idle.js';
+import {FailedReceipts} from './failed_receipts.js';
+import {DEFAULT_MAX_HEADER_BYTES, HeaderLimit} from './header_limit.js';
 import {HttpError} from './http_error.js';
 import {HttpExchange} from './http_exchange.js';
 import {HttpFailure} from './http_failure.js';
@@ -51,11 +53,7 @@
  * connections to close.
  */
 const DRAIN_SETTLE_MS = 1000;
-const CHECKS_PER_TIMEOUT = 4;
 const DEFAULT_STALL_TIMEOUT_MS = 60_000;
-/** Prefix of the codes of errors after which Node parses nothing more. */
-const PARSER_ERROR_PREFIX = 'HPE_';
-const MAX_HEADER_BYTES = 16 * 1024;
 const logger = new Logger('http');
 
 /** Listens on one address and runs one fiber for each connection. */
@@ -65,6 +63,8 @@
   /** Open while no exchange is in flight. */
   private readonly idle = Latch.makeUnsafe(true);
   private readonly connections: ListenerConnections;
+  private readonly failed: FailedReceipts;
+  private readonly headerLimit = new HeaderLimit();
   /** Done once the listener and all its connections are closed. */
   private readonly closed = Deferred.makeUnsafe<void>();
   /** Number of exchanges in flight. */
@@ -77,20 +77,26 @@
     private readonly handler: ExchangeHandler,
   ) {
     this.keepAliveMs = options.keepAliveMs;
-    const {address, maxConnections} = options;
+    const {address, maxConnections, headersTimeoutMs, requestTimeoutMs} =
+      options;
     const stallTimeoutMs = options.stallTimeoutMs ?? DEFAULT_STALL_TIMEOUT_MS;
+    this.failed = new FailedReceipts(
+      formatAddress(address),
+      () => options.buildMalformedHeaders?.() ?? {},
+      this.headerLimit,
+    );
     this.connections = new ListenerConnections(
       address,
-      {maxConnections, stallTimeoutMs},
+      {maxConnections, stallTimeoutMs, headersTimeoutMs, requestTimeoutMs},
       () => this.keepAliveMs,
+      connection => this.failed.handleOverdue(connection),
     );
     this.server = createServer({
-      maxHeaderSize: MAX_HEADER_BYTES,
+      maxHeaderSize: DEFAULT_MAX_HEADER_BYTES,
       keepAliveTimeout: options.keepAliveMs,
-      headersTimeout: options.headersTimeoutMs,
-      requestTimeout: options.requestTimeoutMs,
-      connectionsCheckingInterval:
-        options.headersTimeoutMs / CHECKS_PER_TIMEOUT,
+      // Node's own time-outs count time in which the process did not read.
+      headersTimeout: 0,
+      requestTimeout: 0,
       noDelay: true,
       // TCP keep-alive: probes start once a connection was idle for as long as
       // HTTP keep-alive allows.
@@ -115,9 +121,11 @@
       this.server.on('request', (request, response) => {
         this.connections.addExchange(new HttpExchange(request, response));
       });
-      this.server.on('clientError', (error, stream) =>
-        this.onMalformed(error, stream as Socket),
-      );
+      this.server.on('clientError', (error, stream) => {
+        const connection = this.connections.find(stream as Socket);
+        this.failed.handleError(error, stream as Socket, connection);
+      });
+      this.server.on('timeout', socket => closeIfIdle(socket));
       yield* Effect.forkScoped(this.connections.watch());
       yield* Effect.acquireRelease(this.listen(), () => this.closeNow());
     });
@@ -156,6 +164,16 @@
     this.server.keepAliveTimeout = keepAliveMs;
   }
 
+  /** Sets how long a client may take to send its headers, from now on. */
+  setHeadersTimeoutMs(headersTimeoutMs: number): void {
+    this.connections.setHeadersTimeoutMs(headersTimeoutMs);
+  }
+
+  /** Sets the limit on the headers of requests; see {@link HeaderLimit.set}. */
+  setMaxHeaderBytes(bytes: number): void {
+    this.headerLimit.set(this.server, bytes, this.connections.listSockets());
+  }
+
   /** Returns whether new connections are accepted. */
   isListening(): boolean {
     return this.server.listening;
@@ -215,20 +233,6 @@
     });
   }
 
-  private onMalformed(error: Error, socket: Socket): void {
-    const connection = this.connections.find(socket);
-    // After a timeout the rest of a request may still arrive.
-    const {code = ''} = error as NodeJS.ErrnoException;
-    if (code.startsWith(PARSER_ERROR_PREFIX)) connection?.stopReading();
-    // The pending reply is still completed; nothing is read after it.
-    if (connection?.isReplying() === true) return;
-    if (connection?.hasStartedReply() === true) {
-      socket.destroy();
-      return;
-    }
-    answerMalformed(socket, error, this.options.buildMalformedHeaders?.());
-  }
-
   private handle(exchange: HttpExchange): Effect.Effect<void> {
     this.active += 1;
     this.idle.closeUnsafe();
--- a/packages/router/src/calls/call_answer.ts
+++ b/packages/router/src/calls/call_answer.ts
@@ -10,12 +10,23 @@
   TRUNCATED = 'broken-off',
   /** This daemon has no configuration or no list of backend servers yet. */
   NO_CONFIGURATION = 'no-configuration',
+  /**
+   * No route or customer was found, but this daemon's configuration is older
+   * than that of a peer, or has not been confirmed for long.
+   */
+  OUTDATED = 'outdated-configuration',
   /** No route matches the host and path. */
   NO_ROUTE = 'no-route',
   /** The API key belongs to no customer. */
   UNKNOWN_KEY = 'unknown-key',
-  /** The request body could not be read within the size limit. */
+  /** The request body exceeds the size limit. */
   TOO_LARGE = 'too-large',
+  /** The client left before the request body was received to its end. */
+  BODY_CUT = 'body-cut',
+  /** The client took too long to send the request body. */
+  BODY_TIMED_OUT = 'body-timed-out',
+  /** The chunks of the request body are malformed. */
+  BODY_MALFORMED = 'body-malformed',
   /** No server was ready, or the deadline expired before any attempt. */
   NO_SERVER = 'no-server',
   /** Every server tried refused the request or was unreachable. */
@@ -43,6 +54,7 @@
 /** Refusals of requests that may succeed when they are sent again. */
 const TEMPORARY_OUTCOMES: ReadonlySet<CallOutcome> = new Set([
   CallOutcome.NO_CONFIGURATION,
+  CallOutcome.OUTDATED,
   CallOutcome.OVERLOADED,
   CallOutcome.STOPPING,
 ]);
