Read state of peers and the store under a budget of its own

Cause: replies of the store and of peers counted under the budget of clients' bodies, of which the largest body is given up. Change: the clients of the store and of peers have a budget of 16 MB of their own.

--- a/packages/http/src/buffer_budget.ts
+++ b/packages/http/src/buffer_budget.ts
@@ -67,3 +67,12 @@
 
 /** Budget of this process; every body and event stream that is read counts. */
 export const processBuffers = new BufferBudget();
+
+/** Limit on the memory of replies with state that a daemon needs itself. */
+const STATE_LIMIT_BYTES = 16 * 1024 * 1024;
+
+/**
+ * Budget of replies with state that a daemon needs itself, apart from bodies of
+ * clients and servers: these could otherwise keep a large reply from arriving.
+ */
+export const stateBuffers = new BufferBudget(STATE_LIMIT_BYTES);
--- a/packages/http/src/http_client.ts
+++ b/packages/http/src/http_client.ts
@@ -1,6 +1,7 @@
 import {request, type ClientRequest, type IncomingMessage} from 'node:http';
 import {Effect} from 'effect';
 import {formatAddress} from '@greengagecross/common';
+import {processBuffers, type BufferBudget} from './buffer_budget.js';
 import {ConnectionPool} from './connection_pool.js';
 import {finishMessage} from './finish_message.js';
 import type {HttpError} from './http_error.js';
@@ -17,13 +18,16 @@
 export class HttpClient {
   readonly pool = new ConnectionPool();
 
+  /** @param budget limit on the memory of reply bodies that are being read */
+  constructor(private readonly budget: BufferBudget = processBuffers) {}
+
   /** Sends a request and reads the complete reply. */
   send(outgoing: OutgoingRequest): Effect.Effect<HttpReply, HttpError> {
     const limit = outgoing.maxReplyBytes ?? DEFAULT_MAX_REPLY_BYTES;
     const target = formatAddress(outgoing.address);
     return Effect.flatMap(this.open(outgoing), reply => {
       outgoing.onHead?.();
-      return readBody(reply.stream, limit, target).pipe(
+      return readBody(reply.stream, limit, target, this.budget).pipe(
         Effect.map(body => ({
           status: reply.status,
           headers: reply.headers,
--- a/packages/router/src/router_parts.ts
+++ b/packages/router/src/router_parts.ts
@@ -15,7 +15,7 @@
   readSteadyMs,
   SeededRandom,
 } from '@greengagecross/common';
-import {HttpClient} from '@greengagecross/http';
+import {HttpClient, stateBuffers} from '@greengagecross/http';
 import {PeerClient, PeerMethod, PeerServer} from '@greengagecross/peers';
 import {Effect} from 'effect';
 import {OperationalEndpoints} from './operational_endpoints.js';
@@ -89,7 +89,7 @@
   private readonly notices = new ServerNotices();
   private readonly metrics = new RouterMetrics();
   private readonly backendClient = new HttpClient();
-  private readonly peerClient = new HttpClient();
+  private readonly peerClient = new HttpClient(stateBuffers);
 
   constructor(
     settings: RouterSettings,
