--- a/packages/router/src/calls/request_admission.ts
+++ b/packages/router/src/calls/request_admission.ts
@@ -78,7 +78,7 @@
       const result = this.findResult(address);
       if (result !== undefined) return result;
       if (!this.isWaitAllowed()) return CallOutcome.OUTDATED;
-      const {timeoutMs = Infinity} = {timeoutMs: getTimeoutMs()};
+      const timeoutMs = getTimeoutMs() ?? Infinity;
       return yield* this.waitForDecision(
         address,
         Math.min(UPDATE_WAIT_MS, UPDATE_WAIT_SHARE * timeoutMs),
